Settle the layout, the error kinds and the typed peer interfaces

Cause: parts are to be built side by side, so the modules, the closed list of error kinds, the wire codec and the interfaces of the platform and of backend servers must stand first.

Ruled out: pydantic and msgspec for checked settings, since both need a compiled module and the shipped program should run from one file that unpacks nothing; cattrs and lark are pure Python.

--- /dev/null
+++ b/azureline/backends/__init__.py
@@ -0,0 +1,1 @@
+"""The backend servers' interface and its HTTP transport."""
--- /dev/null
+++ b/azureline/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration files: parsing, overlays, checks, versions and deltas."""
--- /dev/null
+++ b/azureline/core/errors.py
@@ -0,0 +1,155 @@
+"""The closed list of error kinds and the table from kind to answer.
+
+Code that refuses a request returns a `Refusal`, a falsy sentinel value that
+carries its reason, instead of raising.  The callers' interface turns it into
+an RFC 9457 problem document by looking its kind up in `ANSWERS`.
+"""
+
+import enum
+from typing import NamedTuple
+
+
+class Ran(enum.Enum):
+    """Whether a refused request was executed by a backend server."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.Enum):
+    """Every reason for which a request can end without its answer."""
+
+    BAD_REQUEST = "bad_request"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    KEY_REQUIRED = "key_required"
+    KEY_INVALID = "key_invalid"
+    KEY_EXPIRED = "key_expired"
+    KEY_REUSED = "key_reused"
+    MAY_HAVE_RUN = "may_have_run"
+    DID_NOT_RUN = "did_not_run"
+    OVERLOADED = "overloaded"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_REPLICA = "no_replica"
+    BACKEND_FAILED = "backend_failed"
+    STREAM_LOST = "stream_lost"
+    CRASH_SUSPECT = "crash_suspect"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    SHUTTING_DOWN = "shutting_down"
+    NOT_READY = "not_ready"
+    CALLER_GONE = "caller_gone"
+    INTERNAL = "internal"
+
+
+class Answer(NamedTuple):
+    """How an error kind is told to a caller.
+
+    Attributes:
+      status: HTTP status code.
+      ran: whether the request ran, unless the refusal says otherwise.
+      retry_after_s: default advice in seconds; None advises against a retry.
+      title: the summary for the problem document.
+    """
+
+    status: int
+    ran: Ran
+    retry_after_s: float | None
+    title: str
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(
+        400, Ran.NO, None, "The request is malformed"
+    ),
+    ErrorKind.UNKNOWN_MODEL: Answer(
+        404, Ran.NO, None, "No model or adapter has this name"
+    ),
+    ErrorKind.UNKNOWN_SERVICE: Answer(
+        404, Ran.NO, None, "No service has this name"
+    ),
+    ErrorKind.KEY_REQUIRED: Answer(
+        400, Ran.NO, None, "A non-idempotent call needs an Idempotency-Key"
+    ),
+    ErrorKind.KEY_INVALID: Answer(
+        400, Ran.NO, None, "The Idempotency-Key is not a UUIDv7"
+    ),
+    ErrorKind.KEY_EXPIRED: Answer(
+        409, Ran.UNKNOWN, None, "The Idempotency-Key is past its retention"
+    ),
+    ErrorKind.KEY_REUSED: Answer(
+        422, Ran.NO, None, "The Idempotency-Key was used with another body"
+    ),
+    ErrorKind.MAY_HAVE_RUN: Answer(
+        409, Ran.UNKNOWN, None, "The request may have run"
+    ),
+    ErrorKind.DID_NOT_RUN: Answer(503, Ran.NO, 1.0, "The request did not run"),
+    ErrorKind.OVERLOADED: Answer(
+        429, Ran.NO, 1.0, "The system is over capacity"
+    ),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(
+        429, Ran.NO, 1.0, "The deadline cannot be met"
+    ),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(
+        504, Ran.UNKNOWN, 1.0, "The deadline has passed"
+    ),
+    ErrorKind.NO_REPLICA: Answer(
+        503, Ran.NO, 2.0, "No backend server holds the model"
+    ),
+    ErrorKind.BACKEND_FAILED: Answer(
+        502, Ran.UNKNOWN, 1.0, "The backend server failed"
+    ),
+    ErrorKind.STREAM_LOST: Answer(
+        502, Ran.UNKNOWN, 0.5, "The stream broke before its end"
+    ),
+    ErrorKind.CRASH_SUSPECT: Answer(
+        503, Ran.UNKNOWN, 30.0, "The request may crash backend servers"
+    ),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(
+        503, Ran.NO, 5.0, "The platform's service is unavailable"
+    ),
+    ErrorKind.SHUTTING_DOWN: Answer(
+        503, Ran.NO, 0.1, "This node is shutting down"
+    ),
+    ErrorKind.NOT_READY: Answer(503, Ran.NO, 1.0, "This node is not ready"),
+    ErrorKind.CALLER_GONE: Answer(
+        499, Ran.UNKNOWN, None, "The caller closed the connection"
+    ),
+    ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, None, "Internal error"),
+}
+
+
+class Refusal(NamedTuple):
+    """A falsy sentinel that stands in place of a result and says why.
+
+    Attributes:
+      kind: the error kind, which selects the answer.
+      detail: a sentence for people.
+      retry_after: seconds after which to come back; None takes the default.
+      ran: whether the request ran; None takes the default of the kind.
+    """
+
+    kind: ErrorKind
+    detail: str
+    retry_after: float | None = None
+    ran: Ran | None = None
+
+    def __bool__(self) -> bool:
+        return False
+
+    @property
+    def answer(self) -> Answer:
+        """The answer for this refusal, with its own advice filled in."""
+        default = ANSWERS[self.kind]
+        retry_after = self.retry_after
+        if retry_after is None:
+            retry_after = default.retry_after_s
+        return default._replace(
+            ran=self.ran or default.ran, retry_after_s=retry_after
+        )
+
+    @property
+    def counter(self) -> str:
+        """The name of the counter for this refusal."""
+        return f"refused.{self.kind.value}"
--- /dev/null
+++ b/azureline/core/wire.py
@@ -0,0 +1,124 @@
+"""Typed messages as length-prefixed msgpack frames.
+
+Every message is a `NamedTuple` class registered with a `Codec` under a small
+number.  A frame is a 4-byte big-endian length and a msgpack array of that
+number and the fields.  Fields hold msgpack's own types, enums, nested
+registered tuples and sequences of these.
+"""
+
+import enum
+import struct
+from typing import Any
+
+import msgpack
+
+MAX_FRAME_BYTES = 1 << 20
+_LENGTH = struct.Struct(">I")
+_EXT_MESSAGE = 1
+
+
+class MalformedError(ValueError):
+    """Raised for input that is not a valid message."""
+
+
+class Codec:
+    """Packs and unpacks registered `NamedTuple` classes."""
+
+    def __init__(self, messages: dict[int, type]):
+        """Creates a codec.
+
+        Args:
+          messages: the classes by their number on the wire; numbers are
+            never reused for another class.
+        """
+        self._by_number = dict(messages)
+        self._by_class = {cls: num for num, cls in messages.items()}
+
+    def pack(self, message: Any) -> bytes:
+        """Returns the msgpack form of a registered message."""
+        return msgpack.packb(
+            self._plain(message), default=self._default, strict_types=True
+        )
+
+    def unpack(self, data: bytes) -> Any:
+        """Returns the message packed in `data`.
+
+        Args:
+          data: what `pack` returned.
+
+        Raises:
+          MalformedError: if `data` is no message of a registered class.
+        """
+        try:
+            fields = msgpack.unpackb(
+                data, use_list=False, ext_hook=self._ext, max_ext_len=len(data)
+            )
+        except (ValueError, TypeError, msgpack.exceptions.StackError) as e:
+            raise MalformedError(f"not msgpack: {e}") from None
+        return self._typed(fields)
+
+    def _plain(self, message: Any) -> list[Any]:
+        number = self._by_class[type(message)]
+        return [number, *message]
+
+    def _default(self, value: Any) -> Any:
+        if isinstance(value, enum.Enum):
+            return value.value
+        if type(value) in self._by_class:
+            return msgpack.ExtType(_EXT_MESSAGE, self.pack(value))
+        if isinstance(value, tuple):
+            return list(value)
+        raise TypeError(f"cannot pack {type(value).__name__}")
+
+    def _ext(self, code: int, data: bytes) -> Any:
+        if code != _EXT_MESSAGE:
+            raise MalformedError(f"unknown extension {code}")
+        return self.unpack(data)
+
+    def _typed(self, fields: Any) -> Any:
+        if not isinstance(fields, tuple) or not fields:
+            raise MalformedError("a message is a non-empty array")
+        cls = self._by_number.get(fields[0])
+        if cls is None:
+            raise MalformedError(f"unknown message number {fields[0]!r}")
+        if len(fields) - 1 != len(cls._fields):
+            raise MalformedError(f"{cls.__name__} has other fields")
+        return cls(*fields[1:])
+
+
+def frame(payload: bytes) -> bytes:
+    """Returns the payload with its length in front.
+
+    Raises:
+      MalformedError: if the payload exceeds `MAX_FRAME_BYTES`.
+    """
+    if len(payload) > MAX_FRAME_BYTES:
+        raise MalformedError(f"frame of {len(payload)} bytes")
+    return _LENGTH.pack(len(payload)) + payload
+
+
+class Deframer:
+    """Splits a byte stream into the payloads of its frames."""
+
+    def __init__(self, max_bytes: int = MAX_FRAME_BYTES):
+        self._buffer = bytearray()
+        self._max_bytes = max_bytes
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Adds received bytes and returns the payloads that are complete.
+
+        Raises:
+          MalformedError: if a frame announces more than the bound.
+        """
+        self._buffer += data
+        payloads = []
+        while len(self._buffer) >= _LENGTH.size:
+            (size,) = _LENGTH.unpack_from(self._buffer)
+            if size > self._max_bytes:
+                raise MalformedError(f"frame of {size} bytes")
+            end = _LENGTH.size + size
+            if len(self._buffer) < end:
+                break
+            payloads.append(bytes(self._buffer[_LENGTH.size : end]))
+            del self._buffer[:end]
+        return payloads
--- /dev/null
+++ b/azureline/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about the fleet: ownership, memory, placement, membership."""
--- /dev/null
+++ b/azureline/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and timers sent by statsd."""
--- /dev/null
+++ b/azureline/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Streams and datagrams between azureline nodes."""
--- /dev/null
+++ b/azureline/once/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of non-idempotent requests."""
--- /dev/null
+++ b/azureline/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' read-only interface of a node."""
--- /dev/null
+++ b/azureline/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service and VM list."""
--- /dev/null
+++ b/azureline/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about a single request: admission, choice of server, retries."""
--- /dev/null
+++ b/azureline/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The command line; each command is a small object without logic."""
--- /dev/null
+++ b/azureline/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers grouped by subject."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around azureline, for tests and the demo."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of azureline; the modules mirror those of the package."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers: the demo, the benches and the packer."""
