--- /dev/null
+++ b/azureline/backends/http.py
@@ -0,0 +1,367 @@
+"""The HTTP transport to model engines, ledger engines and plain services.
+
+Nothing here decides: it sends what it is told and reports what happened, with
+one fact that the decisions need on every failure: whether the request can
+have reached the server.
+"""
+
+import json
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+
+from absl import logging
+from twisted.internet import defer
+from twisted.internet import error as net_error
+from twisted.internet import protocol
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope import interface as zope_interface
+
+from azureline.backends import interface
+
+CONNECT_TIMEOUT_S = 1.0
+REPORT_TIMEOUT_S = 2.0
+ORDER_TIMEOUT_S = 5.0
+CANCEL_TIMEOUT_S = 2.0
+MAX_ANSWER_BYTES = 1 << 20
+MAX_IDLE_PER_HOST = 64
+_NOT_SENT = (
+    net_error.ConnectError,
+    net_error.ConnectionRefusedError,
+    net_error.DNSLookupError,
+    net_error.NoRouteError,
+)
+
+
+class Failure(NamedTuple):
+    """Falsy sentinel: a backend server gave no usable answer.
+
+    Attributes:
+      reason: what went wrong, for logs.
+      sent: whether the request may have reached the server.
+    """
+
+    reason: str
+    sent: bool
+
+    def __bool__(self) -> bool:
+        return False
+
+
+class Reply(NamedTuple):
+    """A whole answer of a backend server.
+
+    Attributes:
+      status: HTTP status code.
+      content_type: media type of the body.
+      body: the body, whole.
+      started: False if the server says that it did not start the request.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    started: bool
+
+
+class StreamSink(Protocol):
+    """Receives the events of one connection that carries a stream."""
+
+    def opened(self, transport: Any) -> None:
+        """Takes the transport, which can be paused and closed."""
+
+    def received(self, data: bytes) -> None:
+        """Takes bytes of the body."""
+
+    def closed(self, reason: str) -> None:
+        """Learns that the connection carries no more bytes."""
+
+
+class Stream(NamedTuple):
+    """An open stream.
+
+    Attributes:
+      status: HTTP status code of the response.
+      load: the load header that the engine sent, or "".
+      request_id: the identity that the engine echoed, or "".
+      response: the response, whose body is yet to be delivered.
+    """
+
+    status: int
+    load: str
+    request_id: str
+    response: Any
+
+
+@zope_interface.implementer(iweb.IBodyProducer)
+class _Body:
+    """Sends bytes that are already in memory."""
+
+    def __init__(self, body: bytes):
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer):  # noqa: N802
+        consumer.write(self._body)
+        return defer.succeed(None)
+
+    def pauseProducing(self):  # noqa: N802
+        """Does nothing; the body was written at once."""
+
+    def resumeProducing(self):  # noqa: N802
+        """Does nothing; the body was written at once."""
+
+    def stopProducing(self):  # noqa: N802
+        """Does nothing; the body was written at once."""
+
+
+class _Delivery(protocol.Protocol):
+    """Hands the bytes of a response's body to a sink."""
+
+    def __init__(self, sink: StreamSink):
+        self._sink = sink
+
+    def connectionMade(self):  # noqa: N802
+        self._sink.opened(self.transport)
+
+    def dataReceived(self, data):  # noqa: N802
+        self._sink.received(data)
+
+    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
+        self._sink.closed(reason.type.__name__)
+
+
+class _Collector(protocol.Protocol):
+    """Gathers a bounded body and notes whether its end was explicit."""
+
+    def __init__(self, done: defer.Deferred[bytes | None]):
+        self._done = done
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    def dataReceived(self, data):  # noqa: N802
+        self._size += len(data)
+        self._chunks.append(data)
+        if self._size > MAX_ANSWER_BYTES and self.transport is not None:
+            self.transport.loseConnection()
+
+    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
+        whole = reason.check(client.ResponseDone) is not None
+        within = self._size <= MAX_ANSWER_BYTES
+        self._done.callback(
+            b"".join(self._chunks) if whole and within else None
+        )
+
+
+class BackendClient:
+    """Sends requests and orders to backend servers."""
+
+    def __init__(self, reactor: Any):
+        """Creates a client.
+
+        Args:
+          reactor: the Twisted reactor.
+        """
+        self._reactor = reactor
+        self._pool = client.HTTPConnectionPool(reactor)
+        self._pool.maxPersistentPerHost = MAX_IDLE_PER_HOST
+        self._pool.retryAutomatically = False
+        self._agent = client.Agent(
+            reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool
+        )
+        # A reused connection may be closed by the server while the request
+        # is under way, which leaves its fate unknown; a new one may not.
+        self._fresh_agent = client.Agent(
+            reactor, connectTimeout=CONNECT_TIMEOUT_S
+        )
+
+    def close(self) -> defer.Deferred[None]:
+        """Closes the idle connections."""
+        return self._pool.closeCachedConnections()
+
+    async def generate(
+        self, url: str, body: dict[str, Any]
+    ) -> Stream | Failure:
+        """Starts a generation at the engine at `url`.
+
+        Args:
+          url: root of the engine, such as "http://127.0.0.1:9000".
+          body: the request in the form of chat completions.
+
+        Returns:
+          The open stream, or why there is none.
+        """
+        return await self._open(
+            b"POST", f"{url}/v1/chat/completions", json.dumps(body).encode()
+        )
+
+    async def resume(
+        self, url: str, request_id: str, offset: int
+    ) -> Stream | Failure:
+        """Opens a new connection to a stream, after the token at `offset`."""
+        return await self._open(
+            b"GET", f"{url}/v1/streams/{request_id}?from={offset}", None
+        )
+
+    def deliver(self, stream: Stream, sink: StreamSink) -> None:
+        """Starts handing the bytes of a stream to its sink."""
+        stream.response.deliverBody(_Delivery(sink))
+
+    async def cancel(self, url: str, request_id: str) -> None:
+        """Tells an engine to drop a stream; failures are only logged."""
+        result = await self._call(
+            self._agent,
+            b"DELETE",
+            f"{url}/v1/streams/{request_id}",
+            None,
+            {},
+            CANCEL_TIMEOUT_S,
+        )
+        if isinstance(result, Failure):
+            logging.info("event=cancel_failed reason=%s", result.reason)
+
+    async def order(
+        self, url: str, order: interface.Order
+    ) -> interface.OrderResult:
+        """Sends an order; `UNKNOWN` if no usable answer came."""
+        fields = order._asdict()
+        fields["kind"] = order.kind.value
+        reply = await self._call(
+            self._agent,
+            b"POST",
+            f"{url}/orders",
+            json.dumps(fields).encode(),
+            {"Content-Type": "application/json"},
+            ORDER_TIMEOUT_S,
+        )
+        if isinstance(reply, Failure) or reply.status != 200:
+            return interface.OrderResult.UNKNOWN
+        try:
+            return interface.OrderResult(json.loads(reply.body)["result"])
+        except (ValueError, KeyError, TypeError):
+            return interface.OrderResult.UNKNOWN
+
+    async def report(self, url: str) -> interface.Report | Failure:
+        """Reads an engine's report."""
+        reply = await self._call(
+            self._agent, b"GET", f"{url}/report", None, {}, REPORT_TIMEOUT_S
+        )
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status != 200:
+            return Failure(f"status {reply.status}", True)
+        return _parse_report(reply.body)
+
+    async def call_service(
+        self,
+        url: str,
+        method: bytes,
+        body: bytes | None,
+        headers: dict[str, str],
+        timeout_s: float,
+    ) -> Reply | Failure:
+        """Calls a service on a new connection, once.
+
+        Args:
+          url: the whole URL.
+          method: HTTP method.
+          body: the body, or None.
+          headers: headers to send.
+          timeout_s: seconds after which the call is given up.
+        """
+        return await self._call(
+            self._fresh_agent, method, url, body, headers, timeout_s
+        )
+
+    async def _open(
+        self, method: bytes, url: str, body: bytes | None
+    ) -> Stream | Failure:
+        try:
+            response = await self._agent.request(
+                method,
+                url.encode(),
+                http_headers.Headers({"Content-Type": ["application/json"]}),
+                _Body(body) if body is not None else None,
+            )
+        except Exception as e:  # The transport raises many kinds.
+            return _failure(e)
+        return Stream(
+            response.code,
+            _header(response, "X-Load"),
+            _header(response, "X-Request-Id"),
+            response,
+        )
+
+    async def _call(
+        self,
+        agent: client.Agent,
+        method: bytes,
+        url: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        timeout_s: float,
+    ) -> Reply | Failure:
+        pending = defer.ensureDeferred(
+            self._exchange(agent, method, url, body, headers)
+        )
+        pending.addTimeout(timeout_s, self._reactor)
+        try:
+            return await pending
+        except Exception as e:  # The transport raises many kinds.
+            return _failure(e)
+
+    async def _exchange(
+        self,
+        agent: client.Agent,
+        method: bytes,
+        url: str,
+        body: bytes | None,
+        headers: dict[str, str],
+    ) -> Reply | Failure:
+        response = await agent.request(
+            method,
+            url.encode(),
+            http_headers.Headers({k: [v] for k, v in headers.items()}),
+            _Body(body) if body is not None else None,
+        )
+        done: defer.Deferred[bytes | None] = defer.Deferred()
+        response.deliverBody(_Collector(done))
+        content = await done
+        if content is None:
+            return Failure("the answer was cut off", True)
+        return Reply(
+            response.code,
+            _header(response, "Content-Type"),
+            content,
+            _header(response, "X-Not-Started") == "",
+        )
+
+
+def _header(response: Any, name: str) -> str:
+    values = response.headers.getRawHeaders(name)
+    return values[0] if values else ""
+
+
+def _failure(error: Exception) -> Failure:
+    # A timeout of the whole call is a `defer.TimeoutError`, which is none of
+    # these; Twisted's own connect timeout is a `ConnectError`.
+    sent = not isinstance(error, _NOT_SENT)
+    return Failure(f"{type(error).__name__}: {error}"[:200], sent)
+
+
+def _parse_report(body: bytes) -> interface.Report | Failure:
+    try:
+        fields = json.loads(body)
+        known = {k: fields[k] for k in interface.Report._fields}
+        for name in ("models", "adapters"):
+            known[name] = tuple(
+                interface.Resident(
+                    r["name"], r["version"], r["bytes_used"], r["state"]
+                )
+                for r in known[name]
+            )
+        return interface.Report(**known)
+    except (ValueError, KeyError, TypeError) as e:
+        return Failure(f"malformed report: {e}", True)
--- /dev/null
+++ b/azureline/callers/answer.py
@@ -0,0 +1,208 @@
+"""The answer to one caller, whole or as a stream of events."""
+
+import json
+from typing import Any
+from typing import Protocol
+
+from twisted.internet import interfaces
+from zope import interface as zope_interface
+
+from azureline.callers import problem
+from azureline.core import errors
+
+EVENT_STREAM = "text/event-stream"
+_DATA = b"data: "
+_DONE = b"data: [DONE]"
+
+
+class Watcher(Protocol):
+    """Told of what the caller's connection does."""
+
+    def caller_took(self, unsent: int) -> None:
+        """Learns how many bytes wait for the caller."""
+
+    def caller_left(self) -> None:
+        """Learns that the caller closed the connection."""
+
+
+@zope_interface.implementer(interfaces.IPushProducer)
+class StreamAnswer:
+    """Passes events to the caller as they come."""
+
+    def __init__(self, request: Any, request_id: str):
+        """Creates the answer; nothing is written yet.
+
+        Args:
+          request: the `twisted.web` request.
+          request_id: identity of the request.
+        """
+        self._request = request
+        self._request_id = request_id
+        self._watcher: Watcher | None = None
+        self._begun = False
+        self._ended = False
+        self._paused = False
+        self._unsent = 0
+        request.notifyFinish().addErrback(lambda _: self._left())
+
+    def watch(self, watcher: Watcher) -> None:
+        """Names the one who is told of the caller's connection."""
+        self._watcher = watcher
+
+    def write(self, data: bytes) -> None:
+        """Passes on whole events."""
+        if self._ended:
+            return
+        if not self._begun:
+            self._begin()
+        self._request.write(data)
+        if self._paused:
+            self._unsent += len(data)
+            self._tell()
+
+    def finish(self) -> None:
+        """Ends an answer that is whole."""
+        if self._ended:
+            return
+        self._end()
+
+    def refuse(self, refusal: errors.Refusal) -> None:
+        """Answers with a refusal, or ends a stream that has begun with it."""
+        if self._ended:
+            return
+        if self._begun:
+            self._request.write(problem.stream_event(refusal, self._request_id))
+            self._end()
+            return
+        self._ended = True
+        write_refusal(self._request, refusal, self._request_id)
+
+    def pauseProducing(self):  # noqa: N802
+        """Notes that the caller is slow."""
+        self._paused = True
+
+    def resumeProducing(self):  # noqa: N802
+        """Notes that the caller has taken what was sent."""
+        self._paused = False
+        self._unsent = 0
+        self._tell()
+
+    def stopProducing(self):  # noqa: N802
+        """Does nothing; the end of the request says the same."""
+
+    def _begin(self) -> None:
+        self._begun = True
+        self._request.setHeader("Content-Type", EVENT_STREAM)
+        self._request.setHeader("Cache-Control", "no-store")
+        self._request.setHeader("X-Request-Id", self._request_id)
+        self._request.registerProducer(self, True)
+
+    def _end(self) -> None:
+        self._ended = True
+        self._request.unregisterProducer()
+        self._request.finish()
+
+    def _left(self) -> None:
+        self._ended = True
+        if self._watcher is not None:
+            self._watcher.caller_left()
+
+    def _tell(self) -> None:
+        if self._watcher is not None:
+            self._watcher.caller_took(self._unsent)
+
+
+class WholeAnswer:
+    """Collects the events and answers with one JSON document at the end."""
+
+    def __init__(self, request: Any, request_id: str, model: str):
+        """Creates the answer.
+
+        Args:
+          request: the `twisted.web` request.
+          request_id: identity of the request.
+          model: name of the model as the caller gave it.
+        """
+        self._request = request
+        self._request_id = request_id
+        self._model = model
+        self._events: list[bytes] = []
+        self._ended = False
+        self._watcher: Watcher | None = None
+        request.notifyFinish().addErrback(lambda _: self._left())
+
+    def watch(self, watcher: Watcher) -> None:
+        """Names the one who is told of the caller's connection."""
+        self._watcher = watcher
+
+    def write(self, data: bytes) -> None:
+        """Keeps whole events until the end."""
+        self._events.append(data)
+
+    def finish(self) -> None:
+        """Sends the answer, which is whole."""
+        if self._ended:
+            return
+        self._ended = True
+        text = _content(b"".join(self._events))
+        document = {
+            "id": self._request_id,
+            "object": "chat.completion",
+            "model": self._model,
+            "choices": [
+                {
+                    "index": 0,
+                    "message": {"role": "assistant", "content": text},
+                    "finish_reason": "stop",
+                }
+            ],
+        }
+        write_json(self._request, 200, document)
+
+    def refuse(self, refusal: errors.Refusal) -> None:
+        """Answers with a refusal; no part of the answer is sent."""
+        if self._ended:
+            return
+        self._ended = True
+        write_refusal(self._request, refusal, self._request_id)
+
+    def _left(self) -> None:
+        self._ended = True
+        if self._watcher is not None:
+            self._watcher.caller_left()
+
+
+def write_refusal(
+    request: Any, refusal: errors.Refusal, request_id: str
+) -> None:
+    """Sends a problem document and ends the request."""
+    request.setResponseCode(refusal.answer.status)
+    request.setHeader("Content-Type", problem.CONTENT_TYPE)
+    request.setHeader("X-Request-Id", request_id)
+    retry_after = problem.retry_after_header(refusal)
+    if retry_after:
+        request.setHeader("Retry-After", retry_after)
+    _send(request, problem.body(refusal, request_id))
+
+
+def write_json(request: Any, status: int, document: Any) -> None:
+    """Sends a JSON document and ends the request."""
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", "application/json")
+    _send(request, json.dumps(document).encode())
+
+
+def _send(request: Any, body: bytes) -> None:
+    request.setHeader("Content-Length", str(len(body)))
+    request.write(body)
+    request.finish()
+
+
+def _content(events: bytes) -> str:
+    parts = []
+    for line in events.split(b"\n"):
+        if not line.startswith(_DATA) or line == _DONE:
+            continue
+        chunk = json.loads(line.removeprefix(_DATA))
+        parts.append(chunk["choices"][0]["delta"].get("content", ""))
+    return "".join(parts)
--- /dev/null
+++ b/azureline/callers/parse.py
@@ -0,0 +1,147 @@
+"""Callers' requests turned into typed calls."""
+
+import hashlib
+import json
+import math
+from typing import Any
+from typing import NamedTuple
+
+from azureline import requests
+from azureline.core import errors
+
+DEFAULT_MAX_TOKENS = 256
+MAX_TOKENS = 32_768
+MAX_DEADLINE_S = 3_600.0
+PREFIX_CHARS = 1_024
+CHARS_PER_TOKEN = 4
+_DIGEST_BYTES = 16
+
+
+class ChatRequest(NamedTuple):
+    """A checked body of chat completions.
+
+    Attributes:
+      model: name of a model or of an adapter.
+      messages: the messages as sent, each with a role and a content.
+      max_tokens: bound on the generated tokens.
+      stream: whether the answer is to be streamed.
+    """
+
+    model: str
+    messages: list[dict[str, str]]
+    max_tokens: int
+    stream: bool
+
+
+class Target(NamedTuple):
+    """What a model name in a request stands for.
+
+    Attributes:
+      model: name of the model.
+      adapter: name of the adapter, or "".
+    """
+
+    model: str
+    adapter: str
+
+
+def bad(detail: str) -> errors.Refusal:
+    """Returns the refusal of a malformed request."""
+    return errors.Refusal(errors.ErrorKind.BAD_REQUEST, detail)
+
+
+def chat(body: bytes) -> ChatRequest | errors.Refusal:
+    """Checks the body of chat completions.
+
+    Members that are not known are ignored, as clients send many.
+    """
+    try:
+        fields = json.loads(body)
+    except ValueError as e:
+        return bad(f"The body is not JSON: {e}.")
+    if not isinstance(fields, dict):
+        return bad("The body must be a JSON object.")
+    if not isinstance(fields.get("model"), str) or not fields["model"]:
+        return bad("`model` must be a non-empty string.")
+    messages = _messages(fields.get("messages"))
+    if messages is None:
+        return bad("`messages` must be a list of objects with text contents.")
+    max_tokens = fields.get("max_tokens", DEFAULT_MAX_TOKENS)
+    if type(max_tokens) is not int or not 1 <= max_tokens <= MAX_TOKENS:
+        return bad(f"`max_tokens` must be from 1 to {MAX_TOKENS}.")
+    stream = fields.get("stream", False)
+    if not isinstance(stream, bool):
+        return bad("`stream` must be true or false.")
+    return ChatRequest(fields["model"], messages, max_tokens, stream)
+
+
+def priority(
+    header: str, highest: requests.Priority
+) -> requests.Priority | errors.Refusal:
+    """Parses the X-Priority header, bounded by what the caller may ask."""
+    if not header:
+        return max(requests.Priority.NORMAL, highest)
+    try:
+        asked = requests.Priority[header.upper()]
+    except KeyError:
+        names = ", ".join(p.name.lower() for p in requests.Priority)
+        return bad(f"X-Priority must be one of: {names}.")
+    return max(asked, highest)
+
+
+def deadline_s(header: str, default_s: float) -> float | errors.Refusal:
+    """Parses the X-Deadline-S header: seconds from now."""
+    if not header:
+        return default_s
+    try:
+        seconds = float(header)
+    except ValueError:
+        seconds = math.nan
+    if not 0 < seconds <= MAX_DEADLINE_S:
+        return bad(f"X-Deadline-S must be over 0, up to {MAX_DEADLINE_S:g}.")
+    return seconds
+
+
+def model_call(
+    parsed: ChatRequest,
+    target: Target,
+    request_id: str,
+    caller: str,
+    priority_class: requests.Priority,
+    deadline: float,
+) -> requests.ModelCall:
+    """Returns the typed call of a checked request."""
+    text = json.dumps(parsed.messages, sort_keys=True, ensure_ascii=False)
+    name = f"{target.model}\0{target.adapter}\0"
+    return requests.ModelCall(
+        request_id=request_id,
+        caller=caller,
+        model=target.model,
+        adapter=target.adapter,
+        priority=priority_class,
+        deadline=deadline,
+        prompt_tokens=len(text) // CHARS_PER_TOKEN + 1,
+        max_tokens=parsed.max_tokens,
+        prefix=digest((name + text[:PREFIX_CHARS]).encode()),
+        content=digest(f"{name}{parsed.max_tokens}\0{text}".encode()),
+    )
+
+
+def digest(data: bytes) -> bytes:
+    """Returns a digest that serves as the identity of some content."""
+    return hashlib.blake2b(data, digest_size=_DIGEST_BYTES).digest()
+
+
+def _messages(value: Any) -> list[dict[str, str]] | None:
+    if not isinstance(value, list) or not value:
+        return None
+    messages = []
+    for item in value:
+        if not isinstance(item, dict):
+            return None
+        role = item.get("role")
+        content = item.get("content")
+        if not isinstance(role, str) or not isinstance(content, str):
+            return None
+        messages.append({"role": role, "content": content})
+    return messages
--- /dev/null
+++ b/azureline/callers/site.py
@@ -0,0 +1,307 @@
+"""The callers' HTTP interface: chat completions, services and health."""
+
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+import uuid
+
+from twisted.internet import defer
+from twisted.web import resource
+from twisted.web import server
+
+from azureline import requests
+from azureline.callers import answer
+from azureline.callers import credentials
+from azureline.callers import parse
+from azureline.callers import request as request_lib
+from azureline.core import errors
+
+_SERVICES = b"/v1/services/"
+
+
+class ServiceRequest(NamedTuple):
+    """A call to a service as it came from the caller.
+
+    Attributes:
+      call: the typed call.
+      method: HTTP method.
+      content_type: media type of the body, or "".
+      body: the body.
+    """
+
+    call: requests.ServiceCall
+    method: str
+    content_type: str
+    body: bytes
+
+
+class ServiceAnswer(NamedTuple):
+    """The whole answer to a call of a service.
+
+    Attributes:
+      status: HTTP status code.
+      content_type: media type of the body, or "".
+      body: the body.
+      replayed: whether this is the kept answer of an earlier run.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    replayed: bool = False
+
+
+class Backend(Protocol):
+    """What the node provides to the callers' interface."""
+
+    def refusal(self) -> errors.Refusal | None:
+        """Returns why new requests are refused, or None."""
+
+    def ready(self) -> errors.Refusal | None:
+        """Returns why the balancer is to send no requests, or None."""
+
+    def credentials(self) -> credentials.Credentials:
+        """Returns the callers of the configuration in force."""
+
+    def target(self, name: str) -> parse.Target | errors.Refusal:
+        """Returns the model and adapter that a name stands for."""
+
+    def deadline(self, seconds: float) -> float:
+        """Returns the monotonic time that many seconds from now."""
+
+    def default_deadline_s(self) -> float:
+        """Returns the deadline of requests that name none."""
+
+    def generate(
+        self,
+        call: requests.ModelCall,
+        messages: list[dict[str, str]],
+        to: Any,
+    ) -> None:
+        """Starts a generation that answers to `to`."""
+
+    def is_idempotent(
+        self, service: str, method: str, path: str
+    ) -> bool | errors.Refusal:
+        """Returns the repeat rule of a call."""
+
+    async def call_service(
+        self, sent: ServiceRequest
+    ) -> ServiceAnswer | errors.Refusal:
+        """Carries out a call to a service."""
+
+    def issue_key(self) -> str:
+        """Returns a new idempotency key."""
+
+    def status(self) -> Any:
+        """Returns the operators' status document."""
+
+
+class Root(resource.Resource):
+    """Every path of the interface."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, backend: Backend):
+        """Creates the resource.
+
+        Args:
+          backend: the node.
+        """
+        super().__init__()
+        self._backend = backend
+
+    def render(self, request):
+        """Answers a request; see `twisted.web.resource.Resource`."""
+        route = (request.method, request.path)
+        match route:
+            case (b"GET", b"/healthz"):
+                answer.write_json(request, 200, {"status": "ok"})
+            case (b"GET", b"/readyz"):
+                self._ready(request)
+            case (b"GET", b"/operators/status"):
+                answer.write_json(request, 200, self._backend.status())
+            case (b"POST", b"/v1/chat/completions"):
+                self._chat(request)
+            case (b"POST", b"/v1/idempotency-keys"):
+                self._issue_key(request)
+            case (_, path) if path.startswith(_SERVICES):
+                self._service(request)
+            case _:
+                answer.write_refusal(
+                    request,
+                    errors.Refusal(
+                        errors.ErrorKind.NOT_FOUND, "No such path or method."
+                    ),
+                    "",
+                )
+        return server.NOT_DONE_YET
+
+    def _ready(self, request: Any) -> None:
+        refusal = self._backend.ready()
+        if refusal is not None:
+            answer.write_refusal(request, refusal, "")
+            return
+        answer.write_json(request, 200, {"status": "ready"})
+
+    def _issue_key(self, request: Any) -> None:
+        identity = self._identify(request)
+        if isinstance(identity, errors.Refusal):
+            answer.write_refusal(request, identity, "")
+            return
+        answer.write_json(request, 201, {"key": self._backend.issue_key()})
+
+    def _identify(self, request: Any) -> credentials.Identity | errors.Refusal:
+        refusal = self._backend.refusal()
+        if refusal is not None:
+            return refusal
+        known = self._backend.credentials()
+        return known.identify(_header(request, "Authorization"))
+
+    def _chat(self, request: Any) -> None:
+        request_id = _new_id()
+        call, parsed = self._chat_call(request, request_id)
+        if isinstance(call, errors.Refusal):
+            answer.write_refusal(request, call, request_id)
+            return
+        to: Any
+        if parsed.stream:
+            to = answer.StreamAnswer(request, request_id)
+        else:
+            to = answer.WholeAnswer(request, request_id, parsed.model)
+        self._backend.generate(call, parsed.messages, to)
+
+    def _chat_call(
+        self, request: Any, request_id: str
+    ) -> tuple[requests.ModelCall | errors.Refusal, Any]:
+        identity = self._identify(request)
+        if isinstance(identity, errors.Refusal):
+            return identity, None
+        parsed = parse.chat(request.content.read())
+        if isinstance(parsed, errors.Refusal):
+            return parsed, None
+        target = self._backend.target(parsed.model)
+        if isinstance(target, errors.Refusal):
+            return target, None
+        terms = self._terms(request, identity)
+        if isinstance(terms, errors.Refusal):
+            return terms, None
+        call = parse.model_call(
+            parsed, target, request_id, identity.name, *terms
+        )
+        return call, parsed
+
+    def _terms(
+        self, request: Any, identity: credentials.Identity
+    ) -> tuple[requests.Priority, float] | errors.Refusal:
+        """Returns the priority and the monotonic deadline of a request."""
+        priority = parse.priority(
+            _header(request, "X-Priority"), identity.highest
+        )
+        if isinstance(priority, errors.Refusal):
+            return priority
+        seconds = parse.deadline_s(
+            _header(request, "X-Deadline-S"),
+            self._backend.default_deadline_s(),
+        )
+        if isinstance(seconds, errors.Refusal):
+            return seconds
+        return priority, self._backend.deadline(seconds)
+
+    def _service(self, request: Any) -> None:
+        request_id = _new_id()
+        sent = self._service_request(request, request_id)
+        if isinstance(sent, errors.Refusal):
+            answer.write_refusal(request, sent, request_id)
+            return
+        pending = defer.ensureDeferred(self._backend.call_service(sent))
+        gone: list[bool] = []
+        request.notifyFinish().addErrback(lambda _: gone.append(True))
+
+        def reply(result: Any) -> None:
+            if not gone:
+                _reply(request, result, request_id)
+
+        def crashed(failure: Any) -> None:
+            reply(errors.Refusal(errors.ErrorKind.INTERNAL, ""))
+            failure.raiseException()
+
+        pending.addCallbacks(reply, crashed)
+
+    def _service_request(
+        self, request: Any, request_id: str
+    ) -> ServiceRequest | errors.Refusal:
+        identity = self._identify(request)
+        if isinstance(identity, errors.Refusal):
+            return identity
+        target = request.uri.removeprefix(_SERVICES).decode("ascii", "replace")
+        service, _, rest = target.partition("/")
+        path = "/" + rest
+        method = request.method.decode("ascii", "replace")
+        idempotent = self._backend.is_idempotent(service, method, path)
+        if isinstance(idempotent, errors.Refusal):
+            return idempotent
+        terms = self._terms(request, identity)
+        if isinstance(terms, errors.Refusal):
+            return terms
+        key = _header(request, "Idempotency-Key")
+        if not idempotent and not key:
+            return errors.Refusal(
+                errors.ErrorKind.KEY_REQUIRED,
+                "Send an Idempotency-Key that is a UUIDv7.",
+            )
+        body = request.content.read()
+        name = f"{service}\0{method}\0{path}\0".encode()
+        call = requests.ServiceCall(
+            request_id=request_id,
+            caller=identity.name,
+            service=service,
+            path=path,
+            idempotent=idempotent,
+            key="" if idempotent else key,
+            priority=terms[0],
+            deadline=terms[1],
+            content=parse.digest(name + body),
+        )
+        return ServiceRequest(
+            call, method, _header(request, "Content-Type"), body
+        )
+
+
+def make_site(
+    backend: Backend,
+    max_body_bytes: int = request_lib.DEFAULT_MAX_BODY_BYTES,
+) -> server.Site:
+    """Returns the site that serves callers and operators.
+
+    Args:
+      backend: the node.
+      max_body_bytes: bound on a request's body.
+    """
+    site = server.Site(Root(backend), requestFactory=request_lib.MemoryRequest)
+    site.max_body_bytes = max_body_bytes
+    site.displayTracebacks = False
+    return site
+
+
+def _reply(request: Any, result: Any, request_id: str) -> None:
+    if isinstance(result, errors.Refusal):
+        answer.write_refusal(request, result, request_id)
+        return
+    request.setResponseCode(result.status)
+    if result.content_type:
+        request.setHeader("Content-Type", result.content_type)
+    request.setHeader("X-Request-Id", request_id)
+    if result.replayed:
+        request.setHeader("Idempotency-Replayed", "true")
+    request.write(result.body)
+    request.finish()
+
+
+def _header(request: Any, name: str) -> str:
+    values = request.requestHeaders.getRawHeaders(name)
+    return values[0] if values else ""
+
+
+def _new_id() -> str:
+    return uuid.uuid4().hex
--- a/azureline/core/errors.py
+++ b/azureline/core/errors.py
@@ -21,6 +21,9 @@
     """Every reason for which a request can end without its answer."""
 
     BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    NOT_FOUND = "not_found"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
     KEY_REQUIRED = "key_required"
@@ -63,6 +66,13 @@
     ErrorKind.BAD_REQUEST: Answer(
         400, Ran.NO, None, "The request is malformed"
     ),
+    ErrorKind.BODY_TOO_LARGE: Answer(
+        413, Ran.NO, None, "The request's body is too large"
+    ),
+    ErrorKind.UNAUTHENTICATED: Answer(
+        401, Ran.NO, None, "The caller's key is missing or unknown"
+    ),
+    ErrorKind.NOT_FOUND: Answer(404, Ran.NO, None, "There is nothing here"),
     ErrorKind.UNKNOWN_MODEL: Answer(
         404, Ran.NO, None, "No model or adapter has this name"
     ),
--- /dev/null
+++ b/azureline/fleet/rumours.py
@@ -0,0 +1,154 @@
+"""A store of versioned facts that spread from node to node.
+
+Each fact is passed on a number of times that grows with the logarithm of the
+fleet, which reaches every node with high probability (Demers et al.,
+"Epidemic algorithms for replicated database maintenance", PODC 1987).  What
+is missed is found by comparing digests of buckets.
+"""
+
+import hashlib
+import math
+from typing import NamedTuple
+
+from azureline.fleet import messages
+
+BUCKETS = 32
+SPREAD_FACTOR = 3
+_DIGEST_BYTES = 8
+_OVERHEAD_BYTES = 16
+_EMPTY_DIGEST = bytes(_DIGEST_BYTES)
+
+
+class _Held(NamedTuple):
+    rumour: messages.Rumour
+    expires_at: float
+
+
+class RumourStore:
+    """Holds the newest version of each fact and what is yet to be passed on."""
+
+    def __init__(self):
+        self._held: dict[str, _Held] = {}
+        self._sent: dict[str, int] = {}
+        self._buckets = [_EMPTY_DIGEST] * BUCKETS
+
+    @property
+    def digest(self) -> bytes:
+        """A digest of all keys and versions held."""
+        return _xor_all(self._buckets)
+
+    @property
+    def buckets(self) -> tuple[bytes, ...]:
+        """The digest of each bucket."""
+        return tuple(self._buckets)
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def get(self, key: str) -> messages.Rumour | None:
+        """Returns the newest rumour of a key, or None."""
+        held = self._held.get(key)
+        return held.rumour if held else None
+
+    def with_prefix(self, prefix: str) -> list[messages.Rumour]:
+        """Returns the rumours whose keys start with `prefix`."""
+        return [h.rumour for k, h in self._held.items() if k.startswith(prefix)]
+
+    def merge(self, now: float, rumour: messages.Rumour) -> bool:
+        """Takes a rumour if it is newer than what is held.
+
+        Args:
+          now: monotonic time in seconds.
+          rumour: what was heard or is being said.
+
+        Returns:
+          Whether the rumour was news.
+        """
+        held = self._held.get(rumour.key)
+        if held is not None and held.rumour.version >= rumour.version:
+            return False
+        if held is not None:
+            self._flip(held.rumour)
+        expires_at = now + rumour.ttl_s if rumour.ttl_s else math.inf
+        self._held[rumour.key] = _Held(rumour, expires_at)
+        self._flip(rumour)
+        self._sent[rumour.key] = 0
+        return True
+
+    def expire(self, now: float) -> list[messages.Rumour]:
+        """Forgets the rumours whose time is over and returns them."""
+        over = [h.rumour for h in self._held.values() if h.expires_at <= now]
+        for rumour in over:
+            self._flip(rumour)
+            del self._held[rumour.key]
+            self._sent.pop(rumour.key, None)
+        return over
+
+    def news(
+        self, now: float, fleet_size: int, max_bytes: int
+    ) -> tuple[messages.Rumour, ...]:
+        """Picks rumours to pass on, those passed on least often first.
+
+        Args:
+          now: monotonic time in seconds.
+          fleet_size: number of nodes that are to hear of them.
+          max_bytes: bound on the picked rumours together.
+        """
+        limit = spread_limit(fleet_size)
+        picked = []
+        room = max_bytes
+        for key in sorted(self._sent, key=self._sent.__getitem__):
+            rumour = self._aged(now, key)
+            size = len(rumour.key) + len(rumour.value) + _OVERHEAD_BYTES
+            if size > room:
+                continue
+            room -= size
+            picked.append(rumour)
+            self._sent[key] += 1
+            if self._sent[key] >= limit:
+                del self._sent[key]
+        return tuple(picked)
+
+    def differing(
+        self, now: float, buckets: tuple[bytes, ...]
+    ) -> tuple[messages.Rumour, ...]:
+        """Returns the rumours in buckets that differ from a peer's digests."""
+        if len(buckets) != BUCKETS:
+            buckets = (_EMPTY_DIGEST,) * BUCKETS
+        wanted = {i for i in range(BUCKETS) if buckets[i] != self._buckets[i]}
+        return tuple(
+            self._aged(now, key) for key in self._held if _bucket(key) in wanted
+        )
+
+    def _aged(self, now: float, key: str) -> messages.Rumour:
+        held = self._held[key]
+        if not held.rumour.ttl_s:
+            return held.rumour
+        remaining = max(1, math.ceil(held.expires_at - now))
+        return held.rumour._replace(ttl_s=remaining)
+
+    def _flip(self, rumour: messages.Rumour) -> None:
+        index = _bucket(rumour.key)
+        text = f"{rumour.key}\0{rumour.epoch}\0{rumour.sequence}".encode()
+        mark = hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
+        self._buckets[index] = _xor(self._buckets[index], mark)
+
+
+def spread_limit(fleet_size: int) -> int:
+    """Returns how often one node passes a rumour on."""
+    return SPREAD_FACTOR * math.ceil(math.log2(fleet_size + 2))
+
+
+def _bucket(key: str) -> int:
+    return hashlib.blake2b(key.encode(), digest_size=1).digest()[0] % BUCKETS
+
+
+def _xor(a: bytes, b: bytes) -> bytes:
+    return bytes(x ^ y for x, y in zip(a, b, strict=True))
+
+
+def _xor_all(digests: list[bytes]) -> bytes:
+    total = _EMPTY_DIGEST
+    for digest in digests:
+        total = _xor(total, digest)
+    return total
--- /dev/null
+++ b/azureline/nodes/datagrams.py
@@ -0,0 +1,55 @@
+"""Datagrams between nodes, for probes and small rumours."""
+
+from typing import Any
+from typing import Protocol
+
+from absl import logging
+from twisted.internet import protocol
+
+from azureline.core import wire
+from azureline.metrics import counters as metrics
+from azureline.nodes import messages
+
+MAX_DATAGRAM_BYTES = 1400
+
+
+class Receiver(Protocol):
+    """What the owner of the datagrams provides."""
+
+    def datagram(self, host: str, port: int, message: Any) -> None:
+        """Takes a message of another node."""
+
+
+class Datagrams(protocol.DatagramProtocol):
+    """Owns the UDP socket of one node."""
+
+    def __init__(self, receiver: Receiver, counters: metrics.Counters):
+        """Creates the protocol; the reactor's `listenUDP` opens the socket.
+
+        Args:
+          receiver: told of each message.
+          counters: counts bytes and malformed input.
+        """
+        self._receiver = receiver
+        self._counters = counters
+        self._codec = messages.codec()
+
+    def send(self, host: str, port: int, message: Any) -> None:
+        """Sends a message; it may be lost."""
+        data = self._codec.pack(message)
+        if self.transport is None:
+            return
+        self._counters.count("datagrams.bytes_sent", len(data))
+        try:
+            self.transport.write(data, (host, port))
+        except OSError as e:
+            logging.info("event=datagram_not_sent reason=%r", str(e))
+
+    def datagramReceived(self, datagram, addr):  # noqa: D102, N802
+        try:
+            message = self._codec.unpack(datagram)
+        except wire.MalformedError as e:
+            self._counters.count("datagrams.malformed")
+            logging.warning("event=malformed_datagram reason=%r", str(e))
+            return
+        self._receiver.datagram(addr[0], addr[1], message)
--- /dev/null
+++ b/azureline/nodes/links.py
@@ -0,0 +1,256 @@
+"""Streams of typed messages between nodes.
+
+A stream is opened when a message is first sent and closed after it has been
+idle.  Both ends send heartbeats, so a connection that went silent without an
+error is found and replaced by a new one.
+"""
+
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+
+from absl import logging
+from twisted.internet import endpoints
+from twisted.internet import protocol
+from twisted.internet import task
+
+from azureline.core import clock as clocks
+from azureline.core import wire
+from azureline.metrics import counters as metrics
+from azureline.nodes import messages
+
+HEARTBEAT_S = 1.0
+SILENCE_S = 3.5
+IDLE_S = 60.0
+CONNECT_TIMEOUT_S = 1.0
+MAX_WAITING = 1024
+
+
+class Address(NamedTuple):
+    """Where a node accepts streams."""
+
+    host: str
+    port: int
+
+
+class Receiver(Protocol):
+    """What the owner of the links provides."""
+
+    def message(self, sender: str, address: Address, message: Any) -> None:
+        """Takes a message of another node."""
+
+    def lost(self, name: str, address: Address) -> None:
+        """Learns that the stream to a node has ended."""
+
+
+class Links:
+    """Owns the streams of one node."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        name: str,
+        address: Address,
+        receiver: Receiver,
+        clock: clocks.Clock,
+        counters: metrics.Counters,
+    ):
+        """Creates links without opening any.
+
+        Args:
+          reactor: the Twisted reactor.
+          name: name of this node's VM.
+          address: where this node accepts streams.
+          receiver: told of messages and of lost streams.
+          clock: source of time.
+          counters: counts malformed input and lost streams.
+        """
+        self._reactor = reactor
+        self._name = name
+        self._address = address
+        self._receiver = receiver
+        self._clock = clock
+        self._counters = counters
+        self._codec = messages.codec()
+        self._open: dict[Address, _LinkProtocol] = {}
+        # Two nodes may open a stream to each other at once; both are kept.
+        self._greeted: set[_LinkProtocol] = set()
+        self._waiting: dict[Address, list[bytes]] = {}
+        self._beat = task.LoopingCall(self._on_beat)
+        self._beat.clock = reactor
+        self._port: Any = None
+
+    async def listen(self) -> None:
+        """Accepts streams and starts the heartbeats."""
+        endpoint = endpoints.TCP4ServerEndpoint(
+            self._reactor, self._address.port, interface=self._address.host
+        )
+        factory = protocol.Factory.forProtocol(lambda: _LinkProtocol(self))
+        self._port = await endpoint.listen(factory)
+        self._beat.start(HEARTBEAT_S, now=False)
+
+    def close(self) -> None:
+        """Closes every stream."""
+        if self._beat.running:
+            self._beat.stop()
+        if self._port is not None:
+            self._port.stopListening()
+        for link in list(self._greeted):
+            link.transport.loseConnection()
+
+    def send(self, address: Address, message: Any) -> None:
+        """Sends a message, opening a stream if there is none.
+
+        A message that cannot be sent is dropped: the sender's own timeout
+        covers that as it covers a lost answer.
+        """
+        data = wire.frame(self._codec.pack(message))
+        link = self._open.get(address)
+        if link is not None:
+            link.write(data)
+            return
+        queue = self._waiting.get(address)
+        if queue is None:
+            self._waiting[address] = [data]
+            self._connect(address)
+        elif len(queue) < MAX_WAITING:
+            queue.append(data)
+        else:
+            self._counters.count("links.dropped")
+
+    def hello(self) -> bytes:
+        """Returns the frame that opens a stream."""
+        return self.pack(
+            messages.Hello(
+                messages.PROTOCOL_VERSION,
+                self._name,
+                self._address.host,
+                self._address.port,
+            )
+        )
+
+    def pack(self, message: Any) -> bytes:
+        """Returns the frame of a message."""
+        return wire.frame(self._codec.pack(message))
+
+    def unpack(self, payload: bytes) -> Any:
+        """Returns the message of a payload; see `wire.Codec.unpack`."""
+        return self._codec.unpack(payload)
+
+    def opened(self, link: "_LinkProtocol") -> None:
+        """Registers a stream whose other end has said who it is."""
+        self._greeted.add(link)
+        self._open.setdefault(link.peer, link)
+        for data in self._waiting.pop(link.peer, []):
+            link.write(data)
+
+    def ended(self, link: "_LinkProtocol") -> None:
+        """Forgets a stream."""
+        self._greeted.discard(link)
+        if self._open.get(link.peer) is not link:
+            return
+        del self._open[link.peer]
+        for other in self._greeted:
+            if other.peer == link.peer:
+                self._open[link.peer] = other
+                return
+        self._receiver.lost(link.peer_name, link.peer)
+
+    def deliver(self, link: "_LinkProtocol", message: Any) -> None:
+        """Hands a received message to the receiver."""
+        self._receiver.message(link.peer_name, link.peer, message)
+
+    def malformed(self, reason: str) -> None:
+        """Counts input that cost its sender the connection."""
+        self._counters.count("links.malformed")
+        logging.warning("event=malformed_message reason=%r", reason)
+
+    def now(self) -> float:
+        """Returns monotonic time in seconds."""
+        return self._clock.now()
+
+    def _connect(self, address: Address) -> None:
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self._reactor,
+            address.host,
+            address.port,
+            timeout=CONNECT_TIMEOUT_S,
+        )
+        factory = protocol.Factory.forProtocol(
+            lambda: _LinkProtocol(self, address)
+        )
+        connected = endpoint.connect(factory)
+        connected.addErrback(lambda failure: self._failed(address))
+
+    def _failed(self, address: Address) -> None:
+        dropped = self._waiting.pop(address, [])
+        self._counters.count("links.unreachable")
+        self._counters.count("links.dropped", len(dropped))
+        self._receiver.lost("", address)
+
+    def _on_beat(self) -> None:
+        now = self._clock.now()
+        for link in list(self._greeted):
+            link.beat(now)
+
+
+class _LinkProtocol(protocol.Protocol):
+    """One stream; it belongs to `Links`."""
+
+    def __init__(self, links: Links, peer: Address | None = None):
+        self.peer = peer
+        self.peer_name = ""
+        self._links = links
+        self._frames = wire.Deframer()
+        self._heard_at = links.now()
+        self._used_at = links.now()
+        self._greeted = False
+
+    def connectionMade(self):  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+        self.transport.write(self._links.hello())
+
+    def dataReceived(self, data):  # noqa: N802
+        self._heard_at = self._links.now()
+        try:
+            for payload in self._frames.feed(data):
+                self._received(self._links.unpack(payload))
+        except wire.MalformedError as e:
+            self._links.malformed(str(e))
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
+        if self._greeted:
+            self._links.ended(self)
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes that are already framed."""
+        self._used_at = self._links.now()
+        self.transport.write(data)
+
+    def beat(self, now: float) -> None:
+        """Sends a heartbeat, or ends a stream that is silent or unused."""
+        if now - self._heard_at > SILENCE_S:
+            self.transport.abortConnection()
+        elif now - self._used_at > IDLE_S:
+            self.transport.loseConnection()
+        else:
+            self.transport.write(self._links.pack(messages.Heartbeat()))
+
+    def _received(self, message: Any) -> None:
+        if not self._greeted:
+            self._greet(message)
+        elif not isinstance(message, messages.Heartbeat):
+            self._used_at = self._links.now()
+            self._links.deliver(self, message)
+
+    def _greet(self, message: Any) -> None:
+        if not isinstance(message, messages.Hello):
+            raise wire.MalformedError("a stream begins with a hello")
+        if message.version != messages.PROTOCOL_VERSION:
+            raise wire.MalformedError(f"protocol version {message.version}")
+        self._greeted = True
+        self.peer_name = message.name
+        if self.peer is None:
+            self.peer = Address(message.host, message.port)
+        self._links.opened(self)
--- /dev/null
+++ b/azureline/nodes/messages.py
@@ -0,0 +1,40 @@
+"""The messages of the streams and datagrams between nodes, and their codec."""
+
+from typing import NamedTuple
+
+from azureline.core import wire
+from azureline.fleet import messages as fleet_messages
+
+PROTOCOL_VERSION = 1
+
+
+class Hello(NamedTuple):
+    """Opens a stream; a node with another version is turned away.
+
+    Attributes:
+      version: `PROTOCOL_VERSION` of the sender.
+      name: name of the sender's VM.
+      host: IP address at which the sender accepts streams.
+      port: port at which the sender accepts streams.
+    """
+
+    version: int
+    name: str
+    host: str
+    port: int
+
+
+class Heartbeat(NamedTuple):
+    """Shows that a stream is alive while nothing else is sent."""
+
+
+MESSAGES: dict[int, type] = {
+    60: Hello,
+    61: Heartbeat,
+    **fleet_messages.MESSAGES,
+}
+
+
+def codec() -> wire.Codec:
+    """Returns the codec of all messages between nodes."""
+    return wire.Codec(MESSAGES)
--- /dev/null
+++ b/azureline/serving/generation.py
@@ -0,0 +1,329 @@
+"""One generation on its way from the caller to an engine and back."""
+
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+
+from twisted.internet import defer
+
+from azureline import requests
+from azureline.backends import http
+from azureline.core import clock as clocks
+from azureline.core import errors
+from azureline.routing import limits
+from azureline.routing import picker
+from azureline.routing import retry
+from azureline.routing import stream
+
+_REASONS = {
+    404: retry.Reason.STREAM_GONE,
+    429: retry.Reason.BUSY,
+    503: retry.Reason.LEAVING,
+}
+
+
+class Answer(Protocol):
+    """Where the bytes for the caller go."""
+
+    def watch(self, watcher: Any) -> None:
+        """Names the one who is told of the caller's connection."""
+
+    def write(self, data: bytes) -> None:
+        """Passes on whole events."""
+
+    def finish(self) -> None:
+        """Ends an answer that is whole."""
+
+    def refuse(self, refusal: errors.Refusal) -> None:
+        """Ends an answer that is not to be whole."""
+
+
+class Outcome(NamedTuple):
+    """How one attempt ended.
+
+    Attributes:
+      sample: what the attempt showed of the engine.
+      hint: the load that the engine told, or None.
+      reason: why the call should be sent again, or None if it ended.
+      refusal: the final refusal, or None.
+    """
+
+    sample: limits.Sample
+    hint: picker.LoadHint | None
+    reason: retry.Reason | None
+    refusal: errors.Refusal | None
+
+
+class Owner(Protocol):
+    """The collection of generations that owns a generation."""
+
+    def attempt_ended(self, gen: "Generation", outcome: Outcome) -> None:
+        """Learns how an attempt ended."""
+
+    def caller_left(self, gen: "Generation") -> None:
+        """Learns that a caller left before its call was sent."""
+
+
+class Generation:
+    """Runs the attempts of one call, one at a time."""
+
+    def __init__(
+        self,
+        owner: Owner,
+        call: requests.ModelCall,
+        messages: list[dict[str, str]],
+        answer: Answer,
+        backends: http.BackendClient,
+        clock: clocks.Clock,
+        settings: stream.Settings,
+    ):
+        """Creates a generation that has not been sent.
+
+        Args:
+          owner: told of the ends of attempts.
+          call: the call.
+          messages: the messages of the prompt.
+          answer: where the bytes for the caller go.
+          backends: sends to engines.
+          clock: source of time.
+          settings: settings of the relay.
+        """
+        self.call = call
+        self.answer = answer
+        self.attempt = 0
+        self.engine = ""
+        self.tried: list[str] = []
+        self._owner = owner
+        self._messages = messages
+        self._backends = backends
+        self._clock = clock
+        self._settings = settings
+        self._relay: stream.StreamRelay | None = None
+        self._url = ""
+        self._attempt_id = ""
+        self._sent_at = 0.0
+        self._first_at: float | None = None
+        self._last_at = 0.0
+        self._tokens = 0
+        self._hint: picker.LoadHint | None = None
+        self._transport: Any = None
+        answer.watch(self)
+
+    def send(self, engine: str, url: str) -> None:
+        """Sends the call to an engine.
+
+        Args:
+          engine: name of the engine.
+          url: its root, or "" if it is not known any more.
+        """
+        now = self._clock.now()
+        self.attempt += 1
+        self.engine = engine
+        self.tried.append(engine)
+        self._url = url
+        self._attempt_id = f"{self.call.request_id}.{self.attempt}"
+        self._sent_at = now
+        self._first_at = None
+        self._tokens = 0
+        self._hint = None
+        self._relay = stream.StreamRelay(now, self._attempt_id, self._settings)
+        defer.ensureDeferred(self._open(self._relay))
+
+    def tick(self, now: float) -> None:
+        """Acts on timeouts of the stream and on the deadline."""
+        if self._relay is None:
+            return
+        if now >= self.call.deadline:
+            self._act(self._relay.caller_left(now))
+            self._end(None, _deadline_passed(self._tokens))
+            return
+        wake_at = self._relay.wake_at()
+        if wake_at is not None and now >= wake_at:
+            self._act(self._relay.tick(now))
+
+    def engine_lost(self) -> None:
+        """Learns that the engine died."""
+        if self._relay is not None:
+            self._act(self._relay.engine_lost(self._clock.now()))
+
+    def caller_took(self, unsent: int) -> None:
+        """Learns how many bytes wait for the caller."""
+        if self._relay is not None:
+            self._act(self._relay.caller_took(self._clock.now(), unsent))
+
+    def caller_left(self) -> None:
+        """Learns that the caller closed the connection."""
+        if self._relay is None:
+            self._owner.caller_left(self)
+            return
+        self._act(self._relay.caller_left(self._clock.now()))
+        gone = errors.Refusal(errors.ErrorKind.CALLER_GONE, "")
+        self._end(None, gone)
+
+    def counters(self) -> dict[str, int]:
+        """Returns the relay's counts of repeats, gaps and the like."""
+        return self._relay.counters() if self._relay is not None else {}
+
+    async def _open(self, relay: stream.StreamRelay) -> None:
+        opened = await self._backends.generate(self._url, self._body())
+        if relay is not self._relay:
+            return
+        if isinstance(opened, http.Failure):
+            if opened.sent:
+                self._act(relay.closed(self._clock.now(), 1))
+            else:
+                self._end(retry.Reason.CONNECT_FAILED, None)
+            return
+        if opened.status != 200:
+            self._end(_REASONS.get(opened.status), _bad_status(opened.status))
+            return
+        self._connected(relay, 1, opened)
+
+    async def _reopen(self, relay: stream.StreamRelay, wanted: Any) -> None:
+        self._drop_transport()
+        opened = await self._backends.resume(
+            self._url, self._attempt_id, wanted.offset
+        )
+        if relay is not self._relay:
+            return
+        now = self._clock.now()
+        if isinstance(opened, http.Failure):
+            self._act(relay.closed(now, wanted.attempt))
+        elif opened.status != 200:
+            self._act(relay.engine_lost(now))
+        else:
+            self._connected(relay, wanted.attempt, opened)
+
+    def _connected(
+        self, relay: stream.StreamRelay, attempt: int, opened: http.Stream
+    ) -> None:
+        self._hint = picker.parse_load(opened.load) or self._hint
+        outputs = relay.opened(self._clock.now(), attempt, opened.request_id)
+        self._backends.deliver(opened, _Sink(self, relay, attempt))
+        self._act(outputs)
+
+    def received(
+        self, relay: stream.StreamRelay, attempt: int, data: bytes
+    ) -> None:
+        """Takes bytes of one connection's body."""
+        if relay is self._relay:
+            self._act(relay.received(self._clock.now(), attempt, data))
+
+    def closed(self, relay: stream.StreamRelay, attempt: int) -> None:
+        """Learns that one connection's body has ended."""
+        if relay is self._relay:
+            self._act(relay.closed(self._clock.now(), attempt))
+
+    def connected(self, transport: Any) -> None:
+        """Takes the transport of the connection that is read now."""
+        self._transport = transport
+
+    def _body(self) -> dict[str, Any]:
+        return {
+            "request_id": self._attempt_id,
+            "model": self.call.model,
+            "adapter": self.call.adapter,
+            "messages": self._messages,
+            "max_tokens": self.call.max_tokens,
+            "priority": self.call.priority.value,
+            "prefix": self.call.prefix.hex(),
+            "stream": True,
+        }
+
+    def _act(self, outputs: list[stream.Output]) -> None:
+        for output in outputs:
+            if isinstance(output, stream.Forward):
+                self._forward(output.data)
+            else:
+                self._control(output)
+
+    def _control(self, output: stream.Output) -> None:
+        match output:
+            case stream.ResumeAt():
+                defer.ensureDeferred(self._reopen(self._relay, output))
+            case stream.Pause() if self._transport is not None:
+                self._transport.pauseProducing()
+            case stream.Resume() if self._transport is not None:
+                self._transport.resumeProducing()
+            case stream.Cancel():
+                self._cancel()
+            case stream.RetryElsewhere():
+                self._end(retry.Reason.BACKEND_DIED, None)
+            case stream.Finished(tokens):
+                self._tokens = tokens
+                self._end(None, None)
+            case stream.Failed(refusal):
+                self._end(None, refusal)
+
+    def _forward(self, data: bytes) -> None:
+        self._last_at = self._clock.now()
+        if self._first_at is None:
+            self._first_at = self._last_at
+        self._tokens += 1
+        self.answer.write(data)
+
+    def _cancel(self) -> None:
+        self._drop_transport()
+        defer.ensureDeferred(self._backends.cancel(self._url, self._attempt_id))
+
+    def _drop_transport(self) -> None:
+        transport, self._transport = self._transport, None
+        if transport is not None:
+            transport.loseConnection()
+
+    def _end(
+        self,
+        reason: retry.Reason | None,
+        refusal: errors.Refusal | None,
+    ) -> None:
+        if self._relay is None:
+            return
+        self._relay = None
+        self._drop_transport()
+        ok = reason is None and refusal is None
+        self._owner.attempt_ended(
+            self, Outcome(self._sample(ok), self._hint, reason, refusal)
+        )
+
+    def _sample(self, ok: bool) -> limits.Sample:
+        now = self._clock.now()
+        first = gap = None
+        if self._first_at is not None:
+            first = self._first_at - self._sent_at
+            gap = (self._last_at - self._first_at) / max(1, self._tokens - 1)
+        return limits.Sample(ok, first, gap, now - self._sent_at, self._tokens)
+
+
+class _Sink:
+    """Carries one connection's bytes to its generation."""
+
+    def __init__(
+        self, gen: Generation, relay: stream.StreamRelay, attempt: int
+    ):
+        self._gen = gen
+        self._relay = relay
+        self._attempt = attempt
+
+    def opened(self, transport: Any) -> None:
+        self._gen.connected(transport)
+
+    def received(self, data: bytes) -> None:
+        self._gen.received(self._relay, self._attempt, data)
+
+    def closed(self, reason: str) -> None:
+        self._gen.closed(self._relay, self._attempt)
+
+
+def _bad_status(status: int) -> errors.Refusal | None:
+    if status in _REASONS:
+        return None
+    return errors.Refusal(
+        errors.ErrorKind.BACKEND_FAILED, f"The engine answered {status}."
+    )
+
+
+def _deadline_passed(tokens: int) -> errors.Refusal:
+    return errors.Refusal(
+        errors.ErrorKind.DEADLINE_EXCEEDED,
+        f"The deadline passed after {tokens} tokens.",
+    )
--- /dev/null
+++ b/azureline/serving/generations.py
@@ -0,0 +1,254 @@
+"""All generations of one node: admission, retries and suspicion together."""
+
+from typing import Any
+
+from absl import logging
+from twisted.internet import task
+
+from azureline import requests
+from azureline.backends import http
+from azureline.core import clock as clocks
+from azureline.core import errors
+from azureline.fleet import directory as directories
+from azureline.metrics import counters as metrics
+from azureline.routing import admission as admission_lib
+from azureline.routing import breaker
+from azureline.routing import retry
+from azureline.routing import stream
+from azureline.routing import suspects as suspects_lib
+from azureline.serving import generation
+
+TICK_S = 0.05
+
+
+class Generations:
+    """Owns the generations of a node from arrival to final answer."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clocks.Clock,
+        admission: admission_lib.Admission,
+        retries: retry.Retries,
+        breakers: breaker.Breakers,
+        suspects: suspects_lib.Suspects,
+        directory: directories.Directory,
+        backends: http.BackendClient,
+        counters: metrics.Counters,
+        settings: stream.Settings = stream.DEFAULTS,
+    ):
+        """Creates an empty collection.
+
+        Args:
+          reactor: the Twisted reactor.
+          clock: source of time.
+          admission: decides when each call is sent, and where.
+          retries: decides on failed attempts.
+          breakers: learns which engines fail.
+          suspects: knows the requests that crash engines.
+          directory: says where engines are.
+          backends: sends to engines.
+          counters: counts refusals and retries by reason.
+          settings: settings of the relays.
+        """
+        self._reactor = reactor
+        self._clock = clock
+        self._admission = admission
+        self._retries = retries
+        self._breakers = breakers
+        self._suspects = suspects
+        self._directory = directory
+        self._backends = backends
+        self._counters = counters
+        self._settings = settings
+        self._active: dict[str, generation.Generation] = {}
+        self._ticker = task.LoopingCall(self._on_tick)
+        self._ticker.clock = reactor
+
+    @property
+    def active(self) -> int:
+        """The number of generations that have no final answer yet."""
+        return len(self._active)
+
+    def start(self) -> None:
+        """Starts the timer."""
+        self._ticker.start(TICK_S, now=False)
+
+    def close(self) -> None:
+        """Stops the timer."""
+        if self._ticker.running:
+            self._ticker.stop()
+
+    def begin(
+        self,
+        call: requests.ModelCall,
+        messages: list[dict[str, str]],
+        answer: generation.Answer,
+    ) -> None:
+        """Takes a call; its answer is finished or refused in the end."""
+        gen = generation.Generation(
+            self,
+            call,
+            messages,
+            answer,
+            self._backends,
+            self._clock,
+            self._settings,
+        )
+        self._active[call.request_id] = gen
+        self._counters.count("requests.model")
+        self._place(gen)
+
+    def engine_restarted(self, engine: str, incarnation: str) -> None:
+        """Learns that the run of an engine with this incarnation has died."""
+        crash = suspects_lib.Crash(engine, incarnation)
+        now, wall = self._clock.now(), self._clock.wall()
+        self._suspects.crashed(now, wall, crash)
+        self._counters.count("engines.crashed")
+        for gen in list(self._active.values()):
+            if gen.engine == engine:
+                gen.engine_lost()
+
+    def refresh(self, models: list[str]) -> None:
+        """Takes over the directory's present replicas of these models."""
+        for model in models:
+            self._admission.set_candidates(
+                model, self._directory.candidates(model)
+            )
+        self._pump()
+
+    def attempt_ended(
+        self, gen: generation.Generation, outcome: generation.Outcome
+    ) -> None:
+        """Ends a call, or sends it again."""
+        now, wall = self._clock.now(), self._clock.wall()
+        call = gen.call
+        whole = outcome.sample.ok
+        self._admission.done(now, call.request_id, outcome.sample, outcome.hint)
+        self._suspects.finished(now, wall, gen.engine, call, whole)
+        if whole:
+            self._breakers.succeeded(now, gen.engine)
+            self._finish(gen, outcome)
+        elif outcome.refusal is not None:
+            self._refuse(gen, outcome.refusal)
+        else:
+            self._failed(gen, outcome.reason)
+        self._pump()
+
+    def caller_left(self, gen: generation.Generation) -> None:
+        """Drops a call that waits."""
+        now = self._clock.now()
+        self._admission.cancel(now, gen.call.request_id)
+        self._counters.count("refused.caller_gone")
+        self._active.pop(gen.call.request_id, None)
+
+    def _place(self, gen: generation.Generation) -> None:
+        """Offers a call to admission unless it is gone or suspected."""
+        if gen.call.request_id not in self._active:
+            return
+        now, wall = self._clock.now(), self._clock.wall()
+        match self._suspects.check(now, wall, gen.call):
+            case suspects_lib.Clear():
+                self._offer(gen, tuple(gen.tried))
+            case suspects_lib.Quarantine(avoid):
+                self._offer(gen, (*gen.tried, *avoid))
+            case suspects_lib.Wait(until):
+                self._later(until, gen)
+            case errors.Refusal() as refusal:
+                self._refuse(gen, refusal)
+
+    def _offer(
+        self, gen: generation.Generation, avoid: tuple[str, ...]
+    ) -> None:
+        match self._admission.offer(self._clock.now(), gen.call, avoid):
+            case admission_lib.Admitted(engine=engine, reason=reason):
+                self._counters.count(f"picked.{reason}")
+                self._send(gen, engine)
+            case admission_lib.Queued():
+                self._counters.count("requests.queued")
+            case errors.Refusal() as refusal:
+                self._refuse(gen, refusal)
+
+    def _send(self, gen: generation.Generation, engine: str) -> None:
+        now = self._clock.now()
+        if gen.attempt == 0:
+            self._retries.sent_first()
+        self._suspects.started(now, engine, gen.call)
+        self._breakers.started(now, engine)
+        gen.send(engine, self._directory.url(engine))
+
+    def _failed(
+        self, gen: generation.Generation, reason: retry.Reason | None
+    ) -> None:
+        now = self._clock.now()
+        reason = reason or retry.Reason.STREAM_GONE
+        if reason is not retry.Reason.BUSY and self._breakers.failed(
+            now, gen.engine
+        ):
+            self._counters.count("breakers.opened")
+        decided = self._retries.decide(
+            now, gen.call.deadline, gen.attempt, reason
+        )
+        match decided:
+            case retry.RetryAt(at, counter):
+                self._counters.count(counter)
+                self._later(at, gen)
+            case errors.Refusal() as refusal:
+                self._refuse(gen, refusal)
+
+    def _later(self, at: float, gen: generation.Generation) -> None:
+        if at >= gen.call.deadline:
+            late = errors.Refusal(
+                errors.ErrorKind.DEADLINE_UNREACHABLE,
+                "The next try would come after the deadline.",
+            )
+            self._refuse(gen, late)
+            return
+        delay = max(0.0, at - self._clock.now())
+        self._reactor.callLater(delay, self._place, gen)
+
+    def _finish(
+        self, gen: generation.Generation, outcome: generation.Outcome
+    ) -> None:
+        self._active.pop(gen.call.request_id, None)
+        sample = outcome.sample
+        self._counters.count("answered.model")
+        self._counters.count("tokens", sample.tokens)
+        if sample.first_token_s is not None:
+            self._counters.timing("first_token", sample.first_token_s)
+        if sample.token_gap_s is not None:
+            self._counters.timing("token_gap", sample.token_gap_s)
+        gen.answer.finish()
+
+    def _refuse(
+        self, gen: generation.Generation, refusal: errors.Refusal
+    ) -> None:
+        self._active.pop(gen.call.request_id, None)
+        self._counters.count(refusal.counter)
+        logging.info(
+            "event=refused request=%s kind=%s engine=%s attempt=%d detail=%r",
+            gen.call.request_id,
+            refusal.kind.value,
+            gen.engine,
+            gen.attempt,
+            refusal.detail,
+        )
+        gen.answer.refuse(refusal)
+
+    def _on_tick(self) -> None:
+        now = self._clock.now()
+        for gen in list(self._active.values()):
+            gen.tick(now)
+        wake_at = self._admission.wake_at()
+        if wake_at is not None and now >= wake_at:
+            self._pump()
+
+    def _pump(self) -> None:
+        """Sends and drops what admission says."""
+        for item in self._admission.next(self._clock.now()):
+            gen = self._active.get(item.call.request_id)
+            match item:
+                case admission_lib.Admitted(engine=engine) if gen:
+                    self._send(gen, engine)
+                case admission_lib.Dropped(refusal=refusal) if gen:
+                    self._refuse(gen, refusal)
