Add stand-ins for the platform, engines, ledgers and services

Cause: the node, the demo and the tests need something to talk to that can be told to fail.

Ruled out: fakes inside the test process only; they never lose a connection half-way or go silent, which is what the node must survive.

Change: small twisted.web programs. The engine batches in one timer per step, keeps streams for 10 s for a resume, and refuses or counts overcommits. The ledger counts runs by key.

--- /dev/null
+++ b/standins/batch.py
@@ -0,0 +1,246 @@
+"""Continuous batching: streams that advance together, one timer for all."""
+
+import collections
+from collections.abc import Callable
+import heapq
+import itertools
+import json
+from typing import Any
+from typing import NamedTuple
+
+from twisted.internet import task
+
+KEEP_S = 10.0  # How long a stream outlives its connection or its end.
+
+
+class Speed(NamedTuple):
+    """How fast an engine generates.
+
+    Attributes:
+      tokens_per_s: tokens per second of each running stream.
+      max_running: streams that run at once; more are queued.
+      first_token_ms: time to the first token of a stream.
+      prefix_slots: prompt prefixes in the cache; a hit takes a third of the
+        time to the first token.
+    """
+
+    tokens_per_s: float = 40.0
+    max_running: int = 64
+    first_token_ms: float = 60.0
+    prefix_slots: int = 256
+
+
+class Stream:
+    """One generation and the connection that reads it, if any."""
+
+    def __init__(
+        self, call: dict[str, Any], words: list[str], cache_bytes: int
+    ):
+        self.request_id: str = call["request_id"]
+        self.model: str = call["model"]
+        self.priority = int(call.get("priority", 1))
+        self.prefix: str = call.get("prefix") or ""
+        self.cache_bytes = cache_bytes
+        self.first_at = 0.0
+        self.produced = 0
+        self.kept_until: float | None = None
+        self._sink: Any = None
+        self._tokens = words
+        chunk = json.dumps(
+            {
+                "id": self.request_id,
+                "object": "chat.completion.chunk",
+                "model": self.model,
+                "choices": [
+                    {"index": 0, "delta": {"content": "@"}, "finish_reason": 0}
+                ],
+            },
+            separators=(",", ":"),
+        )
+        self._head, tail = chunk.rsplit("@", 1)
+        self._tail = tail.replace(":0}", ":null}")
+        self._last = tail.replace(":0}", ':"stop"}')
+
+    @property
+    def finished(self) -> bool:
+        """Whether every token has been produced."""
+        return self.produced >= len(self._tokens)
+
+    @property
+    def attached(self) -> bool:
+        """Whether a connection reads the stream."""
+        return self._sink is not None
+
+    def attach(self, sink: Any, offset: int) -> None:
+        """Sends what follows `offset` to a request, now and from now on."""
+        self._sink = sink
+        events = map(self._event, range(offset + 1, self.produced + 1))
+        sink.write(b"".join(events))
+        self._end_if_finished()
+
+    def detach(self, sink: Any) -> bool:
+        """Forgets a connection that has closed; False if it is not ours."""
+        if self._sink is not sink:
+            return False
+        self._sink = None
+        return True
+
+    def cut(self) -> None:
+        """Closes the stream's connection without an end."""
+        if self._sink is not None:
+            self._sink.transport.abortConnection()
+
+    def produce(self) -> None:
+        """Generates one token."""
+        self.produced += 1
+        if self._sink is not None:
+            self._sink.write(self._event(self.produced))
+            self._end_if_finished()
+
+    def _event(self, offset: int) -> bytes:
+        tail = self._last if offset == len(self._tokens) else self._tail
+        data = self._head + self._tokens[offset - 1] + tail
+        return f"id: {offset}\ndata: {data}\n\n".encode()
+
+    def _end_if_finished(self) -> None:
+        if self.finished and self._sink is not None:
+            sink, self._sink = self._sink, None
+            sink.write(b"data: [DONE]\n\n")
+            sink.finish()
+
+
+class Batch:
+    """The streams of one engine."""
+
+    def __init__(
+        self, reactor: Any, speed: Speed, on_released: Callable[[], None]
+    ):
+        """Creates an empty batch.
+
+        Args:
+          reactor: source of time and timers.
+          speed: how fast to generate.
+          on_released: called when streams have ended, which frees cache.
+        """
+        self._reactor = reactor
+        self._speed = speed
+        self._on_released = on_released
+        self._streams: dict[str, Stream] = {}
+        self._running: dict[str, Stream] = {}
+        self._queue: list[tuple[int, int, Stream]] = []
+        self._arrivals = itertools.count()
+        self._prefixes: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._steps = task.LoopingCall(self._step)
+        self._steps.clock = reactor
+
+    @property
+    def running(self) -> int:
+        """How many streams are generating."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """How many streams wait."""
+        return len(self._queue)
+
+    @property
+    def cache_bytes(self) -> int:
+        """Memory in bytes that unfinished streams hold."""
+        waiting = sum(entry[2].cache_bytes for entry in self._queue)
+        running = sum(s.cache_bytes for s in self._running.values())
+        return waiting + running
+
+    def uses(self, model: str) -> bool:
+        """Whether an unfinished stream needs the model."""
+        waiting = (entry[2] for entry in self._queue)
+        return any(
+            s.model == model for s in (*self._running.values(), *waiting)
+        )
+
+    def add(self, stream: Stream) -> None:
+        """Queues a stream and starts it if there is room."""
+        self._streams[stream.request_id] = stream
+        entry = (stream.priority, next(self._arrivals), stream)
+        heapq.heappush(self._queue, entry)
+        self._admit(self._reactor.seconds())
+        if not self._steps.running:
+            self._steps.start(1 / self._speed.tokens_per_s, now=False)
+
+    def get(self, request_id: str) -> Stream | None:
+        """Returns a stream that is known still."""
+        return self._streams.get(request_id)
+
+    def detached(self, stream: Stream, sink: Any) -> None:
+        """Notes that a connection has closed."""
+        if stream.detach(sink):
+            stream.kept_until = self._reactor.seconds() + KEEP_S
+
+    def cancel(self, request_id: str) -> bool:
+        """Drops a stream and frees what it holds; False if unknown."""
+        stream = self._streams.pop(request_id, None)
+        if stream is None:
+            return False
+        self._running.pop(request_id, None)
+        self._queue = [e for e in self._queue if e[2] is not stream]
+        heapq.heapify(self._queue)
+        stream.cut()
+        self._on_released()
+        return True
+
+    def cut_all(self) -> None:
+        """Closes the connections of all streams, which go on generating."""
+        for stream in list(self._streams.values()):
+            stream.cut()
+
+    def close(self) -> None:
+        """Ends the timer."""
+        if self._steps.running:
+            self._steps.stop()
+
+    def _admit(self, now: float) -> None:
+        while self._queue and len(self._running) < self._speed.max_running:
+            stream = heapq.heappop(self._queue)[2]
+            wait_s = self._speed.first_token_ms / 1000
+            if self._cached(stream.prefix):
+                wait_s /= 3
+            stream.first_at = now + wait_s
+            self._running[stream.request_id] = stream
+
+    def _cached(self, prefix: str) -> bool:
+        if not prefix:
+            return False
+        hit = prefix in self._prefixes
+        self._prefixes[prefix] = None
+        self._prefixes.move_to_end(prefix)
+        if len(self._prefixes) > self._speed.prefix_slots:
+            self._prefixes.popitem(last=False)
+        return hit
+
+    def _step(self) -> None:
+        now = self._reactor.seconds()
+        ended = 0
+        for stream in list(self._running.values()):
+            if now < stream.first_at:
+                continue
+            stream.produce()
+            if stream.finished:
+                ended += 1
+                del self._running[stream.request_id]
+                stream.kept_until = now + KEEP_S
+        if ended:
+            self._on_released()
+        self._drop_old(now)
+        self._admit(now)
+        if not self._streams:
+            self._steps.stop()
+
+    def _drop_old(self, now: float) -> None:
+        for stream in list(self._streams.values()):
+            if stream.kept_until is None or now < stream.kept_until:
+                continue
+            if stream.attached and not stream.finished:
+                stream.kept_until = None
+            else:
+                self.cancel(stream.request_id)
--- /dev/null
+++ b/standins/common.py
@@ -0,0 +1,233 @@
+"""What the stand-ins share: routing, faults, registration and start-up."""
+
+from collections.abc import Callable
+import io
+import json
+import re
+from typing import Any
+from typing import NamedTuple
+import weakref
+
+from twisted.internet import defer
+from twisted.internet import reactor as default_reactor
+from twisted.internet import task
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import resource
+from twisted.web import server
+
+REGISTER_EVERY_S = 2.0
+
+
+class Reply(NamedTuple):
+    """An answer to one HTTP request.
+
+    Attributes:
+      status: HTTP status code.
+      body: the raw body.
+      headers: pairs of name and value.
+    """
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class _Route(NamedTuple):
+    method: bytes
+    pattern: re.Pattern[str]
+    handler: Callable[..., Any]
+
+
+def json_reply(
+    value: Any, status: int = 200, headers: tuple[tuple[str, str], ...] = ()
+) -> Reply:
+    """Returns an answer whose body is `value` as JSON."""
+    kind = ("Content-Type", "application/json")
+    return Reply(status, json.dumps(value).encode(), (kind, *headers))
+
+
+def read_json(request: server.Request) -> dict[str, Any]:
+    """Returns the object in a request's body; raises ValueError if none."""
+    value = json.loads(request.content.read() or b"{}")
+    if not isinstance(value, dict):
+        raise ValueError("the body is not a JSON object")
+    return value
+
+
+def is_open(request: server.Request) -> bool:
+    """Tells whether an answer can still be written to the request."""
+    return getattr(request, "channel", None) is not None
+
+
+def close_without_answer(request: server.Request) -> None:
+    """Closes the request's connection, as a dying process would."""
+    if is_open(request):
+        request.transport.abortConnection()
+
+
+class App(resource.Resource):
+    """Dispatches requests to handlers and owns what all stand-ins have.
+
+    A handler takes the request and the groups of its pattern.  It returns a
+    `Reply`, a deferred of one, or None to answer (or not) by itself.
+    """
+
+    isLeaf = True  # noqa: N815 - a name of twisted.web
+
+    def __init__(self, reactor: Any = default_reactor):
+        super().__init__()
+        self.reactor = reactor
+        self._routes: list[_Route] = []
+        self._transports: weakref.WeakSet[Any] = weakref.WeakSet()
+        self._answer_s = 0.0
+        self.route("POST", "/faults", self._set_faults)
+
+    def route(
+        self, method: str, pattern: str, handler: Callable[..., Any]
+    ) -> None:
+        """Adds a handler for the paths that match a regular expression."""
+        route = _Route(method.encode(), re.compile(pattern), handler)
+        self._routes.append(route)
+
+    def render(self, request: server.Request) -> Any:
+        """Finds the handler and sends what it returns."""
+        self._transports.add(request.transport)
+        path = request.path.decode("ascii", "replace")
+        for route in self._routes:
+            match = route.pattern.fullmatch(path)
+            if match and route.method == request.method:
+                made = defer.maybeDeferred(
+                    route.handler, request, *match.groups()
+                )
+                made.addErrback(self._failed)
+                made.addCallback(self._answer, request)
+                return server.NOT_DONE_YET
+        request.setResponseCode(404)
+        return b"no such path\n"
+
+    def site(self) -> server.Site:
+        """Returns the factory to listen with."""
+        return _Site(self, timeout=None)
+
+    def fault(self, name: str, value: Any) -> None:
+        """Begins one kind of failure; subclasses add their own kinds."""
+        match name:
+            case "answer_ms":
+                self._answer_s = value / 1000
+            case "freeze_s":
+                self.reactor.callLater(0.01, self._freeze)
+            case _:
+                raise ValueError(f"unknown fault {name}")
+
+    def _set_faults(self, request: server.Request) -> Reply:
+        for name, value in read_json(request).items():
+            self.fault(name, value)
+        return json_reply({})
+
+    def _freeze(self) -> None:
+        """Silences every open connection for good; new ones work."""
+        for transport in list(self._transports):
+            transport.pauseProducing()
+            transport.write = lambda data: None
+            transport.writeSequence = lambda data: None
+
+    def _failed(self, failure: Any) -> Reply:
+        if failure.check(ValueError, KeyError, TypeError):
+            return json_reply({"error": failure.getErrorMessage()}, 400)
+        return Reply(500, failure.getTraceback().encode())
+
+    def _answer(self, reply: Reply | None, request: server.Request) -> None:
+        if reply is None:
+            return
+        if self._answer_s:
+            self.reactor.callLater(self._answer_s, self._send, reply, request)
+        else:
+            self._send(reply, request)
+
+    def _send(self, reply: Reply, request: server.Request) -> None:
+        if not is_open(request):
+            return
+        request.setResponseCode(reply.status)
+        for name, value in reply.headers:
+            request.setHeader(name, value)
+        request.setHeader("Content-Length", str(len(reply.body)))
+        request.write(reply.body)
+        request.finish()
+
+
+class _Site(server.Site):
+    """Serves without time limits, tracebacks or an access log."""
+
+    displayTracebacks = False  # noqa: N815 - a name of twisted.web
+
+    def log(self, request: server.Request) -> None:
+        """Drops the entry for the access log."""
+
+
+class Poster:
+    """Posts JSON over one pool of connections."""
+
+    def __init__(self, reactor: Any, url: str):
+        self._pool = client.HTTPConnectionPool(reactor)
+        self._agent = client.Agent(reactor, connectTimeout=2, pool=self._pool)
+        self._url = url.rstrip("/")
+
+    async def post(self, path: str, value: Any) -> dict[str, Any]:
+        """Posts `value` and returns the JSON object of the answer."""
+        response = await self._agent.request(
+            b"POST",
+            (self._url + path).encode(),
+            http_headers.Headers({"Content-Type": ["application/json"]}),
+            client.FileBodyProducer(io.BytesIO(json.dumps(value).encode())),
+        )
+        body = await client.readBody(response)
+        if response.code != 200:
+            raise ValueError(f"{path} answered {response.code}")
+        return json.loads(body or b"{}")
+
+    def close(self) -> defer.Deferred[None]:
+        """Closes idle connections."""
+        return self._pool.closeCachedConnections()
+
+
+def keep_registered(
+    reactor: Any, poster: Poster, vm: dict[str, Any]
+) -> task.LoopingCall:
+    """Registers a VM with the platform now and every two seconds."""
+
+    def register() -> Any:
+        done = defer.ensureDeferred(poster.post("/vms", vm))
+        return done.addErrback(lambda failure: None)
+
+    loop = task.LoopingCall(register)
+    loop.clock = reactor
+    loop.start(REGISTER_EVERY_S)
+    return loop
+
+
+def serve(
+    app: App, host: str, port: int, platform: str = "", vm: Any = None
+) -> None:
+    """Listens, registers with the platform and runs until SIGTERM.
+
+    Args:
+      app: what answers.
+      host: an address in 127.0.0.0/8.
+      port: the port; 0 takes any free one.
+      platform: URL of the platform stand-in, or "" to stay unregistered.
+      vm: name, role and domain for the platform's list of VMs.
+
+    Raises:
+      ValueError: if `host` is not a loopback address.
+    """
+    if not host.startswith("127."):
+        raise ValueError(f"{host} is not in 127.0.0.0/8")
+    reactor = app.reactor
+    listener = reactor.listenTCP(port, app.site(), 512, host)
+    bound = listener.getHost().port
+    if platform:
+        vm = {**vm, "host": host, "port": bound, "leaving": False}
+        keep_registered(reactor, Poster(reactor, platform), vm)
+    print(f"ready port={bound}", flush=True)
+    reactor.run()
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,248 @@
+"""A stand-in for a model engine: batching, streams, memory and orders."""
+
+import json
+import os
+from typing import Annotated
+from typing import Any
+from typing import NamedTuple
+import uuid
+
+from twisted.internet import defer
+from twisted.internet import reactor as default_reactor
+from twisted.internet import task
+from twisted.web import server
+import typer
+
+from azureline.backends import interface
+from standins import answers
+from standins import batch
+from standins import common
+from standins import memory
+
+SNAPSHOT_EVERY_S = 0.1
+_CHARS_PER_TOKEN = 4
+
+
+class Options(NamedTuple):
+    """What distinguishes one engine.
+
+    Attributes:
+      name: name of the engine.
+      rules: how it treats orders.
+      speed: how fast it generates.
+      platform: URL of the platform stand-in, or "" to load at once.
+      report_lag_s: age of the state that it reports.
+      adapter_ms: time to load one adapter.
+      cache_bytes_per_token: cache taken by a token of prompt or answer.
+    """
+
+    name: str
+    rules: memory.Rules
+    speed: batch.Speed = batch.Speed()
+    platform: str = ""
+    report_lag_s: float = 0.5
+    adapter_ms: float = 5.0
+    cache_bytes_per_token: int = 100_000
+
+
+class Engine(common.App):
+    """Answers for one model engine."""
+
+    def __init__(self, options: Options, reactor: Any = default_reactor):
+        super().__init__(reactor)
+        self._options = options
+        self._poster = common.Poster(reactor, options.platform)
+        self.memory = memory.Memory(reactor, options.rules, self._load)
+        self._batch = batch.Batch(reactor, options.speed, self.memory.release)
+        self.memory.batch = self._batch
+        self._incarnation = uuid.uuid4().hex
+        self._sequence = 0
+        self._snapshots: list[tuple[float, dict[str, Any]]] = []
+        self._crash_on = ""
+        self._lost_orders = 0
+        self._order_delay_s = 0.0
+        self._loop = task.LoopingCall(self._take_snapshot)
+        self._loop.clock = reactor
+        self._loop.start(SNAPSHOT_EVERY_S)
+        self.route("POST", "/v1/chat/completions", self._generate)
+        self.route("GET", "/v1/streams/([^/]+)", self._resume)
+        self.route("DELETE", "/v1/streams/([^/]+)", self._cancel)
+        self.route("POST", "/orders", self._order)
+        self.route("GET", "/report", self._report)
+
+    def close(self) -> defer.Deferred[None]:
+        """Ends all timers."""
+        self._loop.stop()
+        self._batch.close()
+        return self._poster.close()
+
+    def fault(self, name: str, value: Any) -> None:
+        """Begins one kind of failure."""
+        match name:
+            case "crash_on":
+                self._crash_on = value
+            case "lose_orders":
+                self._lost_orders = value
+            case "order_delay_s":
+                self._order_delay_s = value
+            case "drop_streams":
+                self._batch.cut_all()
+            case _:
+                super().fault(name, value)
+
+    def _generate(self, request: server.Request) -> Any:
+        call = common.read_json(request)
+        messages, model = call["messages"], call["model"]
+        adapter = call.get("adapter") or ""
+        prompt = json.dumps(messages)
+        if self._crash_on and self._crash_on in prompt:
+            os._exit(1)
+        if not self.memory.serves(model, adapter):
+            return common.json_reply({"error": "not resident"}, 404)
+        if self._batch.get(call["request_id"]) is not None:
+            return common.json_reply({"error": "request id in use"}, 409)
+        max_tokens = int(call.get("max_tokens") or 16)
+        length = len(prompt) // _CHARS_PER_TOKEN + max_tokens
+        cache_bytes = length * self._options.cache_bytes_per_token
+        if not self.memory.fits(cache_bytes):
+            return common.json_reply({"error": "cache is full"}, 429)
+        words = answers.tokens(model, adapter, messages, max_tokens)
+        stream = batch.Stream(call, words, cache_bytes)
+        self._batch.add(stream)
+        self._attach(stream, request, 0)
+        return None
+
+    def _attach(
+        self, stream: batch.Stream, request: server.Request, offset: int
+    ) -> None:
+        request.setHeader("Content-Type", "text/event-stream")
+        request.setHeader("X-Request-Id", stream.request_id)
+        load = f"{self._batch.running},{self._batch.queued}"
+        request.setHeader("X-Load", load)
+        gone = request.notifyFinish()
+        gone.addErrback(lambda _: self._batch.detached(stream, request))
+        stream.attach(request, offset)
+
+    def _resume(self, request: server.Request, request_id: str) -> Any:
+        offset = int(request.args.get(b"from", [b"0"])[0])
+        stream = self._batch.get(request_id)
+        if stream is None:
+            return common.json_reply({"error": "no such stream"}, 404)
+        if not 0 <= offset <= stream.produced:
+            return common.json_reply({"error": "offset not reached"}, 416)
+        self._attach(stream, request, offset)
+        return None
+
+    def _cancel(self, request: server.Request, request_id: str) -> Any:
+        known = self._batch.cancel(request_id)
+        return common.json_reply({}, 200 if known else 404)
+
+    def _order(self, request: server.Request) -> Any:
+        if self._lost_orders > 0:
+            self._lost_orders -= 1
+            common.close_without_answer(request)
+            return None
+        sent = common.read_json(request)
+        kind = interface.OrderKind(sent.pop("kind"))
+        sent_age_s = float(sent.pop("sent_age", 0.0))
+        order = interface.Order(kind=kind, **sent)
+        if not self._order_delay_s:
+            return self._take(order, sent_age_s)
+        return task.deferLater(
+            self.reactor, self._order_delay_s, self._take, order, sent_age_s
+        )
+
+    def _take(self, order: interface.Order, sent_age_s: float) -> common.Reply:
+        result = self.memory.take(order, sent_age_s)
+        return common.json_reply({"result": result.value})
+
+    def _load(self, kind: interface.OrderKind, size: int, loaded: Any) -> None:
+        if not self._options.platform:
+            self.reactor.callLater(0, loaded)
+            return
+        load: dict[str, Any] = {"engine": self._options.name}
+        if kind is interface.OrderKind.LOAD_ADAPTER:
+            load |= {
+                "kind": "adapter",
+                "seconds": self._options.adapter_ms / 1000,
+            }
+        else:
+            load |= {"kind": "model", "bytes": size}
+        done = defer.ensureDeferred(self._poster.post("/store/loads", load))
+        done.addCallback(lambda _: loaded())
+        done.addErrback(lambda _: None)  # The load stays under way for good.
+
+    def _take_snapshot(self) -> None:
+        self._sequence += 1
+        now = self.reactor.seconds()
+        mem, rules = self.memory, self.memory.rules
+        report = interface.Report(
+            engine=self._options.name,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            age_s=0.0,
+            capacity_bytes=rules.capacity_bytes,
+            cache_bytes=self._batch.cache_bytes,
+            models=tuple(mem.models.values()),
+            adapters=tuple(mem.adapters.values()),
+            running=self._batch.running,
+            queued=self._batch.queued,
+            last_order_id=mem.last_order_id,
+            fence=mem.fence,
+            fences=rules.fences,
+            draining=False,
+        )._asdict()
+        report["models"] = [r._asdict() for r in report["models"]]
+        report["adapters"] = [r._asdict() for r in report["adapters"]]
+        report |= {"overcommits": mem.overcommits, "role": mem.role}
+        self._snapshots.append((now, report))
+        lag_s = self._options.report_lag_s
+        while len(self._snapshots) > 1 and self._snapshots[1][0] <= now - lag_s:
+            self._snapshots.pop(0)
+
+    def _report(self, request: server.Request) -> common.Reply:
+        taken_at, report = self._snapshots[0]
+        age_s = self.reactor.seconds() - taken_at
+        return common.json_reply({**report, "age_s": age_s})
+
+
+def main(
+    name: str = "engine-1",
+    domain: str = "d1",
+    host: str = "127.0.0.1",
+    port: int = 0,
+    platform: str = "",
+    memory_bytes: int = 80_000_000_000,
+    tokens_per_s: float = 40.0,
+    max_running: int = 64,
+    first_token_ms: float = 60.0,
+    prefix_slots: int = 256,
+    cache_bytes_per_token: int = 100_000,
+    report_lag_s: float = 0.5,
+    adapter_ms: float = 5.0,
+    fences: bool = True,
+    memory_check: bool = True,
+    resident: Annotated[list[str], typer.Option()] = (),
+) -> None:
+    """Runs an engine; each resident is NAME=BYTES or NAME@VERSION=BYTES."""
+    options = Options(
+        name=name,
+        rules=memory.Rules(memory_bytes, fences, memory_check),
+        speed=batch.Speed(
+            tokens_per_s, max_running, first_token_ms, prefix_slots
+        ),
+        platform=platform,
+        report_lag_s=report_lag_s,
+        adapter_ms=adapter_ms,
+        cache_bytes_per_token=cache_bytes_per_token,
+    )
+    engine = Engine(options)
+    for item in resident:
+        model, _, size = item.partition("=")
+        engine.memory.add(*model.partition("@")[::2], int(size))
+    vm = {"name": name, "role": "engine", "domain": domain}
+    common.serve(engine, host, port, platform, vm)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/standins/ledger.py
@@ -0,0 +1,89 @@
+"""A stand-in for a ledger engine, whose runs must never be repeated."""
+
+import collections
+from typing import Any
+
+from twisted.internet import reactor as default_reactor
+from twisted.web import server
+import typer
+
+from standins import common
+
+
+class Ledger(common.App):
+    """Runs whatever it is sent and counts the runs by key."""
+
+    def __init__(self, reactor: Any = default_reactor):
+        super().__init__(reactor)
+        self._runs = 0
+        self._by_key: collections.Counter[str] = collections.Counter()
+        self._by_request: collections.Counter[str] = collections.Counter()
+        self._busy_until = 0.0
+        self._delay_s = 0.0
+        self._dropped_answers = 0
+        self.route("GET", "/count", self._count)
+        self.route("GET", "(/.*)", self._run)
+        self.route("POST", "(/.*)", self._run)
+
+    def fault(self, name: str, value: Any) -> None:
+        """Begins one kind of failure."""
+        match name:
+            case "busy_s":
+                self._busy_until = self.reactor.seconds() + value
+            case "delay_s":
+                self._delay_s = value
+            case "drop_answers":
+                self._dropped_answers = value
+            case _:
+                super().fault(name, value)
+
+    def _count(self, request: server.Request) -> common.Reply:
+        return common.json_reply(
+            {
+                "runs": self._runs,
+                "by_key": self._by_key,
+                "by_request": self._by_request,
+            }
+        )
+
+    def _run(self, request: server.Request, path: str) -> Any:
+        if self.reactor.seconds() < self._busy_until:
+            headers = (("X-Not-Started", "1"), ("Retry-After", "1"))
+            return common.Reply(503, b"busy\n", headers)
+        request_id = request.getHeader("X-Request-Id") or ""
+        self._runs += 1
+        self._by_request[request_id] += 1
+        self._by_key[request.getHeader("X-Key") or ""] += 1
+        if self._dropped_answers > 0:
+            self._dropped_answers -= 1
+            common.close_without_answer(request)
+            return None
+        answer = {"path": path, "run": self._runs, "request_id": request_id}
+        reply = common.json_reply(answer, 200, (("X-Request-Id", request_id),))
+        if self._delay_s:
+            self.reactor.callLater(self._delay_s, self._send, reply, request)
+            return None
+        return reply
+
+
+def run(
+    role: str, name: str, domain: str, host: str, port: int, platform: str
+) -> None:
+    """Runs a ledger or plain service until SIGTERM."""
+    vm = {"name": name, "role": role, "domain": domain}
+    common.serve(Ledger(), host, port, platform, vm)
+
+
+def main(
+    name: str = "ledger-1",
+    domain: str = "d1",
+    host: str = "127.0.0.1",
+    port: int = 0,
+    platform: str = "",
+) -> None:
+    """Runs the stand-in for a ledger engine until SIGTERM."""
+    run("ledger", name, domain, host, port, platform)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/standins/memory.py
@@ -0,0 +1,181 @@
+"""An engine stand-in's memory and the orders that change it."""
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+from azureline.backends import interface
+
+UNLOAD_S = 0.05
+_RESULTS_KEPT = 10_000
+
+Loader = Callable[[interface.OrderKind, int, Callable[[], None]], None]
+
+
+class Rules(NamedTuple):
+    """How an engine treats orders.
+
+    Attributes:
+      capacity_bytes: accelerator memory in bytes.
+      fences: whether it refuses an order with a lower fence.
+      checks_memory: whether it refuses what would not fit.
+    """
+
+    capacity_bytes: int
+    fences: bool = True
+    checks_memory: bool = True
+
+
+class Memory:
+    """What is loaded, and the results of orders."""
+
+    def __init__(
+        self, reactor: Any, rules: Rules, load: Loader, batch: Any = None
+    ):
+        """Creates an empty memory.
+
+        Args:
+          reactor: source of time and timers.
+          rules: how orders are treated.
+          load: moves bytes for an order and calls back when done.
+          batch: the streams, which hold cache and keep models in use.
+        """
+        self.rules = rules
+        self.batch = batch
+        self.fence = 0
+        self.last_order_id = ""
+        self.role = ""
+        self.overcommits = 0
+        self.models: dict[tuple[str, str], interface.Resident] = {}
+        self.adapters: dict[tuple[str, str], interface.Resident] = {}
+        self._reactor = reactor
+        self._load = load
+        self._results: dict[str, interface.OrderResult] = {}
+
+    @property
+    def used_bytes(self) -> int:
+        """Memory in use in bytes."""
+        residents = (*self.models.values(), *self.adapters.values())
+        return self.batch.cache_bytes + sum(r.bytes_used for r in residents)
+
+    def fits(self, size: int) -> bool:
+        """Whether `size` more bytes may be taken; counts an overcommit."""
+        if self.used_bytes + size <= self.rules.capacity_bytes:
+            return True
+        if self.rules.checks_memory:
+            return False
+        self.overcommits += 1
+        return True
+
+    def serves(self, model: str, adapter: str) -> bool:
+        """Whether a model, and an adapter unless "", are ready."""
+        return _ready(self.models, model) and (
+            not adapter or _ready(self.adapters, adapter)
+        )
+
+    def add(self, name: str, version: str, size: int) -> None:
+        """Puts a ready model into memory without an order."""
+        resident = interface.Resident(name, version, size, "ready")
+        self.models[name, version] = resident
+
+    def take(
+        self, order: interface.Order, sent_age_s: float
+    ) -> interface.OrderResult:
+        """Carries out an order, or answers a repeated one as at first."""
+        known = self._results.get(order.order_id)
+        if known is not None:
+            return known
+        result = self._check(order, sent_age_s)
+        if result is interface.OrderResult.ACCEPTED:
+            self.last_order_id = order.order_id
+            self.fence = max(self.fence, order.fence)
+            self._begin(order)
+        self._results[order.order_id] = result
+        if len(self._results) > _RESULTS_KEPT:
+            del self._results[next(iter(self._results))]
+        return result
+
+    def release(self) -> None:
+        """Frees models that were waiting for their streams to end."""
+        for key, resident in list(self.models.items()):
+            if resident.state == "unloading":
+                self._free_later(self.models, key)
+
+    def _check(
+        self, order: interface.Order, sent_age_s: float
+    ) -> interface.OrderResult:
+        if order.expires_in_s - sent_age_s <= 0:
+            return interface.OrderResult.REFUSED_EXPIRED
+        if self.rules.fences and order.fence < self.fence:
+            return interface.OrderResult.REFUSED_FENCE
+        if _is_load(order) and not self._loaded(order):
+            fits = self.fits(order.bytes_needed)
+            if not fits:
+                return interface.OrderResult.REFUSED_MEMORY
+        return interface.OrderResult.ACCEPTED
+
+    def _loaded(self, order: interface.Order) -> bool:
+        return (order.target, order.version) in self._place(order.kind)
+
+    def _place(self, kind: interface.OrderKind) -> dict[Any, Any]:
+        return self.models if kind.value.endswith("_model") else self.adapters
+
+    def _begin(self, order: interface.Order) -> None:
+        key = (order.target, order.version)
+        match order.kind:
+            case interface.OrderKind.SET_ROLE:
+                self.role = order.target
+            case _ if _is_load(order):
+                self._begin_load(order, key)
+            case _:
+                self._begin_unload(self._place(order.kind), key)
+
+    def _begin_load(self, order: interface.Order, key: tuple[str, str]) -> None:
+        place = self._place(order.kind)
+        if key in place:
+            if place[key].state == "unloading":
+                place[key] = place[key]._replace(state="ready")
+            return
+        place[key] = interface.Resident(*key, order.bytes_needed, "loading")
+
+        def loaded() -> None:
+            if key in place and place[key].state == "loading":
+                place[key] = place[key]._replace(state="ready")
+
+        self._load(order.kind, order.bytes_needed, loaded)
+
+    def _begin_unload(
+        self, place: dict[Any, Any], key: tuple[str, str]
+    ) -> None:
+        name, version = key
+        for found in list(place):
+            if found[0] == name and version in ("", found[1]):
+                place[found] = place[found]._replace(state="unloading")
+                self._free_later(place, found)
+
+    def _free_later(self, place: dict[Any, Any], key: tuple[str, str]) -> None:
+        """Frees a resident soon, unless a stream still needs it."""
+
+        def free() -> None:
+            resident = place.get(key)
+            if resident is None or resident.state != "unloading":
+                return
+            if place is self.models and self.batch.uses(key[0]):
+                return
+            del place[key]
+
+        self._reactor.callLater(UNLOAD_S, free)
+
+
+def _is_load(order: interface.Order) -> bool:
+    return order.kind in (
+        interface.OrderKind.LOAD_MODEL,
+        interface.OrderKind.LOAD_ADAPTER,
+    )
+
+
+def _ready(place: dict[Any, interface.Resident], name: str) -> bool:
+    return any(
+        key[0] == name and resident.state == "ready"
+        for key, resident in place.items()
+    )
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,226 @@
+"""A stand-in for the platform: key-value service, VM list, weight store."""
+
+import collections
+from typing import Any
+from typing import NamedTuple
+
+from twisted.internet import defer
+from twisted.internet import reactor as default_reactor
+from twisted.internet import task
+from twisted.web import server
+import typer
+
+from standins import common
+from standins import store
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+class Limits(NamedTuple):
+    """Rates, lags and speeds of the platform.
+
+    Attributes:
+      writes_per_s: writes of the key-value service, leases included.
+      reads_per_s: its reads, a waiting watch counting as one.
+      answer_ms: time that each of its answers takes.
+      vm_lag_s: age of the VM list.
+      store_rate: starts of model loads per second.
+      store_at_once: model loads that run at full speed together.
+      store_bytes_per_s: speed of one model load.
+      adapters_at_once: adapter loads that run at full speed together.
+    """
+
+    writes_per_s: float = 300.0
+    reads_per_s: float = 2000.0
+    answer_ms: float = 3.0
+    vm_lag_s: float = 1.0
+    store_rate: float = 1.5
+    store_at_once: int = 5
+    store_bytes_per_s: float = 20e9
+    adapters_at_once: int = 40
+
+
+class Platform(common.App):
+    """Answers for the platform; all state is in memory."""
+
+    def __init__(self, limits: Limits, reactor: Any = default_reactor):
+        super().__init__(reactor)
+        now = reactor.seconds()
+        self._limits = limits
+        self._answer_s = limits.answer_ms / 1000
+        self._keys = store.Keys(reactor)
+        self._vms = store.Vms(limits.vm_lag_s)
+        self._models = store.Transfers(
+            reactor, limits.store_rate, limits.store_at_once
+        )
+        self._adapters = store.Transfers(reactor, 1e6, limits.adapters_at_once)
+        self._writes = store.TokenBucket(limits.writes_per_s, now)
+        self._reads = store.TokenBucket(limits.reads_per_s, now)
+        self._stats: collections.Counter[str] = collections.Counter()
+        self._down_until = 0.0
+        self._lost_answers = 0
+        self._ticks = task.LoopingCall(
+            lambda: self._vms.tick(reactor.seconds())
+        )
+        self._ticks.clock = reactor
+        self._ticks.start(0.2)
+        self._add_routes()
+
+    def close(self) -> None:
+        """Ends all timers."""
+        self._ticks.stop()
+        self._keys.close()
+
+    def fault(self, name: str, value: Any) -> None:
+        """Begins one kind of failure."""
+        match name:
+            case "down_s":
+                self._down_until = self.reactor.seconds() + value
+            case "lose_answers":
+                self._lost_answers = value
+            case _:
+                super().fault(name, value)
+
+    def _add_routes(self) -> None:
+        self.route("GET", "/kv/(.+)", self._get)
+        self.route("PUT", "/kv/(.+)", self._put)
+        self.route("POST", "/leases", self._grant)
+        self.route("POST", "/leases/([^/]+)/renew", self._renew)
+        self.route("GET", "/vms", self._list)
+        self.route("POST", "/vms", self._register)
+        self.route("POST", "/vms/([^/]+)/leave", self._leave)
+        self.route("POST", "/store/loads", self._load)
+        self.route("GET", "/stats", self._report)
+
+    def _limited(self, call: str, bucket: store.TokenBucket) -> Any:
+        """Counts a call; returns the answer that refuses it, if any.
+
+        While the service is down the call hangs: the answer is a deferred
+        that never fires.
+        """
+        now = self.reactor.seconds()
+        self._stats[call] += 1
+        if now < self._down_until:
+            self._stats["while_down"] += 1
+            return defer.Deferred()
+        if not bucket.take(now):
+            self._stats["rate_limited"] += 1
+            return common.Reply(429, b"rate limit\n")
+        return None
+
+    def _written(self, reply: common.Reply) -> Any:
+        if self._lost_answers > 0:
+            self._lost_answers -= 1
+            self._stats["lost_answers"] += 1
+            return None
+        return reply
+
+    def _get(self, request: server.Request, key: str) -> Any:
+        watched = request.args.get(b"watch")
+        refused = self._limited("watch" if watched else "get", self._reads)
+        if refused is not None:
+            return refused
+        if not watched:
+            return _value_reply(self._keys.get(key))
+        wait_s = float(request.args[b"wait"][0])
+        found = self._keys.watch(key, int(watched[0]), wait_s)
+        return found.addCallback(_value_reply)
+
+    def _put(self, request: server.Request, key: str) -> Any:
+        refused = self._limited("put", self._writes)
+        if refused is not None:
+            return refused
+        body = request.content.read()
+        if len(body) > MAX_VALUE_BYTES:
+            return common.Reply(413, b"value over 1 MB\n")
+        expected = int(request.getHeader("X-Expect-Version") or 0)
+        lease_id = request.getHeader("X-Lease") or ""
+        written = self._keys.put(key, body, expected, lease_id)
+        if written is None:
+            self._stats["conflicts"] += 1
+            found = _value_reply(self._keys.get(key))
+            return self._written(found._replace(status=409))
+        return self._written(_value_reply(written._replace(body=b"")))
+
+    def _grant(self, request: server.Request) -> Any:
+        refused = self._limited("grant", self._writes)
+        if refused is not None:
+            return refused
+        ttl_s = float(common.read_json(request)["ttl_s"])
+        lease_id = self._keys.grant(ttl_s)
+        return self._written(common.json_reply({"lease_id": lease_id}))
+
+    def _renew(self, request: server.Request, lease_id: str) -> Any:
+        refused = self._limited("renew", self._writes)
+        if refused is not None:
+            return refused
+        alive = self._keys.renew(lease_id)
+        return self._written(common.Reply(200 if alive else 410))
+
+    def _list(self, request: server.Request) -> Any:
+        refused = self._limited("list_vms", self._reads)
+        if refused is not None:
+            return refused
+        return common.json_reply(self._vms.listed(self.reactor.seconds()))
+
+    def _register(self, request: server.Request) -> common.Reply:
+        sent = common.read_json(request)
+        vm = {k: sent[k] for k in ("name", "host", "port", "role", "domain")}
+        vm["leaving"] = bool(sent.get("leaving", False))
+        self._vms.register(vm, self.reactor.seconds())
+        return common.json_reply({})
+
+    def _leave(self, request: server.Request, name: str) -> common.Reply:
+        return common.Reply(200 if self._vms.leave(name) else 404)
+
+    def _load(self, request: server.Request) -> Any:
+        sent = common.read_json(request)
+        kind = sent.get("kind", "model")
+        self._stats[f"load_{kind}"] += 1
+        if kind == "adapter":
+            done = self._adapters.load(float(sent["seconds"]))
+        else:
+            seconds = sent["bytes"] / self._limits.store_bytes_per_s
+            done = self._models.load(seconds)
+        return done.addCallback(lambda _: common.json_reply({}))
+
+    def _report(self, request: server.Request) -> common.Reply:
+        return common.json_reply(dict(self._stats))
+
+
+def _value_reply(value: store.Value | None) -> common.Reply:
+    if value is None:
+        return common.Reply(204)
+    version = (("X-Version", str(value.version)),)
+    return common.Reply(200 if value.version else 404, value.body, version)
+
+
+def main(
+    port: int = 0,
+    host: str = "127.0.0.1",
+    seed: int = 0,
+    writes_per_s: float = 300.0,
+    reads_per_s: float = 2000.0,
+    answer_ms: float = 3.0,
+    vm_lag_s: float = 1.0,
+    store_rate: float = 1.5,
+    store_at_once: int = 5,
+    store_bytes_per_s: float = 20e9,
+    adapters_at_once: int = 40,
+) -> None:
+    """Runs the stand-in for the platform until SIGTERM."""
+    limits = Limits(
+        writes_per_s=writes_per_s,
+        reads_per_s=reads_per_s,
+        answer_ms=answer_ms,
+        vm_lag_s=vm_lag_s,
+        store_rate=store_rate,
+        store_at_once=store_at_once,
+        store_bytes_per_s=store_bytes_per_s,
+        adapters_at_once=adapters_at_once,
+    )
+    common.serve(Platform(limits), host, port)
+
+
+if __name__ == "__main__":
+    typer.run(main)
