--- a/standins/common.py
+++ b/standins/common.py
@@ -6,6 +6,7 @@
 import re
 from typing import Any
 from typing import NamedTuple
+import urllib.parse
 import weakref
 
 from twisted.internet import defer
@@ -93,7 +94,7 @@
     def render(self, request: server.Request) -> Any:
         """Finds the handler and sends what it returns."""
         self._transports.add(request.transport)
-        path = request.path.decode("ascii", "replace")
+        path = urllib.parse.unquote(request.path.decode("ascii", "replace"))
         for route in self._routes:
             match = route.pattern.fullmatch(path)
             if match and route.method == request.method:
--- /dev/null
+++ b/tests/builders_standins.py
@@ -0,0 +1,113 @@
+"""Builders for tests against the stand-ins, run in the test's own process."""
+
+import json
+from typing import Any
+from typing import NamedTuple
+
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.web import client
+
+from standins import batch
+from standins import common
+from standins import engine
+from standins import memory
+from standins import platform
+
+GB = 10**9
+
+
+class Answer(NamedTuple):
+    """A whole HTTP answer."""
+
+    status: int
+    headers: Any
+    body: bytes
+
+
+async def call(
+    url: str, method: str = "GET", value: Any = None, timeout_s: float = 5.0
+) -> Answer:
+    """Makes one HTTP call on a connection of its own."""
+    producer = None
+    if value is not None:
+        body = common.io.BytesIO(json.dumps(value).encode())
+        producer = client.FileBodyProducer(body)
+    made = client.Agent(reactor).request(
+        method.encode(), url.encode(), None, producer
+    )
+    response = await made.addTimeout(timeout_s, reactor)
+    body = await client.readBody(response).addTimeout(timeout_s, reactor)
+    return Answer(response.code, response.headers, body)
+
+
+def listen(case: Any, app: common.App) -> str:
+    """Serves a stand-in until the test ends; returns its URL."""
+    port = reactor.listenTCP(0, app.site(), interface="127.0.0.1")
+    case.addCleanup(_let_connections_close)
+    case.addCleanup(app.close)
+    case.addCleanup(port.stopListening)
+    return f"http://127.0.0.1:{port.getHost().port}"
+
+
+def sleep(seconds: float) -> defer.Deferred[None]:
+    """Fires after some real time."""
+    return task.deferLater(reactor, seconds)
+
+
+def platform_app(**limits: Any) -> platform.Platform:
+    """Returns a platform that answers at once and whose clock stands still."""
+    limits = {"answer_ms": 0.0, "vm_lag_s": 0.0, **limits}
+    return platform.Platform(platform.Limits(**limits), task.Clock())
+
+
+def advance(app: common.App, seconds: float) -> None:
+    """Moves a stand-in's own clock in small steps."""
+    app.reactor.pump([0.1] * round(seconds * 10))
+
+
+def engine_app(
+    model: str = "seam", options: Any = None, **speed: Any
+) -> engine.Engine:
+    """Returns a fast engine of 80 GB with one model of 10 GB."""
+    speed = {"tokens_per_s": 200.0, "first_token_ms": 10.0, **speed}
+    made = engine.Engine(
+        engine.Options(
+            name="engine-1",
+            rules=memory.Rules(80 * GB),
+            speed=batch.Speed(**speed),
+            report_lag_s=0.0,
+        )._replace(**(options or {}))
+    )
+    made.memory.add(model, "1", 10 * GB)
+    return made
+
+
+def chat(request_id: str, **fields: Any) -> dict[str, Any]:
+    """Returns the body of a generation of five tokens."""
+    return {
+        "request_id": request_id,
+        "model": "seam",
+        "messages": [{"role": "user", "content": "which chuck"}],
+        "max_tokens": 5,
+        **fields,
+    }
+
+
+def order(order_id: str, kind: str, target: str, **fields: Any) -> Any:
+    """Returns the body of an order for 10 GB."""
+    return {
+        "order_id": order_id,
+        "kind": kind,
+        "target": target,
+        "version": "1",
+        "fence": 1,
+        "expires_in_s": 5.0,
+        "bytes_needed": 10 * GB,
+        **fields,
+    }
+
+
+def _let_connections_close() -> defer.Deferred[None]:
+    return sleep(0.02)
--- /dev/null
+++ b/tests/test_platform_http.py
@@ -0,0 +1,131 @@
+"""Tests of the platform's interfaces over HTTP, against the stand-in."""
+
+import json
+
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.trial import unittest
+
+from azureline.platform import http
+from azureline.platform import interface
+from tests import builders_standins as builders
+
+
+class KeyValueTest(unittest.TestCase):
+    timeout = 20
+
+    def setUp(self):
+        self.app = builders.platform_app(writes_per_s=40)
+        self.url = builders.listen(self, self.app)
+        self.kv = self._client(timeout_s=10.0)
+
+    def _client(self, url="", **options):
+        kv = http.HttpKeyValue(reactor, url or self.url, **options)
+        self.addCleanup(kv.close)
+        return kv
+
+    async def test_a_write_is_read_back_with_a_growing_version(self):
+        assert await self.kv.get("config/base file") is None
+        first = await self.kv.put("config/base file", b"\x00a", 0)
+        second = await self.kv.put("config/base file", b"b", first.version)
+        assert second.version > first.version > 0
+        assert await self.kv.get("config/base file") == second
+
+    async def test_a_conflict_tells_the_current_entry(self):
+        entry = await self.kv.put("k", b"mine", 0)
+        assert await self.kv.put("k", b"late", 0) == interface.Conflict(entry)
+        gone = await self.kv.put("absent", b"x", 7)
+        assert gone == interface.Conflict(None)
+
+    async def test_a_lost_answer_is_unavailable_and_the_write_stands(self):
+        self.app.fault("lose_answers", 1)
+        lost = await self._client(timeout_s=0.2).put("k", b"mine", 0)
+        assert isinstance(lost, interface.Unavailable) and lost.sent
+        assert (await self.kv.get("k")).value == b"mine"
+
+    async def test_an_outage_is_unavailable_until_it_ends(self):
+        kv = self._client(timeout_s=0.2)
+        self.app.fault("down_s", 60)
+        found = await defer.gatherResults(
+            [kv.get("k"), kv.put("k", b"v", 0), kv.grant(5), kv.renew("x")]
+        )
+        assert {(type(f), f.sent) for f in found} == {
+            (interface.Unavailable, True)
+        }
+        builders.advance(self.app, 60.1)
+        assert await self.kv.get("k") is None
+
+    async def test_without_a_connection_nothing_was_sent(self):
+        refused = await self._client("http://127.0.0.1:1").put("k", b"v", 0)
+        assert isinstance(refused, interface.Unavailable)
+        assert not refused.sent
+
+    async def test_a_call_over_the_rate_is_unavailable(self):
+        found = [await self.kv.put(f"k{i}", b"v", 0) for i in range(15)]
+        assert [bool(f) for f in found] == [True] * 10 + [False] * 5
+        assert "rate" in found[-1].reason
+
+    async def test_a_value_over_the_bound_is_unavailable(self):
+        assert not await self.kv.put("k", bytes(1_000_001), 0)
+        assert await self.kv.put("k", bytes(1_000_000), 0)
+
+    async def test_a_key_goes_with_its_lease_and_never_shows_old_versions(self):
+        lease_id = await self.kv.grant(3.0)
+        entry = await self.kv.put("owner", b"n1", 0, lease_id)
+        builders.advance(self.app, 2.0)
+        assert await self.kv.renew(lease_id) is True
+        builders.advance(self.app, 2.0)
+        assert await self.kv.get("owner") == entry
+        builders.advance(self.app, 2.0)
+        assert await self.kv.get("owner") is None
+        assert await self.kv.renew(lease_id) is False
+        later = await self.kv.put("owner", b"n2", 0)
+        assert later.version > entry.version
+
+    async def test_a_watch_tells_changes_and_absence(self):
+        waiting = self.kv.watch("k", 0, 5.0)
+        written = await self.kv.put("k", b"new", 0)
+        assert await waiting == written
+        assert await self.kv.watch("k", 0, 5.0) == written
+        gone = await self.kv.watch("absent", 3, 5.0)
+        assert gone == interface.Entry(b"", 0)
+
+    async def test_a_watch_ends_with_none_when_nothing_changes(self):
+        waiting = self.kv.watch("k", 0, 5.0)
+        while not (await self._stats()).get("watch"):
+            pass
+        builders.advance(self.app, 5.1)
+        assert await waiting is None
+
+    async def test_a_silenced_connection_times_out_and_a_new_one_works(self):
+        kv = self._client(timeout_s=1.0)
+        await kv.put("k", b"v", 0)
+        self.app.fault("freeze_s", 1)
+        builders.advance(self.app, 0.1)
+        assert not await kv.get("k")
+        assert (await kv.get("k")).value == b"v"
+
+    async def _stats(self):
+        return json.loads((await builders.call(self.url + "/stats")).body)
+
+
+class VmListTest(unittest.TestCase):
+    timeout = 20
+
+    async def test_the_list_lags_and_tells_who_leaves(self):
+        app = builders.platform_app(vm_lag_s=0.4)
+        url = builders.listen(self, app)
+        vms = http.HttpVmList(reactor, url)
+        self.addCleanup(vms.close)
+        vm = interface.Vm("e1", "127.0.0.1", 9, "engine", "d1", False)
+        await builders.call(url + "/vms", "POST", vm._asdict())
+        await builders.call(url + "/vms/e1/leave", "POST")
+        assert await vms.list() == ()
+        builders.advance(app, 1.0)
+        assert await vms.list() == (vm._replace(leaving=True),)
+
+    async def test_without_a_platform_the_list_is_unavailable(self):
+        vms = http.HttpVmList(reactor, "http://127.0.0.1:1")
+        self.addCleanup(vms.close)
+        found = await vms.list()
+        assert isinstance(found, interface.Unavailable) and not found.sent
