Join the parts into a node

Cause: the request path, ownership, membership and configuration exist as separate parts; a process has to own and stop them.

Ruled out: one ownership slot per engine (900 leases renewed every few seconds use up the platform's writes); slots that depend on the configuration (two owners could claim one engine while it changes). Engines hash to 256 fixed slots, of which only those with engines are leased.

Change: node composition with graceful stop, keepers that own the orders of a slot's engines, runners of at-most-once slots, configuration follower, operators' status.

--- /dev/null
+++ b/azureline/fleet/keeper.py
@@ -0,0 +1,441 @@
+"""The owner of a few engines: reads their reports and sends their orders.
+
+One keeper runs for each slot of engines that this node owns.  Nobody else
+sends orders to those engines while the slot's lease lasts.
+"""
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+import uuid
+
+from absl import logging
+from twisted.internet import defer
+from twisted.internet import task as twisted_task
+
+from azureline.backends import http
+from azureline.backends import interface
+from azureline.config import schema
+from azureline.core import clock as clocks
+from azureline.core import task
+from azureline.core import wire
+from azureline.fleet import book as book_lib
+from azureline.fleet import directory as directories
+from azureline.fleet import engine_messages
+from azureline.metrics import counters as metrics
+
+POLL_S = 1.0
+MISSED_REPORTS = 3
+ORDER_EXPIRES_S = 3.0
+VIEW_REFRESH_S = 30.0
+MOVES_REMEMBERED = 256
+PREFIX = "engine/"
+_CODEC = wire.Codec({1: directories.EngineView, 2: directories.Held})
+
+Tell = Callable[[str, int, int, int, bytes], None]
+Reply = Callable[[str, Any], None]
+
+
+def parse_view(value: bytes) -> directories.EngineView:
+    """Returns the view in a rumour's value.
+
+    Raises:
+      MalformedError: if it is none.
+    """
+    view = _CODEC.unpack(value)
+    if not isinstance(view, directories.EngineView):
+        raise wire.MalformedError("not an engine's view")
+    return view
+
+
+class Configure(NamedTuple):
+    """Takes the engines of the slot and the configuration in force."""
+
+    engines: dict[str, schema.Engine]
+    config: schema.Configuration
+
+
+class _Poll(NamedTuple):
+    """Time to read the reports."""
+
+
+class _Reported(NamedTuple):
+    engine: str
+    asked: float
+    report: Any
+
+
+class _Answered(NamedTuple):
+    engine: str
+    order: interface.Order
+    result: interface.OrderResult
+
+
+class Asked(NamedTuple):
+    """A message of another node."""
+
+    sender: str
+    message: engine_messages.MoveRequest | engine_messages.AdapterWanted
+
+
+class Peers(NamedTuple):
+    """What a keeper uses to reach others.
+
+    Attributes:
+      backends: sends orders and reads reports.
+      url: returns the root URL of an engine, or "".
+      tell: spreads a rumour: key, epoch, sequence, time to live, value.
+      reply: sends a message to a node.
+      may_act: returns whether an order sent now arrives within the lease.
+      borrow: takes one of the fleet's adapter loads under way; False if none
+        is free.
+      give_back: returns what `borrow` took.
+    """
+
+    backends: http.BackendClient
+    url: Callable[[str], str]
+    tell: Tell
+    reply: Reply
+    may_act: Callable[[float], bool]
+    borrow: Callable[[], bool]
+    give_back: Callable[[], None]
+
+
+class _Engine:
+    """What the keeper knows of one engine."""
+
+    def __init__(self, config: schema.Engine, book: book_lib.Book):
+        self.config = config
+        self.book = book
+        self.report: interface.Report | None = None
+        self.missed = 0
+        self.told: directories.EngineView | None = None
+        self.told_at = 0.0
+        self.moves: dict[str, str] = {}
+        self.wanted: dict[str, set[str]] = {}
+        self.loading: set[str] = set()
+
+
+class Keeper(task.Task[Any]):
+    """Owns the orders of the engines in one slot."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        node: str,
+        slot: str,
+        epoch: int,
+        lease_s: float,
+        clock: clocks.Clock,
+        peers: Peers,
+        counters: metrics.Counters,
+    ):
+        """Creates the keeper for one term of ownership.
+
+        Args:
+          reactor: the Twisted reactor.
+          node: name of this node.
+          slot: name of the slot.
+          epoch: fencing number of the term.
+          lease_s: seconds for which a former owner may still act, at most.
+          clock: source of time.
+          peers: how others are reached.
+          counters: counts orders by result.
+        """
+        super().__init__(f"keeper {slot}")
+        self._node = node
+        self._epoch = epoch
+        self._clock = clock
+        self._peers = peers
+        self._counters = counters
+        self._settles_at = book_lib.takeover_settles_at(clock.now(), lease_s)
+        self._config: schema.Configuration | None = None
+        self._engines: dict[str, _Engine] = {}
+        self._sequence = 0
+        self._loop = twisted_task.LoopingCall(self.post, _Poll())
+        self._loop.clock = reactor
+        self.stack.callback(self._stop_loop)
+
+    @property
+    def books(self) -> dict[str, book_lib.Book]:
+        """The memory books by engine."""
+        return {name: e.book for name, e in self._engines.items()}
+
+    def start(self) -> None:
+        """Starts to poll."""
+        super().start()
+        self._loop.start(POLL_S)
+
+    async def handle(self, message: Any) -> None:
+        """Acts on one message."""
+        match message:
+            case Configure(engines, config):
+                self._configure(engines, config)
+            case _Poll():
+                self._poll()
+            case _Reported(engine, asked, report):
+                self._reported(engine, asked, report)
+            case _Answered():
+                self._answered(message)
+            case Asked(sender, engine_messages.MoveRequest() as move):
+                self._move(sender, move)
+            case Asked(sender, engine_messages.AdapterWanted() as wanted):
+                self._want(sender, wanted)
+
+    def _configure(
+        self, engines: dict[str, schema.Engine], config: schema.Configuration
+    ) -> None:
+        self._config = config
+        for name in list(self._engines):
+            if name not in engines:
+                del self._engines[name]
+        sizes = {n: m.memory_bytes for n, m in config.models.items()}
+        sizes |= {n: a.memory_bytes for n, a in config.adapters.items()}
+        reserve = config.limits.cache_reserve_ratio
+        for name, engine in engines.items():
+            known = self._engines.get(name)
+            if known is not None and known.config == engine:
+                continue
+            book = book_lib.Book(
+                engine.memory_bytes,
+                int(engine.memory_bytes * reserve),
+                self._settles_at,
+                sizes,
+            )
+            self._engines[name] = _Engine(engine, book)
+
+    def _poll(self) -> None:
+        for name in self._engines:
+            url = self._peers.url(name)
+            if url:
+                defer.ensureDeferred(self._read(name, url))
+            else:
+                self.post(_Reported(name, 0.0, http.Failure("no VM", False)))
+
+    async def _read(self, name: str, url: str) -> None:
+        asked = self._clock.now()
+        report = await self._peers.backends.report(url)
+        self.post(_Reported(name, asked, report))
+
+    def _reported(self, name: str, asked: float, report: Any) -> None:
+        engine = self._engines.get(name)
+        if engine is None:
+            return
+        if isinstance(report, http.Failure):
+            engine.missed += 1
+            self._tell(name, engine)
+            return
+        engine.missed = 0
+        engine.report = report
+        engine.book.reported(self._clock.now(), report, asked)
+        self._tell(name, engine)
+        self._serve_wanted(name, engine)
+
+    def _tell(self, name: str, engine: _Engine) -> None:
+        """Spreads what is seen of an engine, if it has changed."""
+        view = self._view(engine)
+        if view is None:
+            return
+        now = self._clock.now()
+        quiet = dict(running=0, memory_used=0)
+        same = engine.told is not None and view._replace(
+            **quiet
+        ) == engine.told._replace(**quiet)
+        if same and now - engine.told_at < VIEW_REFRESH_S:
+            return
+        engine.told = view
+        engine.told_at = now
+        self._sequence += 1
+        self._peers.tell(
+            PREFIX + name, self._epoch, self._sequence, 0, _CODEC.pack(view)
+        )
+
+    def _view(self, engine: _Engine) -> directories.EngineView | None:
+        report = engine.report
+        if report is None:
+            return None
+        held = tuple(
+            directories.Held(r.name, r.version, self._state(engine, r))
+            for r in report.models
+        )
+        used = report.cache_bytes + sum(
+            r.bytes_used for r in (*report.models, *report.adapters)
+        )
+        return directories.EngineView(
+            owner=self._node,
+            incarnation=report.incarnation,
+            models=held,
+            memory_used=used,
+            memory_bytes=report.capacity_bytes,
+            running=report.running,
+            draining=report.draining,
+            down=engine.missed >= MISSED_REPORTS,
+        )
+
+    def _state(self, engine: _Engine, resident: interface.Resident) -> str:
+        """Returns a model's state; an ordered unload counts as begun."""
+        if resident.state != "ready":
+            return resident.state
+        ready = engine.book.seen_ready(resident.name, resident.version)
+        return "ready" if ready else "unloading"
+
+    def _move(self, sender: str, move: engine_messages.MoveRequest) -> None:
+        engine = self._engines.get(move.engine)
+        kind = engine_messages.order_kind(move)
+        if engine is None or kind is None:
+            self._done(sender, move, "unknown_engine")
+            return
+        if move.move_id in engine.moves:
+            self._done(sender, move, engine.moves[move.move_id])
+            return
+        order = self._order(kind, move.target, move.version, move.bytes_needed)
+        reason = self._send(engine, move.engine, order)
+        result = reason or interface.OrderResult.ACCEPTED.value
+        engine.moves[move.move_id] = result
+        while len(engine.moves) > MOVES_REMEMBERED:
+            del engine.moves[next(iter(engine.moves))]
+        logging.info(
+            "event=move engine=%s kind=%s target=%s version=%s result=%s",
+            move.engine,
+            move.kind,
+            move.target,
+            move.version,
+            result,
+        )
+        self._done(sender, move, result)
+
+    def _done(
+        self, sender: str, move: engine_messages.MoveRequest, result: str
+    ) -> None:
+        self._counters.count(f"moves.{move.kind}.{result}")
+        self._peers.reply(
+            sender,
+            engine_messages.MoveDone(move.move_id, move.engine, result),
+        )
+
+    def _order(
+        self,
+        kind: interface.OrderKind,
+        target: str,
+        version: str,
+        bytes_needed: int,
+    ) -> interface.Order:
+        return interface.Order(
+            order_id=uuid.uuid4().hex,
+            kind=kind,
+            target=target,
+            version=version,
+            fence=self._epoch,
+            expires_in_s=ORDER_EXPIRES_S,
+            bytes_needed=bytes_needed,
+        )
+
+    def _send(self, engine: _Engine, name: str, order: interface.Order) -> str:
+        """Sends an order; returns why not, or ""."""
+        url = self._peers.url(name)
+        if not url:
+            return "no_address"
+        reserved = engine.book.reserve(self._clock.now(), order)
+        if isinstance(reserved, book_lib.Refused):
+            self._counters.count(reserved.counter)
+            return reserved.reason.value
+        # The lease is checked last, so that nothing can delay the order
+        # between the check and the socket but the process being stopped.
+        if not self._peers.may_act(book_lib.ORDER_TRAVEL_MAX_S):
+            self._counters.count("orders.lease_too_short")
+            return "lease_too_short"
+        defer.ensureDeferred(self._transmit(name, url, order))
+        return ""
+
+    async def _transmit(
+        self, name: str, url: str, order: interface.Order
+    ) -> None:
+        result = await self._peers.backends.order(url, order)
+        self.post(_Answered(name, order, result))
+
+    def _answered(self, answered: _Answered) -> None:
+        order, result = answered.order, answered.result
+        self._counters.count(f"orders.{order.kind.value}.{result.value}")
+        engine = self._engines.get(answered.engine)
+        if engine is None:
+            return
+        engine.book.answered(self._clock.now(), order.order_id, result)
+        if order.kind is interface.OrderKind.LOAD_ADAPTER:
+            engine.loading.discard(order.target)
+            self._peers.give_back()
+            # The report lags by more than the load takes; asking the engine
+            # at once would only find the state from before it.
+            if result is interface.OrderResult.ACCEPTED:
+                self._adapter_state(answered.engine, engine, order.target, "")
+            else:
+                self._adapter_state(
+                    answered.engine, engine, order.target, result.value
+                )
+
+    def _want(self, sender: str, wanted: engine_messages.AdapterWanted) -> None:
+        engine = self._engines.get(wanted.engine)
+        if engine is None:
+            self._peers.reply(
+                sender,
+                engine_messages.AdapterState(
+                    wanted.engine, wanted.adapter, "", False, "unknown_engine"
+                ),
+            )
+            return
+        engine.wanted.setdefault(wanted.adapter, set()).add(sender)
+        self._serve_wanted(wanted.engine, engine)
+
+    def _serve_wanted(self, name: str, engine: _Engine) -> None:
+        for adapter in list(engine.wanted):
+            if adapter in engine.loading:
+                continue
+            reason = self._load_adapter(name, engine, adapter)
+            if reason:
+                self._adapter_state(name, engine, adapter, reason)
+
+    def _load_adapter(self, name: str, engine: _Engine, adapter: str) -> str:
+        """Orders an adapter; returns why not, or ""."""
+        if self._config is None or adapter not in self._config.adapters:
+            return "unknown_adapter"
+        entry = self._config.adapters[adapter]
+        item = book_lib.Item(True, adapter, entry.version)
+        if self._resident(engine, item):
+            self._adapter_state(name, engine, adapter, "")
+            return ""
+        if not self._peers.borrow():
+            return "transit_full"
+        order = self._order(
+            interface.OrderKind.LOAD_ADAPTER,
+            adapter,
+            entry.version,
+            entry.memory_bytes,
+        )
+        reason = self._send(engine, name, order)
+        if reason:
+            self._peers.give_back()
+            return reason
+        engine.loading.add(adapter)
+        return ""
+
+    def _resident(self, engine: _Engine, item: book_lib.Item) -> bool:
+        report = engine.report
+        return report is not None and any(
+            r.name == item.name
+            and r.version == item.version
+            and r.state == "ready"
+            for r in report.adapters
+        )
+
+    def _adapter_state(
+        self, name: str, engine: _Engine, adapter: str, reason: str
+    ) -> None:
+        incarnation = engine.report.incarnation if engine.report else ""
+        message = engine_messages.AdapterState(
+            name, adapter, incarnation, not reason, reason
+        )
+        for sender in engine.wanted.pop(adapter, ()):
+            self._peers.reply(sender, message)
+
+    def _stop_loop(self) -> None:
+        if self._loop.running:
+            self._loop.stop()
--- /dev/null
+++ b/azureline/fleet/owning.py
@@ -0,0 +1,211 @@
+"""A task that binds the ownership of slots to the platform's service."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+from typing import NamedTuple
+
+from absl import logging
+from twisted.internet import defer
+
+from azureline.core import clock as clocks
+from azureline.core import task
+from azureline.fleet import ownership
+from azureline.platform import interface
+
+
+class _Tick(NamedTuple):
+    """Time to advance."""
+
+
+class _Live(NamedTuple):
+    nodes: tuple[str, ...]
+
+
+class _Hint(NamedTuple):
+    name: str
+    record: ownership.Record
+
+
+class _Names(NamedTuple):
+    names: tuple[str, ...]
+
+
+class _ReadDone(NamedTuple):
+    name: str
+    result: Any
+
+
+class _WriteDone(NamedTuple):
+    name: str
+    result: Any
+
+
+class _Release(NamedTuple):
+    done: defer.Deferred
+
+
+class Events(NamedTuple):
+    """Called when the ownership of a slot changes.
+
+    Attributes:
+      acquired: called with the name and epoch of a slot that is now owned.
+      renewed: called with the name and the time until which it is owned.
+      lost: called with the name of a slot that is no longer owned.
+      seen: called with the name and record of a new holder.
+    """
+
+    acquired: Callable[[str, int], None]
+    renewed: Callable[[str, float], None]
+    lost: Callable[[str], None]
+    seen: Callable[[str, ownership.Record], None]
+
+
+class Owning(task.Task[Any]):
+    """Takes, keeps and gives up slots for one node."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        node: str,
+        identity: str,
+        address: str,
+        names: tuple[str, ...],
+        key_value: interface.KeyValue,
+        clock: clocks.Clock,
+        rng: random.Random,
+        events: Events,
+    ):
+        """Creates the task.
+
+        Args:
+          reactor: the Twisted reactor.
+          node: name of this node's VM.
+          identity: identity of this process.
+          address: where other nodes reach this one.
+          names: the slots.
+          key_value: the platform's service.
+          clock: source of time.
+          rng: source of jitter.
+          events: called on changes.
+        """
+        super().__init__("ownership")
+        self._reactor = reactor
+        self._key_value = key_value
+        self._clock = clock
+        self._events = events
+        self._timer: Any = None
+        self._ownership = ownership.Ownership(
+            node, identity, address, names, clock.now(), rng
+        )
+        self.stack.callback(self._cancel_timer)
+
+    def start(self) -> None:
+        """Starts to take slots."""
+        super().start()
+        self.post(_Tick())
+
+    def live(self, nodes: list[str]) -> None:
+        """Learns which nodes are alive, this one included."""
+        self.post(_Live(tuple(nodes)))
+
+    def hint(self, name: str, record: ownership.Record) -> None:
+        """Learns from another node who holds a slot."""
+        self.post(_Hint(name, record))
+
+    def set_names(self, names: tuple[str, ...]) -> None:
+        """Replaces the set of slots; those that are new may be taken."""
+        self.post(_Names(names))
+
+    def release(self) -> defer.Deferred[None]:
+        """Gives up all slots, for a graceful shutdown."""
+        done: defer.Deferred[None] = defer.Deferred()
+        self.post(_Release(done))
+        return done
+
+    def holder(self, name: str) -> str:
+        """Returns the last known holder of a slot, or ""."""
+        record = self._ownership.holder(name)
+        return record.holder if record else ""
+
+    def epoch(self, name: str) -> int:
+        """Returns the epoch under which this node owns a slot, or 0."""
+        return self._ownership.epoch(name)
+
+    def may_act(self, name: str, travel_s: float = 0.0) -> bool:
+        """Returns whether an order sent now arrives within the lease."""
+        return self._ownership.may_act(self._clock.now(), name, travel_s)
+
+    def successor_ready(self, name: str, travel_s: float) -> float:
+        """Returns when a new holder may order engines without fencing."""
+        return self._ownership.successor_ready(name, travel_s)
+
+    async def handle(self, message: Any) -> None:
+        """Feeds one message to the decision code."""
+        now = self._clock.now()
+        match message:
+            case _Tick():
+                self._act(self._ownership.tick(now))
+            case _Live(nodes):
+                self._act(self._ownership.live(now, nodes))
+            case _Names(names):
+                self._act(self._ownership.set_names(now, names))
+            case _Hint(name, record):
+                self._act(self._ownership.hint(now, name, record))
+            case _ReadDone(name, result):
+                self._act(self._ownership.read_result(now, name, result))
+            case _WriteDone(name, result):
+                self._act(self._ownership.write_result(now, name, result))
+            case _Release(done):
+                await self._release(now, done)
+        self._arm()
+
+    async def _release(self, now: float, done: defer.Deferred) -> None:
+        for effect in self._ownership.release(now):
+            if isinstance(effect, ownership.Write):
+                await self._key_value.put(
+                    ownership.KEY_PREFIX + effect.name,
+                    effect.value,
+                    effect.version,
+                )
+            else:
+                self._act([effect])
+        done.callback(None)
+
+    def _act(self, effects: list[ownership.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case ownership.Read(name):
+                    self._read(name)
+                case ownership.Write(name, value, version):
+                    self._write(name, value, version)
+                case ownership.Acquired(name, epoch):
+                    logging.info("event=acquired slot=%s epoch=%d", name, epoch)
+                    self._events.acquired(name, epoch)
+                case ownership.Renewed(name, until):
+                    self._events.renewed(name, until)
+                case ownership.Lost(name):
+                    logging.info("event=lost slot=%s", name)
+                    self._events.lost(name)
+                case ownership.HolderSeen(name, record):
+                    self._events.seen(name, record)
+
+    def _read(self, name: str) -> None:
+        reading = self._key_value.get(ownership.KEY_PREFIX + name)
+        reading.addCallback(lambda r: self.post(_ReadDone(name, r)))
+
+    def _write(self, name: str, value: bytes, version: int) -> None:
+        writing = self._key_value.put(
+            ownership.KEY_PREFIX + name, value, version
+        )
+        writing.addCallback(lambda r: self.post(_WriteDone(name, r)))
+
+    def _arm(self) -> None:
+        self._cancel_timer()
+        delay = max(0.0, self._ownership.wake_at() - self._clock.now())
+        self._timer = self._reactor.callLater(delay, self.post, _Tick())
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
--- /dev/null
+++ b/azureline/node.py
@@ -0,0 +1,413 @@
+"""The process of one entry VM: joins the parts and stops them in order."""
+
+import random
+import signal
+from typing import Any
+import uuid
+
+from absl import logging
+from twisted.internet import defer
+from twisted.internet import reactor as default_reactor
+from twisted.internet import task
+
+from azureline import requests
+from azureline.backends import http as backend_http
+from azureline.callers import credentials as credentials_lib
+from azureline.callers import parse
+from azureline.callers import site as site_lib
+from azureline.config import schema
+from azureline.core import clock as clocks
+from azureline.core import errors
+from azureline.fleet import directory as directories
+from azureline.fleet import messages as fleet_messages
+from azureline.metrics import counters as metrics
+from azureline.nodes import neighbours as neighbours_lib
+from azureline.once import key as key_lib
+from azureline.operators import status as status_lib
+from azureline.platform import http as platform_http
+from azureline.platform import vm_poller
+from azureline.routing import admission
+from azureline.routing import breaker
+from azureline.routing import limits
+from azureline.routing import picker
+from azureline.routing import retry
+from azureline.routing import suspects
+from azureline.serving import config_follower
+from azureline.serving import engine_room
+from azureline.serving import generations as generations_lib
+from azureline.serving import once_calls
+from azureline.serving import once_owners
+from azureline.serving import services as services_lib
+
+DRAIN_POLL_S = 0.1
+DRAIN_QUIET_S = 0.5
+
+
+class Node:
+    """One entry VM's part of the system; it backs the callers' interface."""
+
+    def __init__(
+        self,
+        settings: schema.NodeSettings,
+        reactor: Any = default_reactor,
+    ):
+        """Creates the parts; nothing is opened yet.
+
+        Args:
+          settings: the VM's settings.
+          reactor: the Twisted reactor.
+        """
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = clocks.SystemClock()
+        self._rng = random.Random()
+        self._identity = uuid.uuid4().hex
+        self._config: schema.Configuration | None = None
+        self._credentials = credentials_lib.Credentials({})
+        self._draining = False
+        self._refusing = False
+        statsd = settings.statsd
+        self._counters = metrics.connect(
+            statsd.host, statsd.port, statsd.prefix
+        )
+        self._backends = backend_http.BackendClient(reactor)
+        self._key_value = platform_http.HttpKeyValue(
+            reactor, settings.platform.url, settings.platform.timeout_s
+        )
+        self._vms = platform_http.HttpVmList(
+            reactor, settings.platform.url, settings.platform.timeout_s
+        )
+        self._directory = directories.Directory(settings.domain)
+        self._neighbours = self._make_neighbours()
+        self._poller = vm_poller.VmPoller(
+            reactor,
+            self._clock,
+            self._neighbours,
+            self._vms,
+            settings.timeouts.vm_list_s,
+        )
+        self._make_routing()
+        self._room = engine_room.EngineRoom(
+            reactor,
+            self._identity,
+            self._clock,
+            self._rng,
+            self._neighbours,
+            self._key_value,
+            self._backends,
+            self._directory,
+            self._counters,
+        )
+        self._once_owners = once_owners.OnceOwners(
+            reactor,
+            self._identity,
+            self._clock,
+            self._rng,
+            self._neighbours,
+            self._key_value,
+            self._counters,
+        )
+        self._once = once_calls.OnceCalls(
+            reactor,
+            self._clock,
+            self._rng,
+            self._neighbours,
+            self._room.holder,
+            self._services,
+            self._counters,
+        )
+        self._follower = config_follower.ConfigFollower(
+            reactor,
+            self._clock,
+            self._rng,
+            self._neighbours,
+            self._key_value,
+            self._in_force,
+            self._counters,
+        )
+        self._port: Any = None
+
+    async def start(self) -> None:
+        """Opens the sockets and begins to serve when it can."""
+        self._neighbours.on_rumour("vm/", self._vm_heard)
+        self._neighbours.on_domains(self._domains_changed)
+        self._room.on_views(self._views_changed)
+        self._room.on_crash(self._generations.engine_restarted)
+        self._room.add_slot_owner("once/", self._once_owners)
+        await self._neighbours.start()
+        self._poller.start()
+        self._generations.start()
+        self._once.start()
+        self._follower.start()
+        self._port = self._reactor.listenTCP(
+            self._settings.port,
+            site_lib.make_site(self, self._settings.buffers.body_bytes),
+            interface=self._settings.host,
+        )
+        logging.info(
+            "event=started node=%s port=%d link_port=%d domain=%s",
+            self._settings.name,
+            self._settings.port,
+            self._settings.link_port,
+            self._settings.domain,
+        )
+
+    async def stop(self) -> None:
+        """Drains the node: nothing in progress is cut off.
+
+        Readiness fails first; requests are still accepted until the balancer
+        has had time to notice.
+        """
+        if self._draining:
+            return
+        self._draining = True
+        timeouts = self._settings.timeouts
+        logging.info("event=draining active=%d", self._active())
+        self._neighbours.announce(leaving=True)
+        await self._room.release()
+        await self._sleep(timeouts.drain_notice_s)
+        self._refusing = True
+        give_up_at = self._clock.now() + timeouts.drain_s
+        while self._active() and self._clock.now() < give_up_at:
+            await self._sleep(DRAIN_POLL_S)
+        if self._port is not None:
+            await defer.maybeDeferred(self._port.stopListening)
+        await self._sleep(DRAIN_QUIET_S)
+        logging.info("event=stopped active=%d", self._active())
+        await self._close()
+
+    def refusal(self) -> errors.Refusal | None:
+        """Returns why new requests are refused, or None."""
+        if self._refusing:
+            return errors.Refusal(
+                errors.ErrorKind.SHUTTING_DOWN, "This node is stopping."
+            )
+        if self._config is None:
+            return errors.Refusal(
+                errors.ErrorKind.NOT_READY,
+                "No configuration is in force on this node yet.",
+            )
+        return None
+
+    def ready(self) -> errors.Refusal | None:
+        """Returns why the balancer is to send no requests, or None."""
+        if self._draining:
+            return errors.Refusal(
+                errors.ErrorKind.SHUTTING_DOWN, "This node is stopping."
+            )
+        return self.refusal()
+
+    def credentials(self) -> credentials_lib.Credentials:
+        """Returns the callers of the configuration in force."""
+        return self._credentials
+
+    def target(self, name: str) -> parse.Target | errors.Refusal:
+        """Returns the model and adapter that a name stands for."""
+        if self._config is not None:
+            if name in self._config.models:
+                return parse.Target(name, "")
+            if name in self._config.adapters:
+                return parse.Target(self._config.adapters[name].model, name)
+        return errors.Refusal(
+            errors.ErrorKind.UNKNOWN_MODEL, f"There is no model {name!r}."
+        )
+
+    def deadline(self, seconds: float) -> float:
+        """Returns the monotonic time that many seconds from now."""
+        return self._clock.now() + seconds
+
+    def default_deadline_s(self) -> float:
+        """Returns the deadline in seconds of requests that name none."""
+        return self._settings.timeouts.request_s
+
+    def generate(
+        self,
+        call: requests.ModelCall,
+        messages: list[dict[str, str]],
+        to: Any,
+    ) -> None:
+        """Starts a generation that answers to `to`."""
+        self._room.count_demand(call.model)
+        self._generations.begin(call, messages, to)
+
+    def is_idempotent(
+        self, service: str, method: str, path: str
+    ) -> bool | errors.Refusal:
+        """Returns the repeat rule of a call."""
+        if self._config is None or service not in self._config.services:
+            return errors.Refusal(
+                errors.ErrorKind.UNKNOWN_SERVICE,
+                f"There is no service {service!r}.",
+            )
+        return self._config.services[service].is_idempotent(method, path)
+
+    async def call_service(
+        self, sent: site_lib.ServiceRequest
+    ) -> site_lib.ServiceAnswer | errors.Refusal:
+        """Carries out a call to a service."""
+        if not sent.call.idempotent:
+            return await self._once.run(sent)
+        self._counters.count("requests.service")
+        result = await self._services.repeatable(sent)
+        if isinstance(result, errors.Refusal):
+            self._counters.count(result.counter)
+        return result
+
+    def issue_key(self) -> str:
+        """Returns a new idempotency key."""
+        return key_lib.issue(self._clock.wall(), self._rng)
+
+    def status(self) -> status_lib.Status:
+        """Returns the operators' status document."""
+        return status_lib.build(
+            self._neighbours.membership,
+            self._clock.now(),
+            self._directory,
+            self._counters,
+            self._follower.version,
+        )
+
+    def _make_neighbours(self) -> neighbours_lib.Neighbours:
+        settings = self._settings
+        info = fleet_messages.MemberInfo(
+            host=settings.host,
+            port=settings.link_port,
+            http_port=settings.port,
+            domain=settings.domain,
+            region=settings.region,
+            config_version=0,
+            leaving=False,
+        )
+        return neighbours_lib.Neighbours(
+            self._reactor,
+            settings.name,
+            info,
+            tuple(_address(seed) for seed in settings.seeds),
+            self._clock,
+            self._rng,
+            self._counters,
+        )
+
+    def _make_routing(self) -> None:
+        breakers = breaker.Breakers(self._rng)
+        retries = retry.Retries(self._rng)
+        chooser = picker.Picker(
+            self._settings.name, self._settings.domain, self._rng, breakers
+        )
+        self._suspects = suspects.Suspects(self._settings.name, self._rng)
+        self._generations = generations_lib.Generations(
+            self._reactor,
+            self._clock,
+            admission.Admission(chooser, limits.Limits()),
+            retries,
+            breakers,
+            self._suspects,
+            self._directory,
+            self._backends,
+            self._counters,
+        )
+        self._services = services_lib.Services(
+            self._reactor,
+            self._clock,
+            self._directory,
+            self._backends,
+            breakers,
+            retries,
+            self._counters,
+        )
+
+    def _in_force(self, version: int, config: schema.Configuration) -> None:
+        """Puts an accepted configuration in force on this node."""
+        self._config = config
+        self._credentials = credentials_lib.Credentials(
+            {
+                caller.key_sha256: credentials_lib.Identity(
+                    name, caller.priority
+                )
+                for name, caller in config.callers.items()
+            }
+        )
+        self._directory.configure(config)
+        self._once.configure(
+            config.limits.once_slots, config.limits.once_retention_s
+        )
+        self._once_owners.configure(config.limits.once_retention_s)
+        self._room.configure(config)
+        self._generations.refresh(list(config.models))
+        self._neighbours.announce(config_version=version)
+        logging.info("event=config_in_force version=%d", version)
+
+    def _vm_heard(self, rumour: fleet_messages.Rumour) -> None:
+        name = rumour.key.removeprefix(vm_poller.PREFIX)
+        try:
+            vm = vm_poller.parse(rumour)
+        except ValueError:
+            self._counters.count("rumours.malformed")
+            return
+        if vm is None:
+            self._directory.drop_vm(name)
+        else:
+            self._directory.set_vm(vm)
+        self._refresh_all()
+
+    def _domains_changed(self, unreachable: frozenset[str]) -> None:
+        self._directory.set_unreachable(unreachable)
+        self._refresh_all()
+
+    def _views_changed(self, models: set[str]) -> None:
+        self._generations.refresh(sorted(models))
+
+    def _refresh_all(self) -> None:
+        if self._config is not None:
+            self._generations.refresh(list(self._config.models))
+
+    def _active(self) -> int:
+        return self._generations.active + self._once.active
+
+    async def _close(self) -> None:
+        self._poller.close()
+        self._follower.close()
+        self._once.close()
+        self._generations.close()
+        await self._once_owners.close()
+        await self._room.close()
+        self._neighbours.close()
+        await self._backends.close()
+        await self._key_value.close()
+
+    async def _sleep(self, seconds: float) -> None:
+        await task.deferLater(self._reactor, seconds, lambda: None)
+
+
+def run(settings: schema.NodeSettings) -> None:
+    """Runs a node until it is told to stop by SIGTERM or SIGINT.
+
+    Args:
+      settings: the VM's settings.
+    """
+    node = Node(settings)
+
+    def stop() -> None:
+        stopping = defer.ensureDeferred(node.stop())
+        stopping.addErrback(lambda f: logging.error("event=stop %s", f))
+        stopping.addBoth(lambda _: default_reactor.stop())
+
+    def on_signal(number: int, frame: Any) -> None:
+        default_reactor.callFromThread(stop)
+
+    def failed(failure: Any) -> None:
+        logging.error("event=start_failed reason=%r", str(failure.value))
+        default_reactor.stop()
+
+    def begin() -> None:
+        signal.signal(signal.SIGTERM, on_signal)
+        signal.signal(signal.SIGINT, on_signal)
+        defer.ensureDeferred(node.start()).addErrback(failed)
+
+    default_reactor.callWhenRunning(begin)
+    default_reactor.run(installSignalHandlers=False)
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
--- a/azureline/nodes/messages.py
+++ b/azureline/nodes/messages.py
@@ -3,7 +3,9 @@
 from typing import NamedTuple
 
 from azureline.core import wire
+from azureline.fleet import engine_messages
 from azureline.fleet import messages as fleet_messages
+from azureline.once import messages as once_messages
 
 PROTOCOL_VERSION = 1
 
@@ -32,6 +34,8 @@
     60: Hello,
     61: Heartbeat,
     **fleet_messages.MESSAGES,
+    **engine_messages.MESSAGES,
+    **once_messages.MESSAGES,
 }
 
 
--- /dev/null
+++ b/azureline/serving/once_calls.py
@@ -0,0 +1,199 @@
+"""Non-idempotent calls at their entry node.
+
+A call is dispatched only with the grant of its slot's owner; see
+`azureline.once`.
+"""
+
+import random
+from typing import Any
+from typing import NamedTuple
+
+from absl import logging
+from twisted.internet import defer
+from twisted.internet import task
+
+from azureline.callers import site
+from azureline.core import clock as clocks
+from azureline.core import errors
+from azureline.metrics import counters as metrics
+from azureline.nodes import neighbours as neighbours_lib
+from azureline.once import entry
+from azureline.once import key as key_lib
+from azureline.once import messages
+from azureline.serving import services as services_lib
+
+TICK_S = 0.02
+_CONTENT_TYPE = "Content-Type"
+_REPLIES = (
+    messages.Granted,
+    messages.InProgress,
+    messages.Replay,
+    messages.RanWithoutAnswer,
+    messages.Refused,
+    messages.NotOwner,
+    messages.OutcomeTaken,
+)
+
+
+class _Pending(NamedTuple):
+    call: entry.Call
+    sent: site.ServiceRequest
+    done: defer.Deferred
+
+
+class OnceCalls:
+    """Runs the entry node's part of every non-idempotent call."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clocks.Clock,
+        rng: random.Random,
+        neighbours: neighbours_lib.Neighbours,
+        holder: Any,
+        services: services_lib.Services,
+        counters: metrics.Counters,
+    ):
+        """Creates an empty collection and subscribes to the replies.
+
+        Args:
+          reactor: the Twisted reactor.
+          clock: source of time.
+          rng: source of jitter.
+          neighbours: sends to the owners of slots.
+          holder: returns the name of the node that owns a slot's name.
+          services: dispatches granted calls.
+          counters: counts calls.
+        """
+        self._reactor = reactor
+        self._clock = clock
+        self._rng = rng
+        self._neighbours = neighbours
+        self._holder = holder
+        self._services = services
+        self._counters = counters
+        self._slots = key_lib.SLOTS
+        self._retention_s = key_lib.RETENTION_S
+        self._pending: dict[str, _Pending] = {}
+        self._ticker = task.LoopingCall(self._on_tick)
+        self._ticker.clock = reactor
+        for cls in _REPLIES:
+            neighbours.on_message(cls, self._on_reply)
+
+    @property
+    def active(self) -> int:
+        """The number of calls that the owner or the caller still waits for."""
+        return len(self._pending)
+
+    def configure(self, slots: int, retention_s: float) -> None:
+        """Takes the number of slots and the retention of keys in seconds."""
+        self._slots = slots
+        self._retention_s = retention_s
+
+    def start(self) -> None:
+        """Starts the timer."""
+        self._ticker.start(TICK_S, now=False)
+
+    def close(self) -> None:
+        """Stops the timer."""
+        if self._ticker.running:
+            self._ticker.stop()
+
+    async def run(
+        self, sent: site.ServiceRequest
+    ) -> site.ServiceAnswer | errors.Refusal:
+        """Carries out a call at most once for its key."""
+        now = self._clock.now()
+        key = key_lib.parse(
+            sent.call.key, self._clock.wall(), self._retention_s
+        )
+        if isinstance(key, errors.Refusal):
+            return key
+        claim = messages.Claim(
+            slot=key_lib.slot(sent.call.caller, key.text, self._slots),
+            caller=sent.call.caller,
+            key=key.text,
+            content=sent.call.content,
+            budget_s=sent.call.deadline - now,
+            node=self._neighbours.membership.name,
+            request_id=sent.call.request_id,
+        )
+        call = entry.Call(claim, now, self._rng)
+        done: defer.Deferred = defer.Deferred()
+        pending = _Pending(call, sent, done)
+        self._pending[claim.request_id] = pending
+        self._counters.count("requests.once")
+        self._act(pending, call.start(now))
+        return await done
+
+    def _on_reply(self, sender: str, message: Any) -> None:
+        pending = self._pending.get(message.request_id)
+        if pending is None:
+            return
+        now = self._clock.now()
+        self._act(pending, pending.call.reply(now, message))
+
+    def _on_tick(self) -> None:
+        now = self._clock.now()
+        for request_id, pending in list(self._pending.items()):
+            if now >= pending.call.wake_at():
+                self._act(pending, pending.call.tick(now))
+            if pending.call.done and pending.done.called:
+                self._pending.pop(request_id, None)
+
+    def _act(self, pending: _Pending, effects: list[entry.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case entry.ToOwner(message):
+                    owner = self._holder(f"once/{message.slot}")
+                    if owner:
+                        self._neighbours.send(owner, message)
+                case entry.Dispatch():
+                    defer.ensureDeferred(self._dispatch(pending))
+                case entry.Finish(result):
+                    self._finish(pending, result)
+
+    async def _dispatch(self, pending: _Pending) -> None:
+        call = pending.call
+        if not call.begin(self._clock.now()):
+            return
+        result = await self._services.once(pending.sent)
+        now = self._clock.now()
+        match result:
+            case site.ServiceAnswer(status, content_type, body):
+                headers = ((_CONTENT_TYPE, content_type),)
+                answer = messages.Answer(status, headers, body)
+                effects = call.ran(now, answer)
+            case services_lib.NotStarted(refusal):
+                effects = call.not_run(now, refusal)
+            case services_lib.Unknown(reason):
+                logging.warning(
+                    "event=outcome_unknown request=%s reason=%r",
+                    pending.sent.call.request_id,
+                    reason,
+                )
+                effects = call.unknown(
+                    now,
+                    errors.Refusal(
+                        errors.ErrorKind.MAY_HAVE_RUN,
+                        "The backend server's answer was lost.",
+                    ),
+                )
+        self._act(pending, effects)
+
+    def _finish(
+        self,
+        pending: _Pending,
+        result: messages.Answer | errors.Refusal,
+    ) -> None:
+        if pending.done.called:
+            return
+        if isinstance(result, errors.Refusal):
+            self._counters.count(result.counter)
+            pending.done.callback(result)
+            return
+        self._counters.count("answered.once")
+        content_type = dict(result.headers).get(_CONTENT_TYPE, "")
+        pending.done.callback(
+            site.ServiceAnswer(result.status, content_type, result.body)
+        )
