Test membership on a virtual clock

Cause: membership has no tests of the failures it is meant for. Change: a small in-memory network with losses, cuts and freezes.

--- /dev/null
+++ b/tests/builders_network.py
@@ -0,0 +1,137 @@
+"""A few membership state machines on a virtual clock and a lossy network."""
+
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from azureline.fleet import membership
+from azureline.fleet import messages
+from azureline.nodes import messages as node_messages
+
+TICK_S = 0.1
+DELAY_S = 0.005
+
+
+class _Event(NamedTuple):
+    at: float
+    number: int
+    target: str
+    source: str
+    message: object
+
+
+class Network:
+    """Runs nodes; cuts, losses and freezes are set by the test."""
+
+    def __init__(self, seed: int, loss: float = 0.0):
+        self.now = 0.0
+        self.loss = loss
+        self.nodes: dict[str, membership.Membership] = {}
+        self.frozen: set[str] = set()
+        self.cut: set[tuple[str, str]] = set()
+        self.effects: list[tuple[float, str, membership.Effect]] = []
+        self.sent_bytes: dict[str, int] = {}
+        self._codec = node_messages.codec()
+        self._rng = random.Random(seed)
+        self._queue: list[_Event] = []
+        self._numbers = itertools.count()
+        self._starts = itertools.count(1)
+
+    def add(self, name: str, domain: str, seeds: tuple[str, ...]) -> None:
+        """Starts a node, or starts it anew."""
+        self.nodes[name] = membership.Membership(
+            name,
+            info(name, domain),
+            incarnation=next(self._starts) * 1000,
+            seeds=tuple((seed, 1) for seed in seeds),
+            rng=random.Random(self._rng.random()),
+        )
+        self.sent_bytes.setdefault(name, 0)
+
+    def add_many(self, count: int, domains: int) -> list[str]:
+        """Starts nodes spread over failure domains; the first is the seed."""
+        names = [f"n{i}" for i in range(count)]
+        for i, name in enumerate(names):
+            self.add(name, f"d{i % domains}", ("n0",))
+        return names
+
+    def kill(self, name: str) -> None:
+        """Ends a node without a word."""
+        del self.nodes[name]
+
+    def in_domain(self, domain: str) -> list[str]:
+        """Returns the names of the nodes in a failure domain."""
+        return [n for n, m in self.nodes.items() if m.info.domain == domain]
+
+    def part(self, one: list[str], other: list[str]) -> None:
+        """Cuts every path between two groups, both ways."""
+        self.cut |= {(a, b) for a in one for b in other}
+        self.cut |= {(b, a) for a in one for b in other}
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = round(self.now + TICK_S, 6)
+            self._deliver()
+            for name in list(self.nodes):
+                if name not in self.frozen:
+                    self._act(name, self.nodes[name].tick(self.now))
+
+    def act(self, name: str, effects: list[membership.Effect]) -> None:
+        """Carries out what a call to a node returned."""
+        self._act(name, effects)
+
+    def states(self, target: str) -> set[membership.State | None]:
+        """Returns how the other nodes see one node."""
+        return {
+            self._state(node, target)
+            for name, node in self.nodes.items()
+            if name != target and name not in self.frozen
+        }
+
+    def _state(self, node, target: str) -> membership.State | None:
+        member = node.member(target)
+        return member.state if member else None
+
+    def _act(self, source: str, effects: list[membership.Effect]) -> None:
+        for effect in effects:
+            self.effects.append((self.now, source, effect))
+            match effect:
+                case membership.Datagram(host, _, message):
+                    self._send(source, host, message, self.loss)
+                case membership.LinkMessage(host, _, message):
+                    self._send(source, host, message, 0.0)
+
+    def _send(
+        self, source: str, target: str, message: object, loss: float
+    ) -> None:
+        self.sent_bytes[source] += len(self._codec.pack(message)) + 28
+        if (source, target) in self.cut or self._rng.random() < loss:
+            return
+        at = self.now + DELAY_S * self._rng.uniform(1, 3)
+        event = _Event(at, next(self._numbers), target, source, message)
+        heapq.heappush(self._queue, event)
+
+    def _deliver(self) -> None:
+        while self._queue and self._queue[0].at <= self.now:
+            event = heapq.heappop(self._queue)
+            node = self.nodes.get(event.target)
+            if node is None or event.target in self.frozen:
+                continue
+            message = self._codec.unpack(self._codec.pack(event.message))
+            self._act(
+                event.target,
+                node.received(self.now, event.source, 1, message),
+            )
+
+
+def info(name: str, domain: str) -> messages.MemberInfo:
+    """Returns what a node at an address equal to its name says of itself."""
+    return messages.MemberInfo(name, 1, 2, domain, "r", 0, False)
+
+
+def rumour(key: str, epoch: int = 1) -> messages.Rumour:
+    """Returns a rumour with a short value."""
+    return messages.Rumour(key, epoch, 0, 0, b"value")
