Add the typed forms of settings and configuration

Cause: every part needs a node's settings and the site's configuration in one agreed, checked form, with each default in one shipped file.

Ruled out: defaults in the classes, since they would stand in two places; cattrs' own conversion of strings to numbers, which accepts "80" and true as ports; storing sizes as text, since documents must compare by value.

--- /dev/null
+++ b/azureline/config/schema.py
@@ -0,0 +1,403 @@
+"""Typed forms of a node's settings and of the fleet's configuration.
+
+`NodeSettings` belongs to one entry VM and is read once, at start.
+`Configuration` is the merged form of the base file and a site's overlay; it
+is the same on every node and changes while nodes run.  Neither type holds
+defaults: these are in `defaults.json`, and `defaults.complete` fills them in
+before a document is turned into these types.
+"""
+
+from typing import Annotated
+from typing import Any
+from typing import Literal
+from typing import NamedTuple
+
+from azureline import requests
+
+
+class Bounds(NamedTuple):
+    """Limits of a number, checked when a document is read.
+
+    Attributes:
+      low: the lowest valid value.
+      high: the highest valid value.
+      above: whether `low` itself is invalid.
+    """
+
+    low: float
+    high: float = float("inf")
+    above: bool = False
+
+
+class Pattern(NamedTuple):
+    """A regular expression that a whole string must match.
+
+    Attributes:
+      regex: the expression.
+      meaning: what a valid string is, for error messages.
+    """
+
+    regex: str
+    meaning: str
+
+
+class Size(NamedTuple):
+    """Lets a number of bytes be written as "14 GiB" too."""
+
+
+Bytes = Annotated[int, Size(), Bounds(0)]
+PositiveBytes = Annotated[int, Size(), Bounds(1)]
+Count = Annotated[int, Bounds(0)]
+Positive = Annotated[int, Bounds(1)]
+Seconds = Annotated[float, Bounds(0, above=True)]
+Rate = Annotated[float, Bounds(0, above=True)]
+Weight = Annotated[float, Bounds(0)]
+Ratio = Annotated[float, Bounds(0, 1)]
+Port = Annotated[int, Bounds(1, 65535)]
+Host = Annotated[str, Pattern(r"[0-9a-fA-F.:]+", "an IP address")]
+Address = Annotated[str, Pattern(r"\[?[0-9a-fA-F.:]+\]?:\d+", "IP:PORT")]
+Digest = Annotated[str, Pattern(r"[0-9a-f]{64}", "a SHA-256 in hexadecimal")]
+Name = Annotated[str, Pattern(r"[A-Za-z0-9][\w.-]*", "a plain name")]
+EntryName = Annotated[str, Pattern(r"[A-Za-z0-9][\w./:-]*", "a plain name")]
+Servers = Annotated[str, Pattern(r"[A-Za-z0-9][\w.-]*\*?", "NAME or PREFIX*")]
+
+
+class Platform(NamedTuple):
+    """Where the platform's key-value service and VM list are.
+
+    Attributes:
+      url: root of its HTTP interface.
+      timeout_s: seconds after which a call counts as unanswered.
+    """
+
+    url: Annotated[str, Pattern(r"https?://\S+", "an http URL")]
+    timeout_s: Seconds
+
+
+class Statsd(NamedTuple):
+    """Where metrics are sent.
+
+    Attributes:
+      host: IP address of the statsd server.
+      port: its UDP port.
+      prefix: put in front of each metric's name.
+    """
+
+    host: Host
+    port: Port
+    prefix: str
+
+
+class Log(NamedTuple):
+    """What is logged.
+
+    Attributes:
+      level: the lowest severity that is written.
+    """
+
+    level: Literal["debug", "info", "warning", "error"]
+
+
+class Timeouts(NamedTuple):
+    """A node's timeouts and intervals, in seconds.
+
+    Attributes:
+      connect_s: for opening a connection to any peer.
+      heartbeat_s: between heartbeats on a link to another node.
+      link_silence_s: without a byte, after which a link is replaced.
+      stream_silence_s: without progress, after which a stream is resumed on a
+        new connection.
+      probe_s: between probes of a backend server.
+      vm_list_s: between reads of the platform's VM list.
+      watch_s: that a watch on the platform's service waits at most.
+      request_s: deadline of a request that states none.
+      drain_notice_s: between failing readiness and refusing new requests.
+      drain_s: that requests in progress may take after a stop was asked for.
+    """
+
+    connect_s: Seconds
+    heartbeat_s: Seconds
+    link_silence_s: Seconds
+    stream_silence_s: Seconds
+    probe_s: Seconds
+    vm_list_s: Seconds
+    watch_s: Seconds
+    request_s: Seconds
+    drain_notice_s: Seconds
+    drain_s: Seconds
+
+
+class Buffers(NamedTuple):
+    """Bounds on memory for one request, in bytes.
+
+    Attributes:
+      body_bytes: the largest accepted request body.
+      stream_bytes: answer kept for a caller that reads slowly.
+    """
+
+    body_bytes: Bytes
+    stream_bytes: Bytes
+
+
+class NodeSettings(NamedTuple):
+    """Settings of one node; each entry VM runs one.
+
+    Attributes:
+      name: unique name of the VM, as in the platform's VM list.
+      host: IP address that callers and other nodes connect to.
+      port: TCP port of the callers' and operators' HTTP interface.
+      link_port: TCP and UDP port for other nodes.
+      domain: failure domain of the VM.
+      region: region of the VM.
+      platform: the platform's service.
+      seeds: link addresses of some other nodes, as "IP:PORT".
+      statsd: where metrics go.
+      log: what is logged.
+      timeouts: timeouts and intervals.
+      buffers: bounds on memory for one request.
+    """
+
+    name: Name
+    host: Host
+    port: Port
+    link_port: Port
+    domain: Name
+    region: Name
+    platform: Platform
+    seeds: list[Address]
+    statsd: Statsd
+    log: Log
+    timeouts: Timeouts
+    buffers: Buffers
+
+
+class Model(NamedTuple):
+    """A model that must be reachable at all times.
+
+    Attributes:
+      memory_bytes: accelerator memory that a replica takes, in bytes.
+      version: version of the weights that is to be served.
+      min_replicas: replicas that are always kept.
+      tokens_per_s: tokens that a replica generates at full batch, per second.
+      first_token_ms: time to the first token on an idle replica, in ms.
+      max_running: requests that a replica generates at once.
+    """
+
+    memory_bytes: PositiveBytes
+    version: str
+    min_replicas: Positive
+    tokens_per_s: Rate
+    first_token_ms: Rate
+    max_running: Positive
+
+
+class Adapter(NamedTuple):
+    """A low-rank adapter of a model, loaded on demand.
+
+    Attributes:
+      model: name of the model that it adapts.
+      memory_bytes: accelerator memory that it takes, in bytes.
+      version: version that is to be served.
+    """
+
+    model: EntryName
+    memory_bytes: PositiveBytes
+    version: str
+
+
+class Engine(NamedTuple):
+    """A backend server named in the configuration.
+
+    Attributes:
+      role: "model", or a specialised model role "prefill" or "decode"; or
+        "ledger" for a ledger engine, which holds no models.
+      domain: its failure domain.
+      region: its region.
+      memory_bytes: accelerator memory for models, adapters and KV cache, in
+        bytes; 0 for a ledger engine.
+      accelerators: number of accelerators.
+      fences: whether it refuses an order with an old fencing number.
+    """
+
+    role: Literal["model", "prefill", "decode", "ledger"]
+    domain: Name
+    region: Name
+    memory_bytes: Bytes
+    accelerators: Count
+    fences: bool
+
+
+class Route(NamedTuple):
+    """Marks some calls of a service as idempotent or not.
+
+    Attributes:
+      method: HTTP method, or "*".
+      prefix: prefix of the path below the service's root.
+      idempotent: whether the call may be repeated.
+    """
+
+    method: Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "*"]
+    prefix: Annotated[str, Pattern(r"/\S*", "a path that starts with /")]
+    idempotent: bool
+
+
+class Service(NamedTuple):
+    """A ledger or plain service that calls are routed to.
+
+    Attributes:
+      role: "ledger" if ledger engines serve it, else "service".
+      servers: names of backend servers; "PREFIX*" matches by prefix.
+      idempotent: whether a call that no route matches may be repeated.
+      routes: exceptions; the longest matching prefix decides.
+    """
+
+    role: Literal["ledger", "service"]
+    servers: list[Servers]
+    idempotent: bool
+    routes: list[Route]
+
+    def is_idempotent(self, method: str, path: str) -> bool:
+        """Returns whether a call may be repeated.
+
+        Args:
+          method: HTTP method in capitals.
+          path: path below the service's root.
+        """
+        matching = [
+            route
+            for route in self.routes
+            if route.method in ("*", method) and path.startswith(route.prefix)
+        ]
+        if not matching:
+            return self.idempotent
+        best = max(matching, key=lambda r: (len(r.prefix), r.method != "*"))
+        return best.idempotent
+
+    def is_served_by(self, server: str) -> bool:
+        """Returns whether the backend server with this name serves it."""
+        return any(
+            server.startswith(name[:-1])
+            if name.endswith("*")
+            else server == name
+            for name in self.servers
+        )
+
+
+class Caller(NamedTuple):
+    """Somebody who may send requests.
+
+    Attributes:
+      key_sha256: SHA-256 of the caller's API key, in hexadecimal.
+      max_priority: the most urgent class that the caller may ask for.
+    """
+
+    key_sha256: Digest
+    max_priority: Literal["urgent", "normal", "batch"]
+
+    @property
+    def priority(self) -> requests.Priority:
+        """The most urgent class that the caller may ask for."""
+        return requests.Priority[self.max_priority.upper()]
+
+
+class Queue(NamedTuple):
+    """Requests that may wait in a node, by class.
+
+    Attributes:
+      urgent: of the urgent class.
+      normal: of the normal class.
+      batch: of the batch class.
+    """
+
+    urgent: Positive
+    normal: Positive
+    batch: Positive
+
+
+class Limits(NamedTuple):
+    """Limits that the nodes keep together, unless said otherwise.
+
+    Attributes:
+      store_loads_per_s: model loads started from the weight store per second.
+      store_loads_at_once: model loads in progress.
+      adapters_in_transit: adapter loads in progress.
+      cache_reserve_ratio: share of each engine's memory that models leave to
+        the KV cache and to adapters.
+      queue: requests that may wait in one node.
+      retry_budget_ratio: retries sent per request offered, in one node.
+      once_retention_s: seconds for which the outcome of a non-idempotent
+        request is kept.
+      once_slots: owners among which idempotency keys are divided.
+    """
+
+    store_loads_per_s: Rate
+    store_loads_at_once: Positive
+    adapters_in_transit: Positive
+    cache_reserve_ratio: Ratio
+    queue: Queue
+    retry_budget_ratio: Ratio
+    once_retention_s: Seconds
+    once_slots: Positive
+
+
+class Policy(NamedTuple):
+    """How placement weighs its aims.
+
+    Attributes:
+      attainment_weight: worth of a request answered in time.
+      move_weight: cost of one move, in the same unit.
+      plan_interval_s: seconds between two rounds of planning.
+      demand_half_life_s: seconds after which old demand counts half.
+      min_stay_s: seconds for which a placed replica is not taken away for a
+        gain in attainment alone.
+      min_gain_ratio: share by which a change must better the present
+        placement's worth.
+      first_token_target_ms: time to the first token that attains, in ms.
+      token_gap_target_ms: time between tokens that attains, in ms.
+    """
+
+    attainment_weight: Weight
+    move_weight: Weight
+    plan_interval_s: Seconds
+    demand_half_life_s: Seconds
+    min_stay_s: Seconds
+    min_gain_ratio: Ratio
+    first_token_target_ms: Rate
+    token_gap_target_ms: Rate
+
+
+class Configuration(NamedTuple):
+    """What operators state about a site: base file and overlay, merged.
+
+    Attributes:
+      site: name of the site.
+      models: models by name.
+      adapters: adapters by name.
+      engines: model engines and ledger engines by VM name.
+      services: ledger and plain services by name.
+      callers: callers by name.
+      limits: limits that the nodes keep.
+      policy: how placement weighs its aims.
+    """
+
+    site: Name
+    models: dict[EntryName, Model]
+    adapters: dict[EntryName, Adapter]
+    engines: dict[EntryName, Engine]
+    services: dict[EntryName, Service]
+    callers: dict[EntryName, Caller]
+    limits: Limits
+    policy: Policy
+
+    @property
+    def model_engines(self) -> dict[str, Engine]:
+        """The engines that hold models, by name."""
+        return {
+            name: engine
+            for name, engine in self.engines.items()
+            if engine.role != "ledger"
+        }
+
+
+NAMED_SECTIONS = ("models", "adapters", "engines", "services", "callers")
+Document = dict[str, Any]
