Merge overlays and refuse configurations that cannot be served

Cause: a site states only its differences, and a file that is valid but leaves a model without memory must be refused before anything is changed.

Ruled out: null as the sign of removal, since it reads like a missing value; merging lists element by element, since no element has a name; leaving unknown keys to the type check, which cannot tell a new entry from a misspelt one; an exact bin packing, since placement would then have to find the same packing at run time.

Change: an overlay names entries of the base, adds under "$add" and removes under "$remove"; every mistake names file, line, key path and the nearest known name. Cross references are checked, and a removal that another entry still needs is named. A packing (first-fit decreasing with room to move the largest model) must exist; else the sum that is exceeded is told. The loss of an engine or failure domain after which models no longer fit is a warning.

Conclusion: check refuses what is known not to fit; a packing that first-fit decreasing misses is refused too and says that none was found.

--- a/azureline/config/defaults.py
+++ b/azureline/config/defaults.py
@@ -30,14 +30,42 @@
     Returns:
       The completed document, or every unknown or missing option.
     """
-    completion = _Completion(strict)
-    completed = completion.fill(document, load()[kind], ())
-    if completion.found:
-        return problems.Invalid(tuple(completion.found))
-    return completed
+    filling = _Filling(strict)
+    filled = filling.fill(document, load()[kind], ())
+    found = filling.found + missing(filled)
+    return problems.Invalid(tuple(found)) if found else filled
 
 
-class _Completion:
+def fill(
+    document: Any, kind: str, strict: bool = True
+) -> dict[str, Any] | problems.Invalid:
+    """Does the same as `complete`, but leaves None for what must be given."""
+    filling = _Filling(strict)
+    filled = filling.fill(document, load()[kind], ())
+    if filling.found:
+        return problems.Invalid(tuple(filling.found))
+    return filled
+
+
+def each(section: str) -> dict[str, Any]:
+    """Returns the defaults of the entries of a named section."""
+    return load()["configuration"][section][_EACH]
+
+
+def missing(value: Any, path: problems.Path = ()) -> list[problems.Problem]:
+    """Returns a problem for every option that was left without a value."""
+    if value is None:
+        return [problems.Problem("this option must be given", path)]
+    if not isinstance(value, dict):
+        return []
+    return [
+        problem
+        for key, inner in value.items()
+        for problem in missing(inner, (*path, key))
+    ]
+
+
+class _Filling:
     """Merges a document into the defaults and notes what does not fit."""
 
     def __init__(self, strict: bool):
@@ -46,6 +74,8 @@
 
     def fill(self, value: Any, default: Any, path: problems.Path) -> Any:
         """Returns `value` with what it lacks taken from `default`."""
+        if value is None:
+            value = {} if isinstance(default, dict) else default
         if not isinstance(default, dict):
             return value
         if not isinstance(value, dict):
@@ -58,35 +88,20 @@
             }
         self._check_keys(value, default, path)
         return {
-            key: self._option(value, key, default[key], (*path, key))
+            key: self.fill(value.get(key), default[key], (*path, key))
             for key in default
         }
 
-    def _option(
-        self, value: dict[str, Any], key: str, default: Any, path: problems.Path
-    ) -> Any:
-        if value.get(key) is not None:
-            return self.fill(value[key], default, path)
-        if default is None:
-            self._report("this option must be given", path)
-        return (
-            self.fill({}, default, path)
-            if isinstance(default, dict)
-            else default
-        )
-
     def _check_keys(
         self,
         value: dict[str, Any],
         default: dict[str, Any],
         path: problems.Path,
     ) -> None:
-        if not self._strict:
-            return
-        for key in value:
-            if key not in default:
-                hint = problems.nearest(key, default)
-                self._report(f"unknown option{hint}", (*path, key))
+        unknown = [key for key in value if key not in default]
+        for key in unknown if self._strict else ():
+            hint = problems.nearest(key, default)
+            self._report(f"unknown option{hint}", (*path, key))
 
     def _report(self, message: str, path: problems.Path) -> None:
         self.found.append(problems.Problem(message, path))
--- a/azureline/config/problems.py
+++ b/azureline/config/problems.py
@@ -20,7 +20,7 @@
 
 def nearest(name: str, known: Iterable[str]) -> str:
     """Returns a hint with the known name nearest to a wrong one, or ""."""
-    found = difflib.get_close_matches(name, list(known), n=1, cutoff=0.5)
+    found = difflib.get_close_matches(name, list(known), n=1)
     return f"; did you mean {found[0]!r}?" if found else ""
 
 
--- /dev/null
+++ b/tests/test_config_files.py
@@ -0,0 +1,222 @@
+"""Tests of reading, merging and checking configuration files."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from azureline.config import check
+from azureline.config import feasibility
+from azureline.config import jsonc
+from azureline.config import overlay
+from azureline.config import problems
+from tests import builders_config
+
+GIB = builders_config.GIB
+
+
+def _check(tmp_path, site, **changes):
+    base = builders_config.document(**changes)
+    del base["site"]
+    (tmp_path / "base.json").write_text(json.dumps(base, indent=1))
+    (tmp_path / "site.json").write_text(site)
+    paths = (str(tmp_path / "base.json"), str(tmp_path / "site.json"))
+    checked = check.read_files(*paths)
+    if isinstance(checked, problems.Invalid):
+        return str(checked).replace(str(tmp_path) + "/", "")
+    return checked
+
+
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [
+        ('{\n"a": 1,\n"a": 2}', "f:3: a: key 'a' is given twice"),
+        ('{\n"a": tru}', "f:2: unexpected 't'"),
+        ('{"a": 1', "f:1: unexpected end of file"),
+        ('{"a" 1}', "f:1: unexpected '1'"),
+        ("[1e999]", "f:1: [0]: the number is too large"),
+        ("[" * 200 + "]" * 200, "nested too deeply"),
+    ],
+)
+def test_bad_text_is_refused_with_its_line(text, message):
+    assert message in str(jsonc.parse(text, "f"))
+
+
+_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda v: (
+        st.lists(v, max_size=3)
+        | st.dictionaries(st.text(max_size=3), v, max_size=3)
+    ),
+    max_leaves=10,
+)
+
+
+@given(_VALUES, st.booleans())
+def test_all_json_is_read_as_by_the_standard_library(value, ascii_only):
+    text = json.dumps(value, ensure_ascii=ascii_only, indent=1)
+    assert jsonc.parse(f"// x\n{text} /* y */").value == value
+
+
+def test_an_overlay_states_only_differences(tmp_path):
+    site = """{"site": "s",
+      "models": {
+        "$remove": ["model-3"],
+        "$add": {"new": {"memory_bytes": "2 GiB"}},
+        "model-1": {"min_replicas": 2}},
+      "services": {"approvals": {"servers": ["ledger-0"]}}}"""
+    models = _check(tmp_path, site).configuration.models
+    assert sorted(models) == ["model-0", "model-1", "model-2", "new"]
+    assert models["model-1"].min_replicas == 2
+    assert models["new"].memory_bytes == 2 * GIB
+
+
+@pytest.mark.parametrize(
+    ("site", "message"),
+    [
+        (
+            '"modles": {}',
+            "site.json:2: modles: the base has no such option; "
+            "did you mean 'models'?",
+        ),
+        (
+            '"models": {\n"model-9": {}}',
+            "site.json:3: models.model-9: the base has no such entry; "
+            "did you mean 'model-3'?",
+        ),
+        (
+            '"models": {"$add": {\n"model-1": {}}}',
+            "site.json:3: models.$add.model-1: the base already has "
+            "'model-1'; change it outside $add",
+        ),
+        (
+            '"models": {"$add": {"x": {\n"sise": 1}}}',
+            "site.json:3: models.$add.x.sise: unknown option",
+        ),
+        (
+            '"models": {"$remove": [\n"modle-1"]}',
+            "site.json:3: models.$remove[0]: the base has no entry "
+            "'modle-1'; did you mean 'model-1'?",
+        ),
+        (
+            '"models": {"$remove": ["model-0"]}',
+            "base.json:18: adapters.adapter-0.model: needs 'model-0', "
+            "which site.json:2 removes",
+        ),
+        (
+            '"models": {"$add": {"x":\n{}}}',
+            "site.json:2: models.x.memory_bytes: this option must be given",
+        ),
+        (
+            '"adapters": {"adapter-0":\n{"model": "modl-1"}}',
+            "site.json:3: adapters.adapter-0.model: there is no model "
+            "'modl-1'; did you mean 'model-1'?",
+        ),
+        (
+            '"services": {"approvals":\n{"servers": ["engine-1"]}}',
+            "site.json:3: services.approvals.servers[0]: there is no ledger "
+            "engine 'engine-1'",
+        ),
+        (
+            '"services": {"stock": {"servers": ["engine-*"]}}',
+            "site.json:2: services.stock.servers[0]: 'engine-0' is an "
+            "engine, not a plain server",
+        ),
+        (
+            '"limits": {"retry_budget_ratio": 2}',
+            "site.json:2: limits.retry_budget_ratio: must be at most 1",
+        ),
+    ],
+)
+def test_a_wrong_overlay_names_file_line_key_and_nearest(
+    tmp_path, site, message
+):
+    text = '{"site": "s",\n' + site + "}"
+    assert _check(tmp_path, text) == message
+
+
+def test_every_file_that_cannot_be_read_is_named():
+    found = check.read_files("/none/base.json", "/none/site.json").problems
+    assert [str(p) for p in found] == [
+        "/none/base.json: No such file or directory",
+        "/none/site.json: No such file or directory",
+    ]
+
+
+def test_restating_the_base_is_only_a_warning(tmp_path):
+    checked = _check(tmp_path, '{"site": "s", "limits": {"once_slots": 16}}')
+    assert [w.path for w in checked.warnings] == [("limits", "once_slots")]
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        (
+            {"models": 10},
+            "the least replicas of all models need 100.0 GiB, and room for "
+            "moving the largest of them 10.0 GiB; together 110.0 GiB, more "
+            "than the 108.0 GiB that the 3 engines have for models",
+        ),
+        ({"model_gib": 37}, "model model-0 needs 37.0 GiB, more than the 36"),
+        (
+            {"model_gib": 19, "models": 3},
+            "4 replicas, room for moving counted as one, need more than "
+            "18.0 GiB each, so that no engine holds two, but there are 3",
+        ),
+        ({"engines": 0}, "there is no engine that can hold models"),
+        ({"models": 9, "model_gib": 10}, "no placement was found: model"),
+    ],
+)
+def test_what_cannot_be_served_is_refused_with_the_sum(
+    tmp_path, changes, reason
+):
+    message = _check(tmp_path, '{"site": "s"}', **changes)
+    assert f"this configuration cannot be served: {reason}" in message
+
+
+def test_a_loss_that_leaves_too_little_memory_is_a_warning(tmp_path):
+    checked = _check(tmp_path, '{"site": "s"}', models=6)
+    assert [str(w).split(": ")[2] for w in checked.warnings] == [
+        "without engine engine-0",
+        "without failure domain a",
+        "without failure domain b",
+        "without failure domain c",
+    ]
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 40), st.integers(1, 3)), min_size=1, max_size=8
+    ),
+    st.lists(st.integers(1, 80), min_size=1, max_size=6),
+)
+def test_a_packing_keeps_every_bound(sizes, engines):
+    plain = builders_config.configuration().models["model-0"]
+    models = {
+        f"m{i}": plain._replace(memory_bytes=size, min_replicas=replicas)
+        for i, (size, replicas) in enumerate(sizes)
+    }
+    capacities = {f"e{i}": size for i, size in enumerate(engines)}
+    packing = feasibility.pack(models, capacities)
+    if not packing:
+        assert packing.reason
+        return
+    for engine, names in packing.models.items():
+        used = sum(models[name].memory_bytes for name in names)
+        assert used + packing.free_bytes[engine] == capacities[engine]
+        assert len(set(names)) == len(names)
+        assert packing.free_bytes[engine] >= 0
+    placed = [name for names in packing.models.values() for name in names]
+    assert all(placed.count(m) == models[m].min_replicas for m in models)
+    largest = max(model.memory_bytes for model in models.values())
+    assert max(packing.free_bytes.values()) >= largest
+
+
+def test_a_base_entry_is_replaced_by_removing_and_adding_it():
+    base = jsonc.parse('{"models": {"m": {"version": "7"}}}', "base")
+    site = jsonc.parse(
+        '{"models": {"$remove": ["m"], "$add": {"m": {}}}}', "site"
+    )
+    merged = overlay.merge(base, site)
+    assert merged.document["models"]["m"]["version"] == "1"
--- a/tests/test_config_schema.py
+++ b/tests/test_config_schema.py
@@ -68,9 +68,9 @@
         {"name": "x", "host": "::1", "timeouts": {"conect_s": 1}}, "node"
     )
     assert [str(problem) for problem in invalid.problems] == [
+        "timeouts.conect_s: unknown option; did you mean 'connect_s'?",
         "domain: this option must be given",
         "platform.url: this option must be given",
-        "timeouts.conect_s: unknown option; did you mean 'connect_s'?",
     ]
 
 
