--- /dev/null
+++ b/azureline/once/key.py
@@ -0,0 +1,109 @@
+"""Idempotency keys: UUIDs of version 7, which say when they were made.
+
+The time in a key lets the system tell a key that it has forgotten from one
+that it has never seen: whatever is older than the retention is refused.
+
+See RFC 9562, section 5.7.
+"""
+
+import hashlib
+import random
+from typing import NamedTuple
+import uuid
+
+from azureline.core import errors
+
+RETENTION_S = 900.0
+MAX_FUTURE_S = 300.0
+SLOTS = 2
+DIGEST_BYTES = 8
+
+_RANDOM_BITS = 74
+_RANDOM_B_BITS = 62
+_VERSION = 7
+_VARIANT = 0b10
+
+
+class Key(NamedTuple):
+    """A valid Idempotency-Key.
+
+    Attributes:
+      text: the key in its canonical form.
+      issued_s: whole seconds since the Unix epoch when it was made.
+    """
+
+    text: str
+    issued_s: int
+
+
+def parse(
+    text: str, wall_now: float, retention_s: float = RETENTION_S
+) -> Key | errors.Refusal:
+    """Checks a caller's Idempotency-Key.
+
+    Args:
+      text: the value of the header.
+      wall_now: seconds since the Unix epoch.
+      retention_s: age in seconds from which keys are refused.
+    """
+    key = decode(text)
+    if not key:
+        return key
+    if key.issued_s > wall_now + MAX_FUTURE_S:
+        return errors.Refusal(
+            errors.ErrorKind.KEY_INVALID,
+            f"The key's time is over {MAX_FUTURE_S:.0f} s in the future",
+        )
+    if key.issued_s < wall_now - retention_s:
+        return expired(retention_s)
+    return key
+
+
+def decode(text: str) -> Key | errors.Refusal:
+    """Returns the key without judging its age."""
+    try:
+        value = uuid.UUID(text)
+    except ValueError:
+        value = None
+    if value is None or value.version != _VERSION or text.lower() != str(value):
+        return errors.Refusal(
+            errors.ErrorKind.KEY_INVALID,
+            "The Idempotency-Key is not a UUID of version 7",
+        )
+    return Key(str(value), (value.int >> 80) // 1000)
+
+
+def expired(retention_s: float) -> errors.Refusal:
+    """Returns the refusal of a key that is past the retention."""
+    return errors.Refusal(
+        errors.ErrorKind.KEY_EXPIRED,
+        f"Keys are kept for {retention_s:.0f} s; whether it ran is unknown",
+    )
+
+
+def issue(wall_now: float, rng: random.Random) -> str:
+    """Makes a new key.
+
+    Args:
+      wall_now: seconds since the Unix epoch.
+      rng: source of the key's 74 random bits.
+    """
+    bits = rng.getrandbits(_RANDOM_BITS)
+    value = int(wall_now * 1000) << 80
+    value |= _VERSION << 76
+    value |= (bits >> _RANDOM_B_BITS) << 64
+    value |= _VARIANT << 62
+    value |= bits & ((1 << _RANDOM_B_BITS) - 1)
+    return str(uuid.UUID(int=value))
+
+
+def digest(caller: str, text: str) -> bytes:
+    """Returns the identity of a caller's key; it differs between callers."""
+    name = caller.encode()
+    data = len(name).to_bytes(4, "big") + name + text.encode()
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
+def slot(caller: str, text: str, slots: int = SLOTS) -> int:
+    """Returns the number of the slot that a caller's key belongs to."""
+    return int.from_bytes(digest(caller, text), "big") % slots
