--- a/azureline/routing/admission.py
+++ b/azureline/routing/admission.py
@@ -6,6 +6,8 @@
 from azureline import requests
 from azureline.core import errors
 from azureline.routing import limits as limits_lib
+from azureline.routing import loads
+from azureline.routing import outcome as outcomes
 from azureline.routing import picker as picker_lib
 
 
@@ -131,8 +133,8 @@
         self,
         now: float,
         request_id: str,
-        sample: limits_lib.Sample,
-        hint: picker_lib.LoadHint | None = None,
+        sample: outcomes.Sample,
+        hint: loads.LoadHint | None = None,
     ) -> None:
         """Ends an admitted call and learns from its answer."""
         raise NotImplementedError
--- a/azureline/routing/limits.py
+++ b/azureline/routing/limits.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from azureline.routing import outcome as outcomes
+
 
 class Settings(NamedTuple):
     """Settings of the local limits.
@@ -29,24 +31,6 @@
 DEFAULTS = Settings()
 
 
-class Sample(NamedTuple):
-    """What the answer to one call showed of its engine.
-
-    Attributes:
-      ok: whether the answer was whole.
-      first_token_s: seconds from sending to the first token, or None.
-      token_gap_s: mean seconds between its tokens, or None.
-      service_s: seconds from sending to the end.
-      tokens: tokens generated.
-    """
-
-    ok: bool
-    first_token_s: float | None
-    token_gap_s: float | None
-    service_s: float
-    tokens: int
-
-
 class Limits:
     """An adaptive limit for each engine, raised and cut by its answers."""
 
@@ -65,7 +49,9 @@
         """Counts a call that is sent."""
         raise NotImplementedError
 
-    def finished(self, now: float, engine: str, sample: Sample) -> None:
+    def finished(
+        self, now: float, engine: str, sample: outcomes.Sample
+    ) -> None:
         """Forgets a call and adapts the limit to what it showed."""
         raise NotImplementedError
 
