Speed up membership and pass urgent rumours on at once

Each tick walked all members and all rumours.

Change: urgent keys are pushed on first hearing by any carrier; digests are kept as integers, suspects in a set, expiry runs once a second.

--- a/azureline/fleet/membership.py
+++ b/azureline/fleet/membership.py
@@ -30,6 +30,7 @@
 DEAD_KEPT_S = 600
 DOMAIN_LOST_SHARE = 0.6
 DOMAIN_LOST_MIN = 2
+URGENT_PREFIXES = ("config/", "vm/", "own/", "suspect/")
 _PREFIX = "member/"
 _CODEC = wire.Codec({2: messages.MemberInfo})
 
@@ -133,6 +134,7 @@
         self._rng = rng
         self._store = rumours.RumourStore()
         self._members: dict[str, Member] = {}
+        self._suspects: set[str] = set()
         self._order: list[str] = []
         self._probe: _Probe | None = None
         self._relayed: dict[int, tuple[str, int, float]] = {}
@@ -233,7 +235,7 @@
             case messages.PingRequest():
                 return self._on_ping_request(now, host, port, message)
             case messages.Gossip():
-                return self._merge_all(now, message.rumours, urgent=True)
+                return self._merge_all(now, message.rumours)
             case messages.SyncPull():
                 return self._on_pull(now, message)
             case messages.SyncPush():
@@ -336,7 +338,7 @@
             DEAD_KEPT_S if state is State.DEAD else 0,
             _CODEC.pack(member.info),
         )
-        return self._merge_all(now, (rumour,), urgent=False)
+        return self._merge_all(now, (rumour,))
 
     def _suspicion_s(self) -> float:
         size = math.log2(self._fleet_size() + 1)
@@ -344,9 +346,8 @@
 
     def _end_suspicions(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
-        for member in list(self._members.values()):
-            if member.state is not State.SUSPECT:
-                continue
+        for name in sorted(self._suspects):
+            member = self._members[name]
             if member.info.domain in self._unreachable:
                 continue
             if now - member.since >= self._suspicion_s():
@@ -356,7 +357,9 @@
     def _forget(self, now: float) -> list[Effect]:
         for rumour in self._store.expire(now):
             if rumour.key.startswith(_PREFIX):
-                self._members.pop(rumour.key.removeprefix(_PREFIX), None)
+                name = rumour.key.removeprefix(_PREFIX)
+                self._members.pop(name, None)
+                self._suspects.discard(name)
         return []
 
     def _ask_seed(self) -> list[Effect]:
@@ -375,7 +378,7 @@
     def _on_ping(
         self, now: float, host: str, port: int, ping: messages.Ping
     ) -> list[Effect]:
-        effects = self._merge_all(now, ping.rumours, urgent=False)
+        effects = self._merge_all(now, ping.rumours)
         ack = messages.Ack(
             ping.sequence, self._name, self._store.digest, self._news(now)
         )
@@ -383,7 +386,7 @@
         return effects + self._heard(now, ping.sender)
 
     def _on_ack(self, now: float, ack: messages.Ack) -> list[Effect]:
-        effects = self._merge_all(now, ack.rumours, urgent=False)
+        effects = self._merge_all(now, ack.rumours)
         relay = self._relayed.pop(ack.sequence, None)
         if relay is not None:
             asker, sequence, _ = relay
@@ -448,7 +451,7 @@
         self, now: float, host: str, port: int, push: messages.SyncPush
     ) -> list[Effect]:
         self._synced = True
-        effects = self._merge_all(now, push.rumours, urgent=False)
+        effects = self._merge_all(now, push.rumours)
         if push.buckets and push.buckets != self._store.buckets:
             mine = self._store.differing(now, push.buckets)
             back = messages.SyncPush(self._name, mine, ())
@@ -456,20 +459,17 @@
         return effects
 
     def _merge_all(
-        self,
-        now: float,
-        heard: tuple[messages.Rumour, ...],
-        urgent: bool,
+        self, now: float, heard: tuple[messages.Rumour, ...]
     ) -> list[Effect]:
         effects: list[Effect] = []
-        fresh = False
+        urgent = False
         for rumour in heard:
             if rumour.key == _PREFIX + self._name:
-                fresh |= self._refute(now, rumour)
+                urgent |= self._refute(now, rumour)
             elif self._store.merge(now, rumour):
-                fresh = True
+                urgent |= rumour.key.startswith(URGENT_PREFIXES)
                 effects += self._apply(now, rumour)
-        if fresh and urgent:
+        if urgent:
             effects += self._push(now)
         return effects
 
@@ -492,6 +492,10 @@
         name = rumour.key.removeprefix(_PREFIX)
         member = Member(name, info, rumour.epoch, state, now)
         self._members[name] = member
+        if state is State.SUSPECT:
+            self._suspects.add(name)
+        else:
+            self._suspects.discard(name)
         return [Changed(member), *self._judge_domain(info.domain)]
 
     def _judge_domain(self, domain: str) -> list[Effect]:
--- a/azureline/fleet/rumours.py
+++ b/azureline/fleet/rumours.py
@@ -17,6 +17,7 @@
 _DIGEST_BYTES = 8
 _OVERHEAD_BYTES = 16
 _EMPTY_DIGEST = bytes(_DIGEST_BYTES)
+_EXPIRE_INTERVAL_S = 1.0
 
 
 class _Held(NamedTuple):
@@ -30,17 +31,20 @@
     def __init__(self):
         self._held: dict[str, _Held] = {}
         self._sent: dict[str, int] = {}
-        self._buckets = [_EMPTY_DIGEST] * BUCKETS
+        # Digests are kept as integers, since adding to one is then one XOR.
+        self._buckets = [0] * BUCKETS
+        self._total = 0
+        self._next_expiry = 0.0
 
     @property
     def digest(self) -> bytes:
         """A digest of all keys and versions held."""
-        return _xor_all(self._buckets)
+        return self._total.to_bytes(_DIGEST_BYTES, "big")
 
     @property
     def buckets(self) -> tuple[bytes, ...]:
         """The digest of each bucket."""
-        return tuple(self._buckets)
+        return tuple(b.to_bytes(_DIGEST_BYTES, "big") for b in self._buckets)
 
     def __len__(self) -> int:
         return len(self._held)
@@ -77,6 +81,9 @@
 
     def expire(self, now: float) -> list[messages.Rumour]:
         """Forgets the rumours whose time is over and returns them."""
+        if now < self._next_expiry:
+            return []
+        self._next_expiry = now + _EXPIRE_INTERVAL_S
         over = [h.rumour for h in self._held.values() if h.expires_at <= now]
         for rumour in over:
             self._flip(rumour)
@@ -115,7 +122,8 @@
         """Returns the rumours in buckets that differ from a peer's digests."""
         if len(buckets) != BUCKETS:
             buckets = (_EMPTY_DIGEST,) * BUCKETS
-        wanted = {i for i in range(BUCKETS) if buckets[i] != self._buckets[i]}
+        mine = self.buckets
+        wanted = {i for i in range(BUCKETS) if buckets[i] != mine[i]}
         return tuple(
             self._aged(now, key) for key in self._held if _bucket(key) in wanted
         )
@@ -128,10 +136,11 @@
         return held.rumour._replace(ttl_s=remaining)
 
     def _flip(self, rumour: messages.Rumour) -> None:
-        index = _bucket(rumour.key)
         text = f"{rumour.key}\0{rumour.epoch}\0{rumour.sequence}".encode()
-        mark = hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
-        self._buckets[index] = _xor(self._buckets[index], mark)
+        digest = hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
+        mark = int.from_bytes(digest, "big")
+        self._buckets[_bucket(rumour.key)] ^= mark
+        self._total ^= mark
 
 
 def spread_limit(fleet_size: int) -> int:
@@ -141,14 +150,3 @@
 
 def _bucket(key: str) -> int:
     return hashlib.blake2b(key.encode(), digest_size=1).digest()[0] % BUCKETS
-
-
-def _xor(a: bytes, b: bytes) -> bytes:
-    return bytes(x ^ y for x, y in zip(a, b, strict=True))
-
-
-def _xor_all(digests: list[bytes]) -> bytes:
-    total = _EMPTY_DIGEST
-    for digest in digests:
-        total = _xor(total, digest)
-    return total
--- a/azureline/nodes/neighbours.py
+++ b/azureline/nodes/neighbours.py
@@ -149,8 +149,19 @@
         self._act(self._membership.announce(self._clock.now(), info))
 
     def names(self) -> list[str]:
-        """Returns the names of all live nodes, this one included."""
-        names = [m.name for m in self._membership.alive()]
+        """Returns the names of the nodes that may live, this one included.
+
+        A suspect counts: most suspicions under packet loss are refuted, and
+        choices that follow this list should not flap with them.
+        """
+        unreachable = self._membership.unreachable_domains
+        names = [
+            m.name
+            for m in self._membership.members
+            if m.state is not membership_lib.State.DEAD
+            and not m.info.leaving
+            and m.info.domain not in unreachable
+        ]
         if not self._membership.info.leaving:
             names.append(self._membership.name)
         return sorted(names)
