Test the callers' interface in memory

Cause: the HTTP interface had no tests. Change: a site driven without sockets, 21 cases: streams, whole answers, terms, keys, and bad input refused as not run.

--- /dev/null
+++ b/tests/builders_callers.py
@@ -0,0 +1,78 @@
+"""A node's side of the callers' interface that records what it is given."""
+
+import hashlib
+from typing import Any
+
+from azureline import requests
+from azureline.callers import credentials
+from azureline.callers import parse
+from azureline.callers import site
+from azureline.core import errors
+
+KEY = "sekrit"
+HEADERS = {"Authorization": f"Bearer {KEY}"}
+
+
+class FakeBackend:
+    """Answers generations with two events and services with an echo."""
+
+    def __init__(self):
+        self.calls: list[requests.ModelCall] = []
+        self.sent: list[site.ServiceRequest] = []
+        self.refused: errors.Refusal | None = None
+        self.answer: Any = None
+        self.hold = False
+
+    def refusal(self):
+        return self.refused
+
+    def ready(self):
+        return self.refused
+
+    def credentials(self):
+        digest = hashlib.sha256(KEY.encode()).hexdigest()
+        who = credentials.Identity("plant-a", requests.Priority.NORMAL)
+        return credentials.Credentials({digest: who})
+
+    def target(self, name):
+        if name == "no-such":
+            return errors.Refusal(errors.ErrorKind.UNKNOWN_MODEL, "none")
+        return parse.Target(name, "")
+
+    def deadline(self, seconds):
+        return 100.0 + seconds
+
+    def default_deadline_s(self):
+        return 60.0
+
+    def generate(self, call, messages, to):
+        self.calls.append(call)
+        self.answer = to
+        if self.hold:
+            return
+        to.write(event(0, "Hello "))
+        to.write(event(1, "there"))
+        to.finish()
+
+    def is_idempotent(self, service, method, path):
+        if service == "none":
+            return errors.Refusal(errors.ErrorKind.UNKNOWN_SERVICE, "none")
+        return method == "GET"
+
+    async def call_service(self, sent):
+        self.sent.append(sent)
+        return site.ServiceAnswer(200, "text/plain", sent.body or b"ok")
+
+    def issue_key(self):
+        return "0190b7a2-0000-7000-8000-000000000000"
+
+    def status(self):
+        return {"nodes": []}
+
+
+def event(offset: int, text: str) -> bytes:
+    """Returns one event of a stream."""
+    data = (
+        f'{{"id":"r","choices":[{{"index":0,"delta":{{"content":"{text}"}}}}]}}'
+    )
+    return f"id: {offset}\ndata: {data}\n\n".encode()
--- /dev/null
+++ b/tests/test_callers_site.py
@@ -0,0 +1,148 @@
+"""Tests of the callers' HTTP interface."""
+
+import json
+
+import pytest
+
+from azureline import requests
+from azureline.callers import site as site_lib
+from azureline.core import errors
+from tests import builders_callers
+from tests import builders_http
+
+CHAT = "/v1/chat/completions"
+MESSAGES = [{"role": "user", "content": "hi"}]
+
+
+@pytest.fixture(name="backend")
+def fixture_backend():
+    return builders_callers.FakeBackend()
+
+
+@pytest.fixture(name="site")
+def fixture_site(backend):
+    return site_lib.make_site(backend, max_body_bytes=2000)
+
+
+def _chat(site, headers=None, **fields):
+    body = {"model": "m", "messages": MESSAGES, **fields}
+    return builders_http.request(
+        site,
+        "POST",
+        CHAT,
+        builders_callers.HEADERS | (headers or {}),
+        json.dumps(body).encode(),
+    )
+
+
+def test_a_streamed_answer_passes_events_as_they_are(site):
+    response = _chat(site, stream=True)
+    assert response.headers["Content-Type"] == "text/event-stream"
+    assert response.body == builders_callers.event(
+        0, "Hello "
+    ) + builders_callers.event(1, "there")
+
+
+def test_a_whole_answer_joins_the_contents(site):
+    message = _chat(site).json["choices"][0]["message"]
+    assert message == {"role": "assistant", "content": "Hello there"}
+
+
+def test_terms_of_a_request_are_bounded_by_the_caller(site, backend):
+    _chat(site, {"X-Priority": "urgent", "X-Deadline-S": "5"})
+    assert backend.calls[0].priority is requests.Priority.NORMAL
+    assert backend.calls[0].deadline == 105.0
+
+
+def test_equal_contents_have_one_identity_whoever_asks(site, backend):
+    for temperature in (0, 1):
+        _chat(site, temperature=temperature)
+    _chat(site, max_tokens=7)
+    contents = [call.content for call in backend.calls]
+    assert contents[0] == contents[1] != contents[2]
+    assert len({call.request_id for call in backend.calls}) == 3
+
+
+@pytest.mark.parametrize(
+    ("fields", "headers", "kind"),
+    [
+        ({"messages": []}, {}, "bad_request"),
+        ({"messages": [{"role": 1, "content": "x"}]}, {}, "bad_request"),
+        ({"max_tokens": 0}, {}, "bad_request"),
+        ({"max_tokens": True}, {}, "bad_request"),
+        ({"stream": "yes"}, {}, "bad_request"),
+        ({"model": "no-such"}, {}, "unknown_model"),
+        ({}, {"X-Priority": "first"}, "bad_request"),
+        ({}, {"X-Deadline-S": "nan"}, "bad_request"),
+        ({}, {"X-Deadline-S": "-1"}, "bad_request"),
+        ({}, {"Authorization": "Bearer wrong"}, "unauthenticated"),
+        ({"model": "x" * 3000}, {}, "body_too_large"),
+    ],
+)
+def test_bad_input_is_refused_as_not_run(site, backend, fields, headers, kind):
+    response = _chat(site, headers, **fields)
+    assert response.json["kind"] == kind
+    assert response.json["ran"] == "no"
+    assert response.headers["Content-Type"] == "application/problem+json"
+    assert not backend.calls
+
+
+def test_a_refusal_says_when_to_come_back(site, backend):
+    backend.refused = errors.Refusal(
+        errors.ErrorKind.OVERLOADED, "full", retry_after=2.4
+    )
+    response = _chat(site)
+    assert response.status == 429
+    assert response.headers["Retry-After"] == "3"
+    assert response.json["retry_after"] == 2.4
+
+
+def test_a_stream_that_breaks_ends_with_an_error_event(site, backend):
+    backend.hold = True
+    connection = builders_http.Connection(site)
+    body = {"model": "m", "messages": MESSAGES, "stream": True}
+    connection.send(
+        "POST", CHAT, builders_callers.HEADERS, json.dumps(body).encode()
+    )
+    backend.answer.write(builders_callers.event(0, "Hel"))
+    backend.answer.refuse(errors.Refusal(errors.ErrorKind.STREAM_LOST, "x"))
+    last = connection.response().body.split(b"\n\n")[-2]
+    assert last.startswith(b"event: error\ndata: ")
+    assert b"[DONE]" not in connection.response().body
+
+
+def test_a_call_that_may_not_be_repeated_needs_a_key(site, backend):
+    path = "/v1/services/ledger/approvals?lot=7"
+    without = builders_http.request(
+        site, "POST", path, builders_callers.HEADERS, b"{}"
+    )
+    assert without.json["kind"] == "key_required"
+    key = {"Idempotency-Key": "k"}
+    builders_http.request(
+        site, "POST", path, builders_callers.HEADERS | key, b"{}"
+    )
+    call = backend.sent[0].call
+    assert (call.service, call.path) == ("ledger", "/approvals?lot=7")
+    assert (call.key, call.idempotent) == ("k", False)
+
+
+def test_a_lookup_passes_without_a_key(site, backend):
+    response = builders_http.request(
+        site, "GET", "/v1/services/stock/items/3", builders_callers.HEADERS
+    )
+    assert response.body == b"ok"
+    assert backend.sent[0].call.idempotent
+
+
+def test_an_issued_key_needs_an_identity(site):
+    path = "/v1/idempotency-keys"
+    assert builders_http.request(site, "POST", path).status == 401
+    issued = builders_http.request(site, "POST", path, builders_callers.HEADERS)
+    assert issued.json["key"]
+
+
+def test_readiness_fails_while_health_does_not(site, backend):
+    backend.refused = errors.Refusal(errors.ErrorKind.SHUTTING_DOWN, "x")
+    assert builders_http.request(site, "GET", "/readyz").status == 503
+    assert builders_http.request(site, "GET", "/healthz").status == 200
+    assert builders_http.request(site, "GET", "/nowhere").status == 404
