--- a/azureline/nodes/links.py
+++ b/azureline/nodes/links.py
@@ -76,7 +76,7 @@
         # Two nodes may open a stream to each other at once; both are kept.
         self._greeted: set[_LinkProtocol] = set()
         self._waiting: dict[Address, list[bytes]] = {}
-        self._beat = task.LoopingCall(self._on_beat)
+        self._beat = task.LoopingCall(self.beat)
         self._beat.clock = reactor
         self._port: Any = None
 
@@ -85,7 +85,7 @@
         endpoint = endpoints.TCP4ServerEndpoint(
             self._reactor, self._address.port, interface=self._address.host
         )
-        factory = protocol.Factory.forProtocol(lambda: _LinkProtocol(self))
+        factory = protocol.Factory.forProtocol(self.build)
         self._port = await endpoint.listen(factory)
         self._beat.start(HEARTBEAT_S, now=False)
 
@@ -118,6 +118,14 @@
         else:
             self._counters.count("links.dropped")
 
+    def build(self, peer: Address | None = None) -> "_LinkProtocol":
+        """Returns the protocol of a new stream.
+
+        Args:
+          peer: the address that was connected to, or None if accepted.
+        """
+        return _LinkProtocol(self, peer)
+
     def hello(self) -> bytes:
         """Returns the frame that opens a stream."""
         return self.pack(
@@ -165,6 +173,12 @@
         self._counters.count("links.malformed")
         logging.warning("event=malformed_message reason=%r", reason)
 
+    def beat(self) -> None:
+        """Sends heartbeats, and ends streams that are silent or unused."""
+        now = self._clock.now()
+        for link in list(self._greeted):
+            link.beat(now)
+
     def now(self) -> float:
         """Returns monotonic time in seconds."""
         return self._clock.now()
@@ -176,9 +190,7 @@
             address.port,
             timeout=CONNECT_TIMEOUT_S,
         )
-        factory = protocol.Factory.forProtocol(
-            lambda: _LinkProtocol(self, address)
-        )
+        factory = protocol.Factory.forProtocol(lambda: self.build(address))
         connected = endpoint.connect(factory)
         connected.addErrback(lambda failure: self._failed(address))
 
@@ -188,11 +200,6 @@
         self._counters.count("links.dropped", len(dropped))
         self._receiver.lost("", address)
 
-    def _on_beat(self) -> None:
-        now = self._clock.now()
-        for link in list(self._greeted):
-            link.beat(now)
-
 
 class _LinkProtocol(protocol.Protocol):
     """One stream; it belongs to `Links`."""
