Follow versions through the ledger, and load adapters on demand

Cause: each node read the whole configuration from the platform's service; adapters were never loaded.

Ruled out: an offer of the version alone, which makes every node pull from the few that read it; short edits ride in the rumour itself.

Conclusion: wiring only.

--- a/azureline/fleet/membership.py
+++ b/azureline/fleet/membership.py
@@ -91,9 +91,15 @@
 
 
 class Learned(NamedTuple):
-    """Effect: a rumour that is not about a member was news."""
+    """Effect: a rumour that is not about a member was news.
+
+    Attributes:
+      rumour: the rumour.
+      source: name of the node that it was heard from.
+    """
 
     rumour: messages.Rumour
+    source: str
 
 
 Effect = Datagram | LinkMessage | Changed | DomainChanged | Learned
@@ -235,7 +241,7 @@
             case messages.PingRequest():
                 return self._on_ping_request(now, host, port, message)
             case messages.Gossip():
-                return self._merge_all(now, message.rumours)
+                return self._merge_all(now, message.rumours, message.sender)
             case messages.SyncPull():
                 return self._on_pull(now, message)
             case messages.SyncPush():
@@ -338,7 +344,7 @@
             DEAD_KEPT_S if state is State.DEAD else 0,
             _CODEC.pack(member.info),
         )
-        return self._merge_all(now, (rumour,))
+        return self._merge_all(now, (rumour,), self._name)
 
     def _suspicion_s(self) -> float:
         size = math.log2(self._fleet_size() + 1)
@@ -378,7 +384,7 @@
     def _on_ping(
         self, now: float, host: str, port: int, ping: messages.Ping
     ) -> list[Effect]:
-        effects = self._merge_all(now, ping.rumours)
+        effects = self._merge_all(now, ping.rumours, ping.sender)
         ack = messages.Ack(
             ping.sequence, self._name, self._store.digest, self._news(now)
         )
@@ -386,7 +392,7 @@
         return effects + self._heard(now, ping.sender)
 
     def _on_ack(self, now: float, ack: messages.Ack) -> list[Effect]:
-        effects = self._merge_all(now, ack.rumours)
+        effects = self._merge_all(now, ack.rumours, ack.sender)
         relay = self._relayed.pop(ack.sequence, None)
         if relay is not None:
             asker, sequence, _ = relay
@@ -451,7 +457,7 @@
         self, now: float, host: str, port: int, push: messages.SyncPush
     ) -> list[Effect]:
         self._synced = True
-        effects = self._merge_all(now, push.rumours)
+        effects = self._merge_all(now, push.rumours, push.sender)
         if push.buckets and push.buckets != self._store.buckets:
             mine = self._store.differing(now, push.buckets)
             back = messages.SyncPush(self._name, mine, ())
@@ -459,7 +465,7 @@
         return effects
 
     def _merge_all(
-        self, now: float, heard: tuple[messages.Rumour, ...]
+        self, now: float, heard: tuple[messages.Rumour, ...], source: str
     ) -> list[Effect]:
         effects: list[Effect] = []
         urgent = False
@@ -468,7 +474,7 @@
                 urgent |= self._refute(now, rumour)
             elif self._store.merge(now, rumour):
                 urgent |= rumour.key.startswith(URGENT_PREFIXES)
-                effects += self._apply(now, rumour)
+                effects += self._apply(now, rumour, source)
         if urgent:
             effects += self._push(now)
         return effects
@@ -481,9 +487,11 @@
         self._speak(now)
         return True
 
-    def _apply(self, now: float, rumour: messages.Rumour) -> list[Effect]:
+    def _apply(
+        self, now: float, rumour: messages.Rumour, source: str
+    ) -> list[Effect]:
         if not rumour.key.startswith(_PREFIX):
-            return [Learned(rumour)]
+            return [Learned(rumour, source)]
         try:
             info = _CODEC.unpack(rumour.value)
             state = State(rumour.sequence)
--- a/azureline/node.py
+++ b/azureline/node.py
@@ -32,6 +32,7 @@
 from azureline.routing import picker
 from azureline.routing import retry
 from azureline.routing import suspects
+from azureline.serving import adapters as adapters_lib
 from azureline.serving import config_follower
 from azureline.serving import engine_room
 from azureline.serving import generations as generations_lib
@@ -86,7 +87,6 @@
             self._vms,
             settings.timeouts.vm_list_s,
         )
-        self._make_routing()
         self._room = engine_room.EngineRoom(
             reactor,
             self._identity,
@@ -98,6 +98,7 @@
             self._directory,
             self._counters,
         )
+        self._make_routing()
         self._once_owners = once_owners.OnceOwners(
             reactor,
             self._identity,
@@ -122,6 +123,7 @@
             self._rng,
             self._neighbours,
             self._key_value,
+            tuple(_address(seed) for seed in settings.seeds),
             self._in_force,
             self._counters,
         )
@@ -303,6 +305,14 @@
             breakers,
             self._suspects,
             self._directory,
+            adapters_lib.Adapters(
+                self._reactor,
+                self._clock,
+                self._neighbours,
+                self._room.owner_of,
+                self._directory,
+                self._counters,
+            ),
             self._backends,
             self._counters,
         )
@@ -337,7 +347,7 @@
         self._neighbours.announce(config_version=version)
         logging.info("event=config_in_force version=%d", version)
 
-    def _vm_heard(self, rumour: fleet_messages.Rumour) -> None:
+    def _vm_heard(self, rumour: fleet_messages.Rumour, source: str) -> None:
         name = rumour.key.removeprefix(vm_poller.PREFIX)
         try:
             vm = vm_poller.parse(rumour)
--- a/azureline/nodes/messages.py
+++ b/azureline/nodes/messages.py
@@ -2,7 +2,9 @@
 
 from typing import NamedTuple
 
+from azureline.config import messages as config_messages
 from azureline.core import wire
+from azureline.fleet import collection
 from azureline.fleet import engine_messages
 from azureline.fleet import messages as fleet_messages
 from azureline.once import messages as once_messages
@@ -35,6 +37,15 @@
     61: Heartbeat,
     **fleet_messages.MESSAGES,
     **engine_messages.MESSAGES,
+    **collection.MESSAGES,
+    40: config_messages.Offer,
+    41: config_messages.Ask,
+    42: config_messages.State,
+    43: config_messages.Pull,
+    44: config_messages.Delta,
+    45: config_messages.DeltaBatch,
+    46: config_messages.Full,
+    47: config_messages.NothingNewer,
     **once_messages.MESSAGES,
 }
 
--- a/azureline/nodes/neighbours.py
+++ b/azureline/nodes/neighbours.py
@@ -21,7 +21,7 @@
 TICK_S = 0.1
 
 MessageHandler = Callable[[str, Any], None]
-RumourHandler = Callable[[fleet_messages.Rumour], None]
+RumourHandler = Callable[[fleet_messages.Rumour, str], None]
 MemberHandler = Callable[[membership_lib.Member], None]
 
 
@@ -97,7 +97,12 @@
         self._handlers[cls] = handler
 
     def on_rumour(self, prefix: str, handler: RumourHandler) -> None:
-        """Has news about keys with a prefix, such as "vm/", handed over."""
+        """Has news about keys with a prefix, such as "vm/", handed over.
+
+        Args:
+          prefix: the first part of the keys, with its slash.
+          handler: called with each rumour and the node that it came from.
+        """
         self._rumour_handlers[prefix] = handler
 
     def on_member(self, handler: MemberHandler) -> None:
@@ -140,7 +145,7 @@
             return
         effects = self._membership.tell(now, rumour)
         if effects or self._membership.store.get(key) == rumour:
-            self._learned(rumour)
+            self._learned(rumour, self._membership.name)
         self._act(effects)
 
     def announce(self, **changes: Any) -> None:
@@ -212,8 +217,8 @@
                     self._changed(member)
                 case membership_lib.DomainChanged(domain, reachable):
                     self._domain_changed(domain, reachable)
-                case membership_lib.Learned(rumour):
-                    self._learned(rumour)
+                case membership_lib.Learned(rumour, source):
+                    self._learned(rumour, source)
 
     def _changed(self, member: membership_lib.Member) -> None:
         logging.info(
@@ -232,8 +237,8 @@
         for handler in self._domain_handlers:
             handler(self._membership.unreachable_domains)
 
-    def _learned(self, rumour: fleet_messages.Rumour) -> None:
+    def _learned(self, rumour: fleet_messages.Rumour, source: str) -> None:
         prefix, slash, _ = rumour.key.partition("/")
         handler = self._rumour_handlers.get(prefix + slash)
         if handler is not None:
-            handler(rumour)
+            handler(rumour, source)
--- a/azureline/serving/engine_room.py
+++ b/azureline/serving/engine_room.py
@@ -132,6 +132,10 @@
         """Returns the last known holder of a slot, or ""."""
         return self._owning.holder(name) if self._owning else ""
 
+    def owner_of(self, engine: str) -> str:
+        """Returns the node that owns an engine's orders, or ""."""
+        return self.holder(slot_of(engine))
+
     def count_demand(self, model: str) -> None:
         """Counts a request for a model."""
         self._counters.count(f"demand.{model}")
@@ -232,7 +236,7 @@
             )
             self._neighbours.send(sender, done)
 
-    def _view_heard(self, rumour: fleet_messages.Rumour) -> None:
+    def _view_heard(self, rumour: fleet_messages.Rumour, source: str) -> None:
         engine = rumour.key.removeprefix(keeper_lib.PREFIX)
         try:
             view = keeper_lib.parse_view(rumour.value)
@@ -258,7 +262,7 @@
             _RECORDS.pack(record),
         )
 
-    def _holder_heard(self, rumour: fleet_messages.Rumour) -> None:
+    def _holder_heard(self, rumour: fleet_messages.Rumour, source: str) -> None:
         if self._owning is None:
             return
         try:
--- a/azureline/serving/generations.py
+++ b/azureline/serving/generations.py
@@ -16,6 +16,7 @@
 from azureline.routing import retry
 from azureline.routing import stream
 from azureline.routing import suspects as suspects_lib
+from azureline.serving import adapters as adapters_lib
 from azureline.serving import generation
 
 TICK_S = 0.05
@@ -33,6 +34,7 @@
         breakers: breaker.Breakers,
         suspects: suspects_lib.Suspects,
         directory: directories.Directory,
+        adapters: adapters_lib.Adapters,
         backends: http.BackendClient,
         counters: metrics.Counters,
         settings: stream.Settings = stream.DEFAULTS,
@@ -47,6 +49,7 @@
           breakers: learns which engines fail.
           suspects: knows the requests that crash engines.
           directory: says where engines are.
+          adapters: has adapters loaded before calls are sent.
           backends: sends to engines.
           counters: counts refusals and retries by reason.
           settings: settings of the relays.
@@ -58,6 +61,7 @@
         self._breakers = breakers
         self._suspects = suspects
         self._directory = directory
+        self._adapters = adapters
         self._backends = backends
         self._counters = counters
         self._settings = settings
@@ -175,13 +179,21 @@
             self._retries.sent_first()
         self._suspects.started(now, engine, gen.call)
         self._breakers.started(now, engine)
-        gen.send(engine, self._directory.url(engine))
+        url = self._directory.url(engine)
+
+        def loaded(ready: bool) -> None:
+            if gen.call.request_id in self._active:
+                gen.send(engine, url if ready else "")
+
+        self._adapters.ensure(engine, gen.call.adapter, loaded)
 
     def _failed(
         self, gen: generation.Generation, reason: retry.Reason | None
     ) -> None:
         now = self._clock.now()
         reason = reason or retry.Reason.STREAM_GONE
+        if gen.call.adapter:
+            self._adapters.forget(gen.engine, gen.call.adapter)
         if reason is not retry.Reason.BUSY and self._breakers.failed(
             now, gen.engine
         ):
