Report how each attempt ended in the terms of the routing decisions

Cause: a caller that left while its adapter was loading kept its place at the engine for ever; the routing decisions take an outcome instead of a flag. Ruled out: checking for the caller only after the load. Change: the place is released in every case; an engine without an address counts as not connected. Conclusion: to be tested with the whole flow.

--- a/azureline/serving/generation.py
+++ b/azureline/serving/generation.py
@@ -10,7 +10,7 @@
 from azureline.backends import http
 from azureline.core import clock as clocks
 from azureline.core import errors
-from azureline.routing import limits
+from azureline.routing import outcome
 from azureline.routing import picker
 from azureline.routing import retry
 from azureline.routing import stream
@@ -38,7 +38,7 @@
         """Ends an answer that is not to be whole."""
 
 
-class Outcome(NamedTuple):
+class Ended(NamedTuple):
     """How one attempt ended.
 
     Attributes:
@@ -48,7 +48,7 @@
       refusal: the final refusal, or None.
     """
 
-    sample: limits.Sample
+    sample: outcome.Sample
     hint: picker.LoadHint | None
     reason: retry.Reason | None
     refusal: errors.Refusal | None
@@ -57,7 +57,7 @@
 class Owner(Protocol):
     """The collection of generations that owns a generation."""
 
-    def attempt_ended(self, gen: "Generation", outcome: Outcome) -> None:
+    def attempt_ended(self, gen: "Generation", ended: Ended) -> None:
         """Learns how an attempt ended."""
 
     def caller_left(self, gen: "Generation") -> None:
@@ -127,7 +127,10 @@
         self._tokens = 0
         self._hint = None
         self._relay = stream.StreamRelay(now, self._attempt_id, self._settings)
-        defer.ensureDeferred(self._open(self._relay))
+        if url:
+            defer.ensureDeferred(self._open(self._relay))
+        else:
+            self._end(retry.Reason.CONNECT_FAILED, None)
 
     def tick(self, now: float) -> None:
         """Acts on timeouts of the stream and on the deadline."""
@@ -280,18 +283,25 @@
             return
         self._relay = None
         self._drop_transport()
-        ok = reason is None and refusal is None
         self._owner.attempt_ended(
-            self, Outcome(self._sample(ok), self._hint, reason, refusal)
+            self,
+            Ended(
+                self._sample(_outcome(reason, refusal)),
+                self._hint,
+                reason,
+                refusal,
+            ),
         )
 
-    def _sample(self, ok: bool) -> limits.Sample:
+    def _sample(self, result: outcome.Outcome) -> outcome.Sample:
         now = self._clock.now()
         first = gap = None
         if self._first_at is not None:
             first = self._first_at - self._sent_at
             gap = (self._last_at - self._first_at) / max(1, self._tokens - 1)
-        return limits.Sample(ok, first, gap, now - self._sent_at, self._tokens)
+        return outcome.Sample(
+            result, now - self._sent_at, first, gap, self._tokens
+        )
 
 
 class _Sink:
@@ -314,6 +324,18 @@
         self._gen.closed(self._relay, self._attempt)
 
 
+def _outcome(
+    reason: retry.Reason | None, refusal: errors.Refusal | None
+) -> outcome.Outcome:
+    if reason is None and refusal is None:
+        return outcome.Outcome.WHOLE
+    if refusal is not None and refusal.kind is errors.ErrorKind.CALLER_GONE:
+        return outcome.Outcome.CANCELLED
+    if reason in (retry.Reason.BUSY, retry.Reason.LEAVING):
+        return outcome.Outcome.BUSY
+    return outcome.Outcome.FAILED
+
+
 def _bad_status(status: int) -> errors.Refusal | None:
     if status in _REASONS:
         return None
--- a/azureline/serving/generations.py
+++ b/azureline/serving/generations.py
@@ -13,6 +13,8 @@
 from azureline.metrics import counters as metrics
 from azureline.routing import admission as admission_lib
 from azureline.routing import breaker
+from azureline.routing import outcome as outcomes
+from azureline.routing import picker
 from azureline.routing import retry
 from azureline.routing import stream
 from azureline.routing import suspects as suspects_lib
@@ -184,9 +186,25 @@
         def loaded(ready: bool) -> None:
             if gen.call.request_id in self._active:
                 gen.send(engine, url if ready else "")
+                return
+            left = outcomes.Sample(outcomes.Outcome.CANCELLED, 0.0)
+            self._release(gen.call, engine, left, None)
 
         self._adapters.ensure(engine, gen.call.adapter, loaded)
 
+    def _release(
+        self,
+        call: requests.ModelCall,
+        engine: str,
+        sample: outcomes.Sample,
+        hint: picker.LoadHint | None,
+    ) -> None:
+        """Tells the decisions that a call is no longer at an engine."""
+        now, wall = self._clock.now(), self._clock.wall()
+        whole = sample.outcome is outcomes.Outcome.WHOLE
+        self._admission.done(now, call.request_id, sample, hint)
+        self._suspects.finished(now, wall, engine, call, whole)
+
     def _failed(
         self, gen: generation.Generation, reason: retry.Reason | None
     ) -> None:
@@ -220,10 +238,9 @@
         self._reactor.callLater(delay, self._place, gen)
 
     def _finish(
-        self, gen: generation.Generation, outcome: generation.Outcome
+        self, gen: generation.Generation, sample: outcomes.Sample
     ) -> None:
         self._active.pop(gen.call.request_id, None)
-        sample = outcome.sample
         self._counters.count("answered.model")
         self._counters.count("tokens", sample.tokens)
         if sample.first_token_s is not None:
