--- a/azureline/once/effects.py
+++ b/azureline/once/effects.py
@@ -51,14 +51,4 @@
     epoch: int
 
 
-class Count(NamedTuple):
-    """Add one to a counter.
-
-    Attributes:
-      name: name of the counter.
-    """
-
-    name: str
-
-
-Effect = Read | Write | Send | Deposed | Count
+Effect = Read | Write | Send | Deposed
--- a/azureline/once/key.py
+++ b/azureline/once/key.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import random
+import re
 from typing import NamedTuple
 import uuid
 
@@ -18,6 +19,9 @@
 SLOTS = 2
 DIGEST_BYTES = 8
 
+_UUID7 = re.compile(
+    "[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}"
+)
 _RANDOM_BITS = 74
 _RANDOM_B_BITS = 62
 _VERSION = 7
@@ -61,16 +65,14 @@
 
 def decode(text: str) -> Key | errors.Refusal:
     """Returns the key without judging its age."""
-    try:
-        value = uuid.UUID(text)
-    except ValueError:
-        value = None
-    if value is None or value.version != _VERSION or text.lower() != str(value):
+    canonical = text.lower()
+    if not _UUID7.fullmatch(canonical):
         return errors.Refusal(
             errors.ErrorKind.KEY_INVALID,
             "The Idempotency-Key is not a UUID of version 7",
         )
-    return Key(str(value), (value.int >> 80) // 1000)
+    issued_ms = int(canonical[:8] + canonical[9:13], 16)
+    return Key(canonical, issued_ms // 1000)
 
 
 def expired(retention_s: float) -> errors.Refusal:
