Grant each idempotency key at most once

Cause: non-idempotent requests must run once across nodes and resends. Ruled out: saying "not run" without a lease (a successor may have granted the key); taking a node's loss for "did not run". Change: book of claims, slot owner with group commit, entry node's state machine, runner. Two faults found by the histories got a test that failed first: a waiter due with its holder, and a full slot that took no key and so never expired one. Conclusion: decisions are plain code; the runner only carries them out.

--- a/azureline/once/runner.py
+++ b/azureline/once/runner.py
@@ -2,11 +2,16 @@
 
 from collections.abc import Callable
 import random
+from typing import Any
 from typing import NamedTuple
 
+from absl import logging
+
 from azureline.core import clock as clock_lib
 from azureline.core import task
+from azureline.once import effects
 from azureline.once import messages
+from azureline.once import owner as owner_lib
 from azureline.platform import interface
 
 
@@ -30,7 +35,35 @@
     until: float
 
 
-class Runner(task.Task[messages.Request | NodeLost | Lease]):
+class Drain(NamedTuple):
+    """Stop taking claims and report when nothing is left to be written.
+
+    Attributes:
+      on_drained: called once with the slot.
+    """
+
+    on_drained: Callable[[int], None]
+
+
+class _ReadDone(NamedTuple):
+    key: str
+    result: Any
+
+
+class _WriteDone(NamedTuple):
+    key: str
+    result: Any
+
+
+class _Start(NamedTuple):
+    pass
+
+
+class _Tick(NamedTuple):
+    pass
+
+
+class Runner(task.Task[Any]):
     """Owns one slot for one epoch; `post` it requests of entry nodes."""
 
     def __init__(
@@ -43,7 +76,7 @@
         on_deposed: Callable[[int], None],
         count: Callable[[str], None],
         clock: clock_lib.Clock,
-        reactor,
+        reactor: Any,
         rng: random.Random,
     ):
         """Creates the task; `start` begins the takeover of the slot.
@@ -60,3 +93,117 @@
           reactor: Twisted's reactor, for timers.
           rng: source of jitter.
         """
+        super().__init__(f"once/{slot}")
+        self._slot = slot
+        self._key_value = key_value
+        self._send = send
+        self._on_deposed = on_deposed
+        self._count = count
+        self._clock = clock
+        self._reactor = reactor
+        self._timer: Any = None
+        self._stopped = False
+        self._on_drained: Callable[[int], None] | None = None
+        self._owner = owner_lib.Owner(
+            slot, epoch, writer, clock.now(), clock.wall(), rng
+        )
+
+    @property
+    def active(self) -> bool:
+        """Whether the slot is sealed and loaded."""
+        return self._owner.active
+
+    def start(self) -> None:
+        """Starts reading the mailbox and takes the slot over."""
+        self.stack.callback(self._close)
+        super().start()
+        self.post(_Start())
+
+    async def handle(self, message: Any) -> None:
+        """Passes a message to the owner and carries out what it decides."""
+        for effect in self._decide(self._clock.now(), message):
+            self._perform(effect)
+        self._schedule()
+        if self._owner.drained and self._on_drained is not None:
+            report, self._on_drained = self._on_drained, None
+            report(self._slot)
+
+    def _decide(self, now: float, message: Any) -> list[effects.Effect]:
+        owner = self._owner
+        match message:
+            case _ReadDone(key, result):
+                return owner.read_result(now, key, result)
+            case _WriteDone(key, result):
+                return owner.write_result(now, key, result)
+            case NodeLost(node):
+                return owner.node_lost(now, node)
+            case Lease(until):
+                owner.lease(until)
+                return []
+            case Drain(on_drained):
+                self._on_drained = on_drained
+                return owner.drain(now)
+            case _Start():
+                return owner.start(now)
+            case _Tick():
+                return owner.tick(now, self._clock.wall())
+        return owner.request(now, message)
+
+    def _perform(self, effect: effects.Effect) -> None:
+        match effect:
+            case effects.Read(key):
+                done = self._key_value.get(key)
+                done.addErrback(_no_answer)
+                done.addCallback(self._post_read, key)
+            case effects.Write(key, value, version):
+                done = self._key_value.put(key, value, version)
+                done.addErrback(_no_answer)
+                done.addCallback(self._post_write, key)
+            case effects.Send(node, message):
+                self._count(_counter(message))
+                self._send(node, message)
+            case effects.Deposed(epoch):
+                logging.warning(
+                    "task=%s event=deposed by_epoch=%d", self.name, epoch
+                )
+                self._count("once.deposed")
+                self._on_deposed(self._slot)
+
+    def _post_read(self, result: Any, key: str) -> None:
+        self.post(_ReadDone(key, result))
+
+    def _post_write(self, result: Any, key: str) -> None:
+        if isinstance(result, interface.Unavailable):
+            self._count("once.write_unanswered")
+        self.post(_WriteDone(key, result))
+
+    def _schedule(self) -> None:
+        self._cancel()
+        now = self._clock.now()
+        at = self._owner.wake_at(now)
+        if at < float("inf") and not self._stopped:
+            delay = max(0.0, at - now)
+            self._timer = self._reactor.callLater(delay, self._wake)
+
+    def _wake(self) -> None:
+        self._timer = None
+        self.post(_Tick())
+
+    def _cancel(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _close(self) -> None:
+        self._stopped = True
+        self._cancel()
+
+
+def _no_answer(failure: Any) -> interface.Unavailable:
+    return interface.Unavailable(failure.getErrorMessage())
+
+
+def _counter(message: messages.Reply) -> str:
+    if isinstance(message, messages.Refused):
+        return f"once.refused.{message.kind}"
+    return f"once.{type(message).__name__.lower()}"
--- /dev/null
+++ b/tests/test_once_owner.py
@@ -0,0 +1,224 @@
+"""Tests of a slot's owner, one decision at a time."""
+
+import pytest
+
+from azureline.core import errors
+from azureline.once import book
+from azureline.once import log
+from azureline.once import messages
+from azureline.once import owner
+from azureline.platform import interface
+from tests import builders_once
+from tests.builders_once import claim
+from tests.builders_once import outcome
+
+ANSWER = messages.Answer(201, (("x-lot", "7"),), b"approved")
+DID_NOT_RUN = messages.Result.DID_NOT_RUN
+Kind = errors.ErrorKind
+Ran = errors.Ran
+
+
+@pytest.fixture
+def bench():
+    return builders_once.Bench()
+
+
+def _refused(replies):
+    (reply,) = replies
+    assert isinstance(reply, messages.Refused)
+    return Kind(reply.kind), Ran(reply.ran)
+
+
+def test_a_lost_reply_is_repeated_with_the_same_attempt(bench):
+    first = claim(bench.key())
+    (granted,) = bench.request(first)
+    assert bench.request(first) == [granted]
+    assert granted == messages.Granted(0, "r1", 1)
+
+
+def test_a_resend_gets_the_first_answer_or_that_it_ran(bench):
+    first = claim(bench.key())
+    bench.request(first)
+    bench.request(outcome(first, answer=ANSWER))
+    again = first._replace(request_id="r2", node="e1")
+    assert bench.request(again) == [messages.Replay(0, "r2", ANSWER)]
+    bench.advance(book.OUTCOME_DELAY_S)
+    bench.take_over()
+    assert bench.request(again) == [messages.RanWithoutAnswer(0, "r2")]
+
+
+def test_a_waiting_copy_gets_the_outcome(bench):
+    first = claim(bench.key())
+    bench.request(first)
+    second = first._replace(request_id="r2", node="e1")
+    assert bench.request(second) == [messages.InProgress(0, "r2")]
+    bench.request(outcome(first, answer=ANSWER))
+    replies = [effect.message for effect in bench.sent]
+    assert messages.Replay(0, "r2", ANSWER) in replies
+
+
+def test_another_body_is_refused_and_another_caller_is_not(bench):
+    first = claim(bench.key())
+    bench.request(first)
+    other_body = first._replace(request_id="r2", content=b"other")
+    assert _refused(bench.request(other_body)) == (Kind.KEY_REUSED, Ran.NO)
+    other_caller = first._replace(request_id="r3", caller="rival")
+    assert bench.request(other_caller) == [messages.Granted(0, "r3", 1)]
+
+
+def test_what_did_not_run_is_granted_again_as_a_new_attempt(bench):
+    first = claim(bench.key())
+    bench.request(first)
+    bench.request(outcome(first, DID_NOT_RUN))
+    again = first._replace(request_id="r2")
+    assert bench.request(again) == [messages.Granted(0, "r2", 2)]
+    late = outcome(first, DID_NOT_RUN)
+    bench.request(late)
+    third = first._replace(request_id="r3")
+    assert bench.request(third) == [messages.InProgress(0, "r3")]
+
+
+def test_a_late_report_of_an_old_attempt_changes_nothing(bench):
+    first = claim(bench.key())
+    bench.request(first)
+    bench.request(outcome(first, DID_NOT_RUN))
+    bench.request(first._replace(request_id="r2"))
+    bench.take_over()
+    bench.request(outcome(first, DID_NOT_RUN, attempt=1))
+    third = first._replace(request_id="r3")
+    expected = Kind.MAY_HAVE_RUN, Ran.UNKNOWN
+    assert _refused(bench.request(third)) == expected
+
+
+def test_a_lost_entry_node_leaves_the_truth_open_until_it_reports(bench):
+    first = claim(bench.key())
+    bench.request(first)
+    bench.act(bench.owner, bench.owner.node_lost(bench.now, "e0"))
+    second = first._replace(request_id="r2", node="e1")
+    expected = Kind.MAY_HAVE_RUN, Ran.UNKNOWN
+    assert _refused(bench.request(second)) == expected
+    bench.request(outcome(first, answer=ANSWER))
+    assert bench.request(second) == [messages.Replay(0, "r2", ANSWER)]
+
+
+def test_a_deposed_owner_grants_nothing(bench):
+    old = bench.owner
+    key = bench.key()
+    bench.take_over()
+    assert bench.request(claim(key), old) == [messages.NotOwner(0, "r1")]
+    assert old.deposed
+    assert bench.request(claim(key)) == [messages.Granted(0, "r1", 1)]
+
+
+def test_without_a_lease_not_run_is_not_claimed(bench):
+    bench.owner.lease(0.0)
+    late = claim(bench.key(), budget_s=0.0)
+    expected = Kind.DEADLINE_EXCEEDED, Ran.UNKNOWN
+    assert _refused(bench.request(late)) == expected
+
+
+def test_an_outage_refuses_soon_and_grants_nothing_later(bench):
+    bench.hold_writes = True
+    first = claim(bench.key())
+    assert bench.request(first) == []
+    start = len(bench.sent)
+    bench.advance(owner.SETTLE_S)
+    expected = Kind.PLATFORM_UNAVAILABLE, Ran.NO
+    replies = [e.message for e in bench.sent[start:]]
+    assert _refused(replies) == expected
+    assert replies[0].retry_after_s > 0
+    assert _refused(bench.request(claim(bench.key(), "r2"))) == expected
+    # The write has landed all the same, but the claim was withdrawn.
+    (write,) = bench.held
+    result = bench.service.put(write.key, write.value, write.version)
+    bench.hold_writes = False
+    lost = interface.Unavailable("timeout")
+    found = bench.owner.write_result(bench.now, write.key, lost)
+    bench.act(bench.owner, found)
+    bench.advance(1.0)
+    bench.advance(1.0)
+    assert bench.service.get(write.key).version > result.version
+    assert len(bench.sent) == start + 2
+    again = first._replace(request_id="r3")
+    assert bench.request(again) == [messages.Granted(0, "r3", 2)]
+
+
+def test_a_key_past_the_retention_is_expired_not_new(bench):
+    retention_s = builders_once.LIMITS.retention_s
+    old = claim(bench.key(age_s=retention_s + 2))
+    expected = Kind.KEY_EXPIRED, Ran.UNKNOWN
+    assert _refused(bench.request(old)) == expected
+
+
+def test_an_owner_with_a_slow_clock_respects_the_durable_floor(bench):
+    first = claim(bench.key())
+    bench.request(first)
+    bench.request(outcome(first))
+    bench.now += 60.0
+    bench.request(claim(bench.key(), "r2"))
+    bench.take_over()
+    slow = bench.now + builders_once.EPOCH_S - 60.0
+    bench.act(bench.owner, bench.owner.tick(bench.now, slow))
+    found = bench.owner.request(bench.now, first)
+    expected = Kind.KEY_EXPIRED, Ran.UNKNOWN
+    assert _refused([e.message for e in found]) == expected
+
+
+def test_a_damaged_log_makes_every_key_expired():
+    bench = builders_once.Bench()
+    for number in range(9):
+        bench.request(claim(bench.key(), f"r{number}"))
+    damaged = log.page_key(0, 0)
+    version = bench.service.get(damaged).version
+    bench.service.put(damaged, b"\xc1", version)
+    bench.take_over()
+    replies = bench.request(claim(bench.key(), "r10"))
+    assert _refused(replies) == (Kind.KEY_EXPIRED, Ran.UNKNOWN)
+
+
+def test_memory_is_bounded_by_refusals_as_not_run():
+    bench = builders_once.Bench(entries=3)
+    for number in range(3):
+        bench.request(claim(bench.key(), f"r{number}"))
+    replies = bench.request(claim(bench.key(), "r4"))
+    assert _refused(replies) == (Kind.OVERLOADED, Ran.NO)
+
+
+def test_a_full_log_refuses_until_keys_expire():
+    bench = builders_once.Bench()
+    kinds = [
+        type(bench.request(claim(bench.key(), f"r{n}"))[-1]) for n in range(60)
+    ]
+    assert messages.Refused in kinds
+    bench.advance(60.0)
+    for number in range(8):
+        replies = bench.request(claim(bench.key(), f"s{number}"))
+        assert replies == [messages.Granted(0, f"s{number}", 1)]
+
+
+def test_all_keys_survive_folding_and_takeover():
+    layout = builders_once.LAYOUT._replace(chunks=40)
+    bench = builders_once.Bench(layout)
+    claims = [claim(bench.key(), f"r{n}") for n in range(60)]
+    for sent in claims:
+        bench.request(sent)
+        bench.request(outcome(sent))
+    bench.advance(book.OUTCOME_DELAY_S)
+    bench.take_over()
+    for sent in claims:
+        replies = bench.request(sent)
+        assert replies == [messages.RanWithoutAnswer(0, sent.request_id)]
+
+
+def test_draining_writes_what_is_left_and_sends_claims_away(bench):
+    first = claim(bench.key())
+    bench.request(first)
+    bench.act(bench.owner, bench.owner.request(bench.now, outcome(first)))
+    bench.now += owner.MIN_WRITE_INTERVAL_S
+    bench.act(bench.owner, bench.owner.drain(bench.now))
+    assert bench.owner.drained
+    late = claim(bench.key(), "r2")
+    assert bench.request(late) == [messages.NotOwner(0, "r2")]
+    bench.take_over()
+    again = first._replace(request_id="r3")
+    assert bench.request(again) == [messages.RanWithoutAnswer(0, "r3")]
