--- /dev/null
+++ b/tests/test_once_histories.py
@@ -0,0 +1,177 @@
+"""Seeded histories that mix failures, and faults that they must find."""
+
+import collections
+import gc
+
+import pytest
+
+from azureline.core import errors
+from azureline.once import book
+from azureline.once import entry
+from azureline.once import log
+from azureline.once import messages
+from azureline.once import owner
+from azureline.once import table
+from azureline.platform import interface
+from tests import builders_once
+
+HISTORIES = 10_000
+FAULT_HISTORIES = 1_500
+COLLECT_EVERY = 200
+
+
+@pytest.fixture
+def _rare_collections():
+    """Collects garbage between histories only, which saves a fifth."""
+    gc.disable()
+    yield
+    gc.enable()
+
+
+@pytest.mark.usefixtures("_rare_collections")
+def test_ten_thousand_histories_keep_every_promise(capsys):
+    counts = collections.Counter()
+    for seed in range(HISTORIES):
+        world = builders_once.World(seed)
+        world.play()
+        assert world.faults() == [], f"seed {seed}"
+        assert world.owners[-1].owner.active, f"seed {seed}"
+        if seed % COLLECT_EVERY == 0:
+            gc.collect()
+        counts["histories"] += 1
+        counts["with two or more failures"] += len(world.failures) >= 2
+        counts["keys"] += len(world.sent)
+        counts["runs"] += sum(map(len, world.runs.values()))
+        counts["answers"] += len(world.replies)
+        counts.update(_late_runs(world))
+    with capsys.disabled():
+        print(f"\n{dict(counts)}")
+    assert counts["with two or more failures"] >= 0.99 * HISTORIES
+    assert counts["runs"] >= 0.7 * counts["keys"]
+
+
+def _late_runs(world):
+    """Counts copies that ran although a later copy was told "not run"."""
+    counts = collections.Counter({"not run, then run": 0})
+    for reply in world.replies:
+        result = reply.result
+        if isinstance(result, messages.Answer):
+            continue
+        if result.kind is errors.ErrorKind.KEY_REUSED:
+            continue
+        runs = world.runs.get(reply.identity)
+        if result.answer.ran is errors.Ran.NO and runs:
+            counts["not run, then run"] += runs[0].at < reply.at
+    return counts
+
+
+class GrantBeforeWrite(owner.Owner):
+    def _flush(self, now):
+        found = super()._flush(now)
+        if any(isinstance(e, log.effects.Write) for e in found):
+            found += self._book.batch_landed(now, 0)
+        return found
+
+
+class TrustTheLease(owner.Owner):
+    def write_result(self, now, key, result):
+        if self.active and isinstance(result, interface.Conflict):
+            version = result.current.version if result.current else 0
+            result = interface.Entry(b"", version)
+        return super().write_result(now, key, result)
+
+
+class ForgetTheLog(owner.Owner):
+    def _activate(self, now):
+        finish = self._takeover.finish
+        self._takeover.finish = lambda wall, _: finish(wall, table.Table())
+        return super()._activate(now)
+
+
+class LostAnswerIsSuccess(owner.Owner):
+    def write_result(self, now, key, result):
+        if self.active and isinstance(result, interface.Unavailable):
+            result = interface.Entry(b"", 1)
+        return super().write_result(now, key, result)
+
+
+class LostNodeDidNotRun(owner.Owner):
+    def node_lost(self, now, node):
+        found = []
+        for live in self._book._claims.of_node(node) if self.active else ():
+            gone = messages.Withdraw(
+                0, live.caller, live.key.text, node, live.holder.request_id
+            )
+            found += self.request(now, gone)
+        return found
+
+
+class AnyAttempt(owner.Owner):
+    def request(self, now, message):
+        if self.active and isinstance(message, messages.Outcome):
+            message = message._replace(attempt=_last_attempt(self, message))
+        return super().request(now, message)
+
+
+def _last_attempt(slot_owner, message):
+    key = book.key_lib.decode(message.key)
+    digest = book.key_lib.digest(message.caller, key.text)
+    known = slot_owner._table.get(digest, key.issued_s)
+    return known.attempt if known else message.attempt
+
+
+class NotRunWithoutLease(owner.Owner):
+    def lease(self, until):
+        super().lease(float("inf"))
+
+
+class RecycleUnfolded(owner.Owner):
+    def write_result(self, now, key, result):
+        found = super().write_result(now, key, result)
+        if self.active and "/page/" in key:
+            self._log._closed.clear()
+        return found
+
+
+class LostAnswerDidNotRun(entry.Call):
+    def unknown(self, now, reason):
+        return self.not_run(now, reason)
+
+
+class DispatchTwice(entry.Call):
+    def reply(self, now, message):
+        if isinstance(message, messages.Granted):
+            self._state = entry._Waiting()
+        return super().reply(now, message)
+
+
+OWNER_FAULTS = [
+    GrantBeforeWrite,
+    TrustTheLease,
+    ForgetTheLog,
+    LostAnswerIsSuccess,
+    LostNodeDidNotRun,
+    AnyAttempt,
+    NotRunWithoutLease,
+    RecycleUnfolded,
+]
+CALL_FAULTS = [LostAnswerDidNotRun, DispatchTwice]
+
+
+def _first_failing_seed(**kinds):
+    for seed in range(FAULT_HISTORIES):
+        world = builders_once.World(seed, **kinds)
+        world.play()
+        if world.faults():
+            return seed
+    return None
+
+
+@pytest.mark.parametrize("kind", OWNER_FAULTS)
+def test_a_faulty_owner_is_found(kind):
+    assert _first_failing_seed(owner_kind=kind) is not None
+
+
+@pytest.mark.parametrize("kind", CALL_FAULTS)
+def test_a_faulty_entry_node_is_found(kind):
+    assert _first_failing_seed(call_kind=kind) is not None
