Own named slots by leases that need no common clock

Cause: engines, limits and planning need one decider each. Ruled out: leases of the service (a call per lease and per watch). Change: records with a renewal counter, judged by each node's own clock; two candidates by rendezvous hashing poll; released records are taken at once; after an outage holders get a lease to come back. Conclusion: not tested yet.

--- a/azureline/fleet/ownership.py
+++ b/azureline/fleet/ownership.py
@@ -1,12 +1,36 @@
-"""Leased ownership of named slots through the platform's service."""
+"""Leased ownership of named slots through the platform's service.
+
+The record of a slot counts its holder's renewals.  Another node takes the
+slot after the record has not changed for a lease and a margin by its own
+monotonic clock, so no two clocks need to agree on more than their rate.  The
+holder stops acting a margin before a lease has passed since the *start* of
+its last renewal.  The epoch grows with each change of holder and serves as
+fencing number.
+"""
 
 from collections.abc import Iterable
+import dataclasses
+import enum
+import hashlib
 import random
 from typing import NamedTuple
 
+import msgpack
+
 from azureline.platform import interface
 
 KEY_PREFIX = "own/"
+LEASE_S = 12.0
+MARGIN_S = 1.0
+RENEW_S = 4.0
+POLL_S = 4.0
+CANDIDATES = 2
+RANK_DELAY_S = 4.0
+RETRY_BASE_S = 0.2
+RETRY_MAX_S = 15.0
+JITTER = 0.1
+
+_NEVER = float("inf")
 
 
 class Record(NamedTuple):
@@ -68,10 +92,12 @@
 
     Attributes:
       name: name of the slot.
+      epoch: the fencing number.
       until: monotonic time in seconds at which the node stops acting.
     """
 
     name: str
+    epoch: int
     until: float
 
 
@@ -97,9 +123,76 @@
     record: Record
 
 
+def pack(record: Record) -> bytes:
+    """Returns the bytes of a record."""
+    return msgpack.packb(list(record))
+
+
+def unpack(value: bytes) -> Record | None:
+    """Returns the record in a value, or None if there is none."""
+    try:
+        return Record(*msgpack.unpackb(value))
+    except (ValueError, TypeError, msgpack.exceptions.StackError):
+        return None
+
+
 Effect = Read | Write | Acquired | Renewed | Lost | HolderSeen
 
 
+class _Mode(enum.Enum):
+    IDLE = "idle"
+    TAKING = "taking"
+    HOLDING = "holding"
+    RELEASING = "releasing"
+
+
+@dataclasses.dataclass
+class _Attempt:
+    """A write that is repeated with the same bytes until it is settled."""
+
+    record: Record
+    version: int
+    first_started: float
+    started: float
+
+
+@dataclasses.dataclass
+class _Slot:
+    """What this node knows and does about one slot.
+
+    Attributes:
+      record: the record that was read or written last.
+      version: its version; 0 if the key is absent.
+      changed_at: when it was first seen like this.
+      read_at: when it was last seen at all.
+      hinted: the newest record heard of in any way.
+      rank: place of this node among those that prefer the slot.
+      mode: what this node does with the slot.
+      attempt: the write that is not settled, if any.
+      calling: whether a call is under way.
+      failures: calls without an answer in a row.
+      next_at: when to do something next.
+      lease_until: when to stop acting.
+      acquired_at: when this node took the slot.
+      waited: whether the last holder has lapsed, not released.
+    """
+
+    record: Record | None = None
+    version: int = 0
+    changed_at: float = 0.0
+    read_at: float = -_NEVER
+    hinted: Record | None = None
+    rank: int = CANDIDATES
+    mode: _Mode = _Mode.IDLE
+    attempt: _Attempt | None = None
+    calling: bool = False
+    failures: int = 0
+    next_at: float = _NEVER
+    lease_until: float = -_NEVER
+    acquired_at: float = 0.0
+    waited: bool = True
+
+
 class Ownership:
     """Decides which slots this node takes, keeps and gives up."""
 
@@ -122,22 +215,62 @@
           now: monotonic time in seconds.
           rng: source of jitter.
         """
+        self._node = node
+        self._identity = identity
+        self._address = address
+        self._rng = rng
+        self._slots = {name: _Slot(changed_at=now) for name in names}
+        self._leaving = False
+
+    @property
+    def released(self) -> bool:
+        """Whether `release` has given up all slots."""
+        idle = all(s.mode is _Mode.IDLE for s in self._slots.values())
+        return self._leaving and idle
 
     def wake_at(self) -> float:
         """Returns the time at which `tick` must be called."""
-        raise NotImplementedError
+        return min(
+            (s.next_at for s in self._slots.values() if not s.calling),
+            default=_NEVER,
+        )
 
     def tick(self, now: float) -> list[Effect]:
         """Renews what is owned and polls what this node may have to take."""
-        raise NotImplementedError
+        found: list[Effect] = []
+        for name, slot in self._slots.items():
+            if not slot.calling and now >= slot.next_at:
+                found += self._act(now, name, slot)
+        return found
 
     def live(self, now: float, nodes: Iterable[str]) -> list[Effect]:
         """Learns which nodes are alive, this one included."""
-        raise NotImplementedError
+        nodes = list(nodes)
+        for name, slot in self._slots.items():
+            slot.rank = _rank(name, self._node, nodes)
+            if slot.mode is not _Mode.IDLE:
+                continue
+            if slot.rank >= CANDIDATES or self._leaving:
+                slot.next_at = _NEVER
+            elif slot.next_at == _NEVER:
+                slot.next_at = now + self._rng.uniform(0, POLL_S)
+                slot.changed_at = now
+        return self.tick(now)
 
     def hint(self, now: float, name: str, record: Record) -> list[Effect]:
         """Learns a record from another node."""
-        raise NotImplementedError
+        slot = self._slots.get(name)
+        if slot is None:
+            return []
+        known = slot.hinted
+        if known is not None and _order(record) <= _order(known):
+            return []
+        slot.hinted = record
+        candidate = slot.mode is _Mode.IDLE and slot.next_at < _NEVER
+        if candidate and not record.holder:
+            slot.next_at = now
+            return self.tick(now)
+        return []
 
     def read_result(
         self,
@@ -146,7 +279,18 @@
         result: interface.Entry | None | interface.Unavailable,
     ) -> list[Effect]:
         """Takes the result of a `Read`."""
-        raise NotImplementedError
+        slot = self._slots[name]
+        slot.calling = False
+        if isinstance(result, interface.Unavailable):
+            self._back_off(now, slot)
+            return []
+        if slot.failures:
+            # Holders could not renew in an outage: give them time to.
+            slot.changed_at = now
+        slot.failures = 0
+        found = self._seen(now, name, slot, result)
+        slot.next_at = now
+        return found + self._act(now, name, slot, read=True)
 
     def write_result(
         self,
@@ -155,19 +299,41 @@
         result: interface.Entry | interface.Conflict | interface.Unavailable,
     ) -> list[Effect]:
         """Takes the result of a `Write`."""
-        raise NotImplementedError
+        slot = self._slots[name]
+        slot.calling = False
+        attempt = slot.attempt
+        if isinstance(result, interface.Unavailable):
+            self._back_off(now, slot)
+            return []
+        slot.failures = 0
+        slot.attempt = None
+        if isinstance(result, interface.Entry):
+            slot.version = result.version
+            return self._written(now, name, slot, attempt, attempt.started)
+        current = result.current
+        record = unpack(current.value) if current else None
+        if record == attempt.record:
+            slot.version = current.version
+            started = attempt.first_started
+            return self._written(now, name, slot, attempt, started)
+        return self._overtaken(now, name, slot, current)
 
     def release(self, now: float) -> list[Effect]:
         """Stops acting and gives up all slots, for a graceful shutdown."""
-        raise NotImplementedError
+        self._leaving = True
+        for slot in self._slots.values():
+            slot.lease_until = -_NEVER
+            slot.next_at = _NEVER if slot.mode is _Mode.IDLE else now
+        return self.tick(now)
 
     def holder(self, name: str) -> Record | None:
         """Returns the last known record of a slot; it may be out of date."""
-        raise NotImplementedError
+        return self._slots[name].hinted
 
     def epoch(self, name: str) -> int:
         """Returns the epoch under which this node owns a slot, or 0."""
-        raise NotImplementedError
+        slot = self._slots[name]
+        return slot.record.epoch if slot.mode is _Mode.HOLDING else 0
 
     def may_act(self, now: float, name: str, travel_s: float = 0.0) -> bool:
         """Whether an order sent now arrives while this node still owns.
@@ -177,7 +343,9 @@
           name: name of the slot.
           travel_s: the longest time in seconds that the order may travel.
         """
-        raise NotImplementedError
+        slot = self._slots[name]
+        holding = slot.mode is _Mode.HOLDING
+        return holding and now + travel_s < slot.lease_until
 
     def successor_ready(self, name: str, travel_s: float) -> float:
         """Returns when a new holder may order engines that ignore fences.
@@ -186,4 +354,153 @@
           name: name of the slot.
           travel_s: the longest time in seconds that an order may travel.
         """
-        raise NotImplementedError
+        slot = self._slots[name]
+        if slot.mode is not _Mode.HOLDING:
+            return _NEVER
+        wait = LEASE_S + MARGIN_S if slot.waited else 0.0
+        return slot.acquired_at + wait + travel_s
+
+    def _act(
+        self, now: float, name: str, slot: _Slot, read: bool = False
+    ) -> list[Effect]:
+        """Makes the call that is due; `read` if the record is up to date."""
+        if slot.attempt is not None:
+            return self._write(now, name, slot, slot.attempt)
+        if slot.mode is _Mode.HOLDING:
+            holder = "" if self._leaving else self._node
+            if self._leaving:
+                slot.mode = _Mode.RELEASING
+            return self._propose(now, name, slot, holder, slot.record.epoch)
+        if self._leaving or slot.rank >= CANDIDATES:
+            slot.next_at = _NEVER
+            return []
+        takeable_at = self._takeable_at(slot)
+        fresh = read or now - slot.read_at <= POLL_S * (1 + JITTER)
+        if fresh and now >= takeable_at:
+            slot.mode = _Mode.TAKING
+            slot.waited = bool(slot.record and slot.record.holder)
+            epoch = slot.hinted.epoch + 1 if slot.hinted else 1
+            return self._propose(now, name, slot, self._node, epoch)
+        if read:
+            slot.next_at = min(takeable_at, now + self._jittered(POLL_S))
+            return []
+        slot.calling = True
+        return [Read(name)]
+
+    def _takeable_at(self, slot: _Slot) -> float:
+        delay = slot.rank * RANK_DELAY_S
+        if slot.record is not None and slot.record.holder:
+            delay += LEASE_S + MARGIN_S
+        return slot.changed_at + delay
+
+    def _propose(
+        self, now: float, name: str, slot: _Slot, holder: str, epoch: int
+    ) -> list[Effect]:
+        renewals = slot.record.renewals + 1 if slot.record else 1
+        record = Record(holder, epoch, self._identity, self._address, renewals)
+        slot.attempt = _Attempt(record, slot.version, now, now)
+        return self._write(now, name, slot, slot.attempt)
+
+    def _write(
+        self, now: float, name: str, slot: _Slot, attempt: _Attempt
+    ) -> list[Effect]:
+        attempt.started = now
+        slot.calling = True
+        return [Write(name, pack(attempt.record), attempt.version)]
+
+    def _written(
+        self,
+        now: float,
+        name: str,
+        slot: _Slot,
+        attempt: _Attempt,
+        started: float,
+    ) -> list[Effect]:
+        """Acts on a write of this node that has taken effect."""
+        record = attempt.record
+        slot.record = slot.hinted = record
+        slot.changed_at = slot.read_at = now
+        if slot.mode is _Mode.RELEASING:
+            slot.mode = _Mode.IDLE
+            slot.next_at = _NEVER
+            return [Lost(name), HolderSeen(name, record)]
+        found: list[Effect] = []
+        taken = slot.mode is _Mode.TAKING
+        slot.mode = _Mode.HOLDING
+        if self._leaving:
+            return self._act(now, name, slot)
+        if taken:
+            slot.acquired_at = now
+            found.append(Acquired(name, record.epoch))
+            found.append(HolderSeen(name, record))
+        slot.lease_until = started + LEASE_S - MARGIN_S
+        slot.next_at = max(now, started + self._jittered(RENEW_S))
+        return [*found, Renewed(name, record.epoch, slot.lease_until)]
+
+    def _overtaken(
+        self,
+        now: float,
+        name: str,
+        slot: _Slot,
+        current: interface.Entry | None,
+    ) -> list[Effect]:
+        """Acts on another node's write that came first."""
+        held = slot.mode in (_Mode.HOLDING, _Mode.RELEASING)
+        slot.mode = _Mode.IDLE
+        slot.lease_until = -_NEVER
+        found: list[Effect] = [Lost(name)] if held else []
+        found += self._seen(now, name, slot, current)
+        if slot.rank >= CANDIDATES or self._leaving:
+            slot.next_at = _NEVER
+        else:
+            slot.next_at = now + self._jittered(POLL_S)
+        return found
+
+    def _seen(
+        self,
+        now: float,
+        name: str,
+        slot: _Slot,
+        entry: interface.Entry | None,
+    ) -> list[Effect]:
+        """Notes a record that has been read."""
+        version = entry.version if entry else 0
+        slot.read_at = now
+        if version == slot.version:
+            return []
+        before = slot.record
+        slot.version = version
+        slot.changed_at = now
+        slot.record = unpack(entry.value) if entry else None
+        if slot.record is None:
+            return []
+        if slot.hinted is None or _order(slot.record) > _order(slot.hinted):
+            slot.hinted = slot.record
+        if before is not None and before.epoch == slot.record.epoch:
+            return []
+        return [HolderSeen(name, slot.record)]
+
+    def _back_off(self, now: float, slot: _Slot) -> None:
+        slot.failures += 1
+        bound = min(RETRY_MAX_S, RETRY_BASE_S * 2**slot.failures)
+        slot.next_at = now + self._rng.uniform(0, bound)
+
+    def _jittered(self, seconds: float) -> float:
+        return seconds * self._rng.uniform(1 - JITTER, 1 + JITTER)
+
+
+def _order(record: Record) -> tuple[int, int]:
+    return record.epoch, record.renewals
+
+
+def _rank(name: str, node: str, nodes: list[str]) -> int:
+    """Returns the place of a node by rendezvous hashing."""
+    if node not in nodes:
+        return len(nodes)
+    own = _weight(name, node)
+    return sum(_weight(name, other) > own for other in nodes)
+
+
+def _weight(name: str, node: str) -> bytes:
+    data = f"{name} {node}".encode()
+    return hashlib.blake2b(data, digest_size=8).digest()
