Bind ownership and at-most-once owners to the node

Cause: slots change with the configuration; a stop must hand slots over only after their owners have written what they had begun. Ruled out: dropping slots that left the configuration at once (an owner must release them first); they stay, at one renewal every four seconds each. Change: slots can be added; release waits for the service within a bound; owners drain first.

--- a/azureline/fleet/ownership.py
+++ b/azureline/fleet/ownership.py
@@ -220,6 +220,7 @@
         self._address = address
         self._rng = rng
         self._slots = {name: _Slot(changed_at=now) for name in names}
+        self._nodes: list[str] = []
         self._leaving = False
 
     @property
@@ -243,11 +244,17 @@
                 found += self._act(now, name, slot)
         return found
 
+    def add_names(self, now: float, names: Iterable[str]) -> list[Effect]:
+        """Adds slots; those that are known already stay as they are."""
+        for name in names:
+            self._slots.setdefault(name, _Slot(changed_at=now))
+        return self.live(now, self._nodes)
+
     def live(self, now: float, nodes: Iterable[str]) -> list[Effect]:
         """Learns which nodes are alive, this one included."""
-        nodes = list(nodes)
+        self._nodes = list(nodes)
         for name, slot in self._slots.items():
-            slot.rank = _rank(name, self._node, nodes)
+            slot.rank = _rank(name, self._node, self._nodes)
             if slot.mode is not _Mode.IDLE:
                 continue
             if slot.rank >= CANDIDATES or self._leaving:
@@ -328,7 +335,8 @@
 
     def holder(self, name: str) -> Record | None:
         """Returns the last known record of a slot; it may be out of date."""
-        return self._slots[name].hinted
+        slot = self._slots.get(name)
+        return slot.hinted if slot else None
 
     def epoch(self, name: str) -> int:
         """Returns the epoch under which this node owns a slot, or 0."""
--- a/azureline/fleet/owning.py
+++ b/azureline/fleet/owning.py
@@ -1,6 +1,7 @@
 """A task that binds the ownership of slots to the platform's service."""
 
 from collections.abc import Callable
+import math
 import random
 from typing import Any
 from typing import NamedTuple
@@ -95,6 +96,7 @@
         self._clock = clock
         self._events = events
         self._timer: Any = None
+        self._releasing: list[defer.Deferred] = []
         self._ownership = ownership.Ownership(
             node, identity, address, names, clock.now(), rng
         )
@@ -113,12 +115,17 @@
         """Learns from another node who holds a slot."""
         self.post(_Hint(name, record))
 
-    def set_names(self, names: tuple[str, ...]) -> None:
-        """Replaces the set of slots; those that are new may be taken."""
+    def add_names(self, names: tuple[str, ...]) -> None:
+        """Adds slots that this node may take."""
         self.post(_Names(names))
 
     def release(self) -> defer.Deferred[None]:
-        """Gives up all slots, for a graceful shutdown."""
+        """Gives up all slots, for a graceful shutdown.
+
+        Returns:
+          A deferred that fires when the service has taken note; it may never
+          do so during an outage.
+        """
         done: defer.Deferred[None] = defer.Deferred()
         self.post(_Release(done))
         return done
@@ -149,7 +156,7 @@
             case _Live(nodes):
                 self._act(self._ownership.live(now, nodes))
             case _Names(names):
-                self._act(self._ownership.set_names(now, names))
+                self._act(self._ownership.add_names(now, names))
             case _Hint(name, record):
                 self._act(self._ownership.hint(now, name, record))
             case _ReadDone(name, result):
@@ -157,20 +164,13 @@
             case _WriteDone(name, result):
                 self._act(self._ownership.write_result(now, name, result))
             case _Release(done):
-                await self._release(now, done)
+                self._release(now, done)
+        self._tell_released()
         self._arm()
 
-    async def _release(self, now: float, done: defer.Deferred) -> None:
-        for effect in self._ownership.release(now):
-            if isinstance(effect, ownership.Write):
-                await self._key_value.put(
-                    ownership.KEY_PREFIX + effect.name,
-                    effect.value,
-                    effect.version,
-                )
-            else:
-                self._act([effect])
-        done.callback(None)
+    def _release(self, now: float, done: defer.Deferred) -> None:
+        self._releasing.append(done)
+        self._act(self._ownership.release(now))
 
     def _act(self, effects: list[ownership.Effect]) -> None:
         for effect in effects:
@@ -182,7 +182,7 @@
                 case ownership.Acquired(name, epoch):
                     logging.info("event=acquired slot=%s epoch=%d", name, epoch)
                     self._events.acquired(name, epoch)
-                case ownership.Renewed(name, until):
+                case ownership.Renewed(name, _, until):
                     self._events.renewed(name, until)
                 case ownership.Lost(name):
                     logging.info("event=lost slot=%s", name)
@@ -190,6 +190,13 @@
                 case ownership.HolderSeen(name, record):
                     self._events.seen(name, record)
 
+    def _tell_released(self) -> None:
+        if not self._ownership.released:
+            return
+        for done in self._releasing:
+            done.callback(None)
+        self._releasing.clear()
+
     def _read(self, name: str) -> None:
         reading = self._key_value.get(ownership.KEY_PREFIX + name)
         reading.addCallback(lambda r: self.post(_ReadDone(name, r)))
@@ -202,7 +209,10 @@
 
     def _arm(self) -> None:
         self._cancel_timer()
-        delay = max(0.0, self._ownership.wake_at() - self._clock.now())
+        wake_at = self._ownership.wake_at()
+        if wake_at == math.inf:
+            return
+        delay = max(0.0, wake_at - self._clock.now())
         self._timer = self._reactor.callLater(delay, self.post, _Tick())
 
     def _cancel_timer(self) -> None:
--- a/azureline/node.py
+++ b/azureline/node.py
@@ -42,6 +42,7 @@
 
 DRAIN_POLL_S = 0.1
 DRAIN_QUIET_S = 0.5
+HAND_OVER_S = 2.0
 
 
 class Node:
@@ -166,7 +167,8 @@
         timeouts = self._settings.timeouts
         logging.info("event=draining active=%d", self._active())
         self._neighbours.announce(leaving=True)
-        await self._room.release()
+        await self._within(HAND_OVER_S, self._once_owners.drain())
+        await self._within(HAND_OVER_S, self._room.release())
         await self._sleep(timeouts.drain_notice_s)
         self._refusing = True
         give_up_at = self._clock.now() + timeouts.drain_s
@@ -385,6 +387,16 @@
         await self._backends.close()
         await self._key_value.close()
 
+    async def _within(
+        self, seconds: float, waiting: defer.Deferred[Any]
+    ) -> None:
+        """Waits for something that an outage may hold up, within a bound."""
+        waiting.addTimeout(seconds, self._reactor)
+        try:
+            await waiting
+        except defer.TimeoutError:
+            logging.warning("event=hand_over_timeout")
+
     async def _sleep(self, seconds: float) -> None:
         await task.deferLater(self._reactor, seconds, lambda: None)
 
--- a/azureline/serving/engine_room.py
+++ b/azureline/serving/engine_room.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from absl import logging
+from twisted.internet import defer
 
 from azureline.backends import http
 from azureline.config import schema
@@ -124,7 +125,7 @@
             self._owning.start()
             self._tell_live()
         else:
-            self._owning.set_names(names)
+            self._owning.add_names(names)
         for slot, keeper in self._keepers.items():
             keeper.post(self._configuration_of(slot))
 
@@ -140,10 +141,11 @@
         """Counts a request for a model."""
         self._counters.count(f"demand.{model}")
 
-    async def release(self) -> None:
-        """Gives up all slots."""
-        if self._owning is not None:
-            await self._owning.release()
+    def release(self) -> defer.Deferred[None]:
+        """Gives up all slots; see `Owning.release`."""
+        if self._owning is None:
+            return defer.succeed(None)
+        return self._owning.release()
 
     async def close(self) -> None:
         """Stops the keepers and the ownership."""
--- a/azureline/serving/once_owners.py
+++ b/azureline/serving/once_owners.py
@@ -81,6 +81,20 @@
         """Stops the owner of a slot."""
         self._stop(int(name.removeprefix(PREFIX)))
 
+    def drain(self) -> defer.Deferred[Any]:
+        """Has all owners finish what they have begun and take no more.
+
+        Returns:
+          A deferred that fires when nothing is left to be written.
+        """
+        waiting = []
+        for slot, owner in self._runners.items():
+            drained: defer.Deferred[int] = defer.Deferred()
+            waiting.append(drained)
+            owner.post(runner.Drain(drained.callback))
+            logging.info("event=slot_draining slot=once/%d", slot)
+        return defer.DeferredList(waiting)
+
     def close(self) -> defer.Deferred[Any]:
         """Stops all owners."""
         stopping = [r.stop() for r in self._runners.values()]
