Admit generations by class, deadline, caller and local limits

Cause: queues served first come first served answer callers who have left; nodes that admit independently can fill an engine beyond its bounds.

Change: limits with additive increase and multiplicative decrease, pauses below one call; queues per model and class with shares of 10% and 5% for the lower two, earliest deadline within a class, a quantum between callers, and a full queue that makes place at the crowding caller's cost; refusals at once with advice from the estimated wait.

Figures: 400 sends with all classes waiting: 85%, 10%, 5%. State machine: 60 examples of 40 steps, no call lost.

--- a/azureline/routing/admission.py
+++ b/azureline/routing/admission.py
@@ -1,6 +1,12 @@
-"""Admission of generations: queues, deadlines, fairness and local limits."""
+"""Admission of generations: queues, deadlines, fairness and local limits.
+
+A call is sent at once if an engine of its model has room within this node's
+local limit.  Otherwise it waits in a bounded queue of its class, unless its
+deadline cannot be met by the present estimate; then it is refused at once.
+"""
 
 from collections.abc import Sequence
+import random
 from typing import NamedTuple
 
 from azureline import requests
@@ -9,6 +15,12 @@
 from azureline.routing import loads
 from azureline.routing import outcome as outcomes
 from azureline.routing import picker as picker_lib
+from azureline.routing import pool as pool_lib
+from azureline.routing import queues
+
+_MIN_RETRY_AFTER_S = 0.1
+_MAX_RETRY_AFTER_S = 60.0
+_POLL_S = 0.25
 
 
 class Settings(NamedTuple):
@@ -16,18 +28,21 @@
 
     Attributes:
       queue_bounds: calls that may wait per model, by priority.
-      shares: least share of a model's dispatches that each priority gets
-        while it has calls waiting; the rest goes to the highest class.
-      caller_share: part of a queue beyond which one caller may not fill it
-        while others use it.
-      quantum_tokens: service by which one caller may be ahead of another in
+      shares: least share of a model's tokens that each priority gets while
+        it has calls waiting; the rest goes to the highest class.
+      quantum_tokens: tokens by which one caller may be ahead of another in
         its class before deadlines no longer decide.
+      no_replica_grace_s: seconds for which calls wait for a model that has
+        lost all its replicas.
+      judged_prompt_tokens: longest prompt whose first token is held against
+        its engine.
     """
 
     queue_bounds: tuple[int, int, int] = (64, 128, 256)
     shares: tuple[float, float, float] = (0.0, 0.10, 0.05)
-    caller_share: float = 0.5
     quantum_tokens: float = 2048.0
+    no_replica_grace_s: float = 2.0
+    judged_prompt_tokens: int = 4096
 
 
 DEFAULTS = Settings()
@@ -75,22 +90,43 @@
     """Decides when each generation is sent, and where.
 
     Use: `offer` each call; send what it or `next` admits; `done` exactly once
-    for every admitted call; `next` after each `done` and at `wake_at`.
+    for every admitted call; `next` after each `offer` that queued, after each
+    `done` and at `wake_at`.
     """
 
     def __init__(
         self,
         picker: picker_lib.Picker,
         limits: limits_lib.Limits,
+        rng: random.Random,
         settings: Settings = DEFAULTS,
     ):
-        raise NotImplementedError
+        """Creates an admission without replicas.
+
+        Args:
+          picker: chooses among engines with room.
+          limits: says which engines have room.
+          rng: source of the jitter on advice to come back.
+          settings: the settings.
+        """
+        self._picker = picker
+        self._limits = limits
+        self._rng = rng
+        self._settings = settings
+        self._pools: dict[str, pool_lib.Pool] = {}
+        self._sent: dict[str, Admitted] = {}
+        self._crowded_out: list[Dropped] = []
+
+    @property
+    def waiting(self) -> int:
+        """Number of calls that wait."""
+        return sum(p.waiting for p in self._pools.values())
 
     def set_candidates(
         self, model: str, candidates: Sequence[picker_lib.Candidate]
     ) -> None:
         """Replaces the known replicas of a model."""
-        raise NotImplementedError
+        self._pool(model).candidates = tuple(candidates)
 
     def offer(
         self,
@@ -110,24 +146,84 @@
           refusal (`NO_REPLICA`, `OVERLOADED`, `DEADLINE_UNREACHABLE`) with
           the estimated time after which it would be accepted.
         """
-        raise NotImplementedError
+        pool = self._pool(call.model)
+        if not pool.waiting:
+            admitted = self._try(now, pool, call, avoid)
+            if admitted is not None:
+                return self._send(now, pool, admitted)
+        if not self._picker.usable(now, pool.candidates):
+            return self._picker.choose(now, call, pool.candidates)
+        wait_s = pool.wait_s(now, call)
+        refusal = self._unreachable(now, pool, call, wait_s)
+        if refusal is None:
+            refusal = self._make_place(now, pool, call, wait_s)
+        if refusal is not None:
+            pool.refused.add(now)
+            return refusal
+        pool.add(call, tuple(avoid))
+        return Queued(call, wait_s)
 
     def next(self, now: float) -> list[Admitted | Dropped]:
         """Returns the calls to send now and those to give up."""
-        raise NotImplementedError
-
-    def wake_at(self) -> float | None:
+        results: list[Admitted | Dropped] = list(self._crowded_out)
+        self._crowded_out.clear()
+        for pool in self._pools.values():
+            if pool.waiting:
+                results += self._give_up(now, pool)
+        blocked: set[str] = set()
+        while (best := self._best_pool(blocked)) is not None:
+            model, rank, waiting = best
+            pool = self._pools[model]
+            admitted = self._try(now, pool, waiting.call, waiting.avoid)
+            if admitted is None:
+                blocked.add(model)
+                continue
+            pool.take(now, rank, waiting)
+            results.append(self._note_sent(now, admitted))
+        return results
+
+    def wake_at(self, now: float) -> float | None:
         """Returns when `next` must be called at the latest, or None."""
-        raise NotImplementedError
-
-    def cancel(self, now: float, request_id: str) -> bool:
+        if self._crowded_out:
+            return now
+        waiting = [p for p in self._pools.values() if p.waiting]
+        if not waiting:
+            return None
+        overdue = (p.next_overdue() for p in waiting)
+        # Pauses of limits and breakers end without any event.
+        return min([now + _POLL_S, *(t for t in overdue if t is not None)])
+
+    def cancel(self, request_id: str) -> bool:
         """Removes a waiting call whose caller has left.
 
         Returns:
           Whether the call was waiting; if not, it is for the caller of this
           method to cancel it at its engine.
         """
-        raise NotImplementedError
+        return any(
+            pool.remove(request_id) is not None for pool in self._pools.values()
+        )
+
+    def observed(
+        self,
+        now: float,
+        request_id: str,
+        first_token_s: float | None = None,
+        token_gap_s: float | None = None,
+    ) -> None:
+        """Learns from an admitted call that is still running.
+
+        Args:
+          now: monotonic time in seconds.
+          request_id: identity of the call.
+          first_token_s: seconds to the first token, told once, or None.
+          token_gap_s: mean seconds between the tokens of about the last
+            second, or None.
+        """
+        call, engine, _ = self._sent[request_id]
+        if call.prompt_tokens > self._settings.judged_prompt_tokens:
+            first_token_s = None
+        self._limits.observed(now, engine, first_token_s, token_gap_s)
 
     def done(
         self,
@@ -137,4 +233,146 @@
         hint: loads.LoadHint | None = None,
     ) -> None:
         """Ends an admitted call and learns from its answer."""
-        raise NotImplementedError
+        call, engine, _ = self._sent.pop(request_id)
+        pool = self._pool(call.model)
+        pool.outstanding -= 1
+        self._picker.finished(now, engine, call, sample.outcome, hint)
+        if sample.outcome is outcomes.Outcome.WHOLE:
+            pool.service.learn(call, sample)
+        if call.prompt_tokens > self._settings.judged_prompt_tokens:
+            sample = sample._replace(first_token_s=None)
+        self._limits.finished(now, engine, sample)
+
+    def _pool(self, model: str) -> pool_lib.Pool:
+        pool = self._pools.get(model)
+        if pool is None:
+            settings = self._settings
+            pool = pool_lib.Pool(settings.shares, settings.quantum_tokens)
+            self._pools[model] = pool
+        return pool
+
+    def _try(
+        self,
+        now: float,
+        pool: pool_lib.Pool,
+        call: requests.ModelCall,
+        avoid: Sequence[str],
+    ) -> Admitted | None:
+        """Returns where a call can be sent now, or None."""
+        roomy = [c for c in pool.candidates if self._limits.room(now, c.engine)]
+        choice = self._picker.choose(now, call, roomy, avoid)
+        if not choice:
+            return None
+        return Admitted(call, choice.engine, choice.reason)
+
+    def _send(
+        self, now: float, pool: pool_lib.Pool, admitted: Admitted
+    ) -> Admitted:
+        pool.sent(now, admitted.call)
+        return self._note_sent(now, admitted)
+
+    def _note_sent(self, now: float, admitted: Admitted) -> Admitted:
+        self._sent[admitted.call.request_id] = admitted
+        self._limits.started(now, admitted.engine)
+        self._picker.started(now, admitted.engine, admitted.call)
+        return admitted
+
+    def _best_pool(
+        self, blocked: set[str]
+    ) -> tuple[str, int, queues.Waiting] | None:
+        """Returns the model whose next call has the strongest claim."""
+        best = None
+        for model, pool in self._pools.items():
+            if model in blocked or not pool.waiting:
+                continue
+            rank, waiting = pool.head()
+            key = (rank, waiting.deadline)
+            if best is None or key < (best[1], best[2].deadline):
+                best = (model, rank, waiting)
+        return best
+
+    def _unreachable(
+        self,
+        now: float,
+        pool: pool_lib.Pool,
+        call: requests.ModelCall,
+        wait_s: float,
+    ) -> errors.Refusal | None:
+        expected_s = pool.service.expected_s(call)
+        late_s = now + wait_s + expected_s - call.deadline
+        if now >= call.deadline:
+            return errors.Refusal(
+                errors.ErrorKind.DEADLINE_EXCEEDED,
+                "the deadline had passed on arrival",
+                ran=errors.Ran.NO,
+            )
+        # An idle model takes any call: estimates that only refuse would
+        # never see the answers that correct them.
+        if late_s <= 0.0 or not (pool.outstanding or pool.waiting):
+            return None
+        return errors.Refusal(
+            errors.ErrorKind.DEADLINE_UNREACHABLE,
+            f"about {wait_s:.1f} s of waiting and {expected_s:.1f} s of"
+            f" service exceed the deadline by {late_s:.1f} s",
+            self._retry_after(now, pool, late_s),
+        )
+
+    def _make_place(
+        self,
+        now: float,
+        pool: pool_lib.Pool,
+        call: requests.ModelCall,
+        wait_s: float,
+    ) -> errors.Refusal | None:
+        """Makes place in a full queue, or refuses the call."""
+        queue = pool.queue(call.priority)
+        if len(queue) < self._settings.queue_bounds[call.priority]:
+            return None
+        refusal = errors.Refusal(
+            errors.ErrorKind.OVERLOADED,
+            f"{len(queue)} calls of this class wait for the model",
+            self._retry_after(now, pool, wait_s),
+        )
+        crowding = queue.crowding()
+        fair = queue.waiting_of(call.caller) + 1
+        if queue.waiting_of(crowding.call.caller) <= fair:
+            return refusal
+        queue.remove(crowding.call.request_id)
+        pool.refused.add(now)
+        self._crowded_out.append(Dropped(crowding.call, refusal))
+        return None
+
+    def _give_up(self, now: float, pool: pool_lib.Pool) -> list[Dropped]:
+        dropped = [
+            Dropped(w.call, self._late(now, pool)) for w in pool.overdue(now)
+        ]
+        if self._picker.usable(now, pool.candidates):
+            pool.unusable_since = None
+            return dropped
+        if pool.unusable_since is None:
+            pool.unusable_since = now
+        if now - pool.unusable_since < self._settings.no_replica_grace_s:
+            return dropped
+        for priority in requests.Priority:
+            for waiting in pool.queue(priority).calls():
+                pool.remove(waiting.call.request_id)
+                refusal = errors.Refusal(
+                    errors.ErrorKind.NO_REPLICA, "all replicas were lost"
+                )
+                dropped.append(Dropped(waiting.call, refusal))
+        return dropped
+
+    def _late(self, now: float, pool: pool_lib.Pool) -> errors.Refusal:
+        pool.refused.add(now)
+        return errors.Refusal(
+            errors.ErrorKind.DEADLINE_UNREACHABLE,
+            "the call waited until its deadline was out of reach",
+            self._retry_after(now, pool, pool.service.mean_s),
+        )
+
+    def _retry_after(
+        self, now: float, pool: pool_lib.Pool, seconds: float
+    ) -> float:
+        """Returns advice that spreads refused callers over time."""
+        advice = seconds * pool.pressure(now) * self._rng.uniform(1.0, 1.25)
+        return min(max(advice, _MIN_RETRY_AFTER_S), _MAX_RETRY_AFTER_S)
--- a/azureline/routing/limits.py
+++ b/azureline/routing/limits.py
@@ -1,9 +1,21 @@
-"""Local limits on the work that this node gives to one engine."""
+"""Local limits on the work that this node gives to one engine.
+
+Nodes admit independently and share no picture of an engine, so each adapts a
+limit of its own from what answers show: additive increase while answers stay
+within the bounds and the limit is in use, multiplicative decrease when they
+exceed them (after Chiu and Jain, "Analysis of the Increase and Decrease
+Algorithms", 1989, which shows that this pair converges to fair shares).
+"""
 
 from typing import NamedTuple
 
 from azureline.routing import outcome as outcomes
 
+# Growth per answer of a limit below 1, where one call per answer would be a
+# step of several times the limit.
+_SMALL_GROWTH = 0.25
+_SERVICE_WEIGHT = 0.2
+
 
 class Settings(NamedTuple):
     """Settings of the local limits.
@@ -11,50 +23,172 @@
     Attributes:
       first_token_s: bound on the time to the first token.
       token_gap_s: bound on the time between tokens.
-      initial: limit of an engine that is new to this node.
+      headroom: part of the bounds at which an answer counts as over them.
+      initial: limit of an engine that is new to this node; what an engine
+        runs at once divided by the number of nodes.
       minimum: lowest limit; below 1 the node pauses between its calls.
       maximum: highest limit.
-      increase: growth of the limit per answer at the full limit, divided by
-        the limit.
+      increase: growth of the limit per limit's worth of answers.
       decrease: factor on the limit after an answer over a bound.
+      settle_s: least seconds between two cuts.
+      in_use: part of the limit that must have been outstanding of late for
+        it to grow.
     """
 
     first_token_s: float = 1.1
     token_gap_s: float = 0.079
+    headroom: float = 0.92
     initial: float = 4.0
     minimum: float = 0.125
     maximum: float = 256.0
     increase: float = 1.0
-    decrease: float = 0.8
+    decrease: float = 0.85
+    settle_s: float = 0.5
+    in_use: float = 0.75
 
 
 DEFAULTS = Settings()
 
 
+class _Engine:
+    """The limit of one engine and the calls that count against it."""
+
+    __slots__ = (
+        "cut_at",
+        "limit",
+        "outstanding",
+        "paused_until",
+        "service_s",
+        "used_at",
+    )
+
+    def __init__(self, limit: float):
+        self.limit = limit
+        self.outstanding = 0
+        self.cut_at = float("-inf")
+        self.paused_until = float("-inf")
+        self.service_s = 0.0
+        self.used_at = float("-inf")
+
+
 class Limits:
     """An adaptive limit for each engine, raised and cut by its answers."""
 
     def __init__(self, settings: Settings = DEFAULTS):
-        raise NotImplementedError
+        """Creates limits for engines as they become known.
+
+        Args:
+          settings: the settings.
+        """
+        self._settings = settings
+        self._engines: dict[str, _Engine] = {}
 
     def room(self, now: float, engine: str) -> bool:
         """Returns whether one more call may be sent to the engine."""
-        raise NotImplementedError
+        state = self._engine(engine)
+        if state.limit >= 1.0:
+            return state.outstanding + 1 <= state.limit
+        return state.outstanding == 0 and now >= state.paused_until
 
     def limit(self, engine: str) -> float:
         """Returns the present limit of the engine."""
-        raise NotImplementedError
+        return self._engine(engine).limit
 
     def started(self, now: float, engine: str) -> None:
         """Counts a call that is sent."""
-        raise NotImplementedError
+        state = self._engine(engine)
+        state.outstanding += 1
+        if state.outstanding >= self._settings.in_use * state.limit:
+            state.used_at = now
+
+    def observed(
+        self,
+        now: float,
+        engine: str,
+        first_token_s: float | None = None,
+        token_gap_s: float | None = None,
+    ) -> None:
+        """Cuts the limit if a call in flight exceeds a bound.
+
+        Generations last long, and a limit that learned only from ended ones
+        would be cut a generation too late.  Growth waits for whole answers.
+
+        Args:
+          now: monotonic time in seconds.
+          engine: name of the engine.
+          first_token_s: seconds to the first token, if it has just come.
+          token_gap_s: mean seconds between the latest tokens.
+        """
+        state = self._engine(engine)
+        if self._over(first_token_s, token_gap_s):
+            self._cut(now, state)
 
     def finished(
         self, now: float, engine: str, sample: outcomes.Sample
     ) -> None:
         """Forgets a call and adapts the limit to what it showed."""
-        raise NotImplementedError
+        state = self._engine(engine)
+        match sample.outcome:
+            case outcomes.Outcome.BUSY:
+                self._cut(now, state)
+            case outcomes.Outcome.WHOLE:
+                self._learn_service(state, sample.service_s)
+                if self._over(sample.first_token_s, sample.token_gap_s):
+                    self._cut(now, state)
+                elif now - state.used_at <= max(1.0, 2.0 * state.service_s):
+                    self._grow(state)
+            case _:
+                pass
+        state.outstanding = max(0, state.outstanding - 1)
+        if state.limit < 1.0:
+            pause_s = state.service_s * (1.0 / state.limit - 1.0)
+            state.paused_until = now + pause_s
 
     def forget(self, engine: str) -> None:
-        """Starts afresh with an engine that was restarted or is gone."""
-        raise NotImplementedError
+        """Starts afresh with an engine that was restarted.
+
+        Calls that are outstanding still end through `finished`.
+        """
+        state = self._engines.pop(engine, None)
+        if state is not None and state.outstanding:
+            self._engine(engine).outstanding = state.outstanding
+
+    def _engine(self, engine: str) -> _Engine:
+        state = self._engines.get(engine)
+        if state is None:
+            state = self._engines[engine] = _Engine(self._settings.initial)
+        return state
+
+    def _over(
+        self, first_token_s: float | None, token_gap_s: float | None
+    ) -> bool:
+        settings = self._settings
+        late = (first_token_s or 0.0) > (
+            settings.headroom * settings.first_token_s
+        )
+        slow = (token_gap_s or 0.0) > settings.headroom * settings.token_gap_s
+        return late or slow
+
+    def _cut(self, now: float, state: _Engine) -> None:
+        # Calls that were sent under an earlier, higher limit must drain
+        # before an answer says anything about the present one.
+        if state.outstanding > state.limit + 1.0:
+            return
+        if now - state.cut_at < self._settings.settle_s:
+            return
+        state.cut_at = now
+        state.limit = max(
+            self._settings.minimum, state.limit * self._settings.decrease
+        )
+
+    def _grow(self, state: _Engine) -> None:
+        if state.limit < 1.0:
+            step = _SMALL_GROWTH * state.limit
+        else:
+            step = self._settings.increase / state.limit
+        state.limit = min(self._settings.maximum, state.limit + step)
+
+    def _learn_service(self, state: _Engine, service_s: float) -> None:
+        if state.service_s == 0.0:
+            state.service_s = service_s
+        state.service_s += _SERVICE_WEIGHT * (service_s - state.service_s)
--- /dev/null
+++ b/tests/test_routing_admission.py
@@ -0,0 +1,340 @@
+"""Tests of admission."""
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from azureline import requests
+from azureline.core import errors
+from azureline.routing import admission
+from azureline.routing import limits
+from azureline.routing import loads
+from azureline.routing import outcome
+from azureline.routing import pool
+from tests import builders_routing as build
+
+_WHOLE = outcome.Sample(outcome.Outcome.WHOLE, 1.0, 0.1, 0.009, 100)
+URGENT, NORMAL, BATCH = requests.Priority
+
+
+def _admission(slots=1.0, engines=1, **settings):
+    """Returns an admission of one model with a fixed number of slots."""
+    fixed = limits.Settings(initial=slots, minimum=slots, maximum=slots)
+    built = admission.Admission(
+        build.new_picker(),
+        limits.Limits(fixed),
+        random.Random(1),
+        admission.Settings(**settings),
+    )
+    built.set_candidates("seam", build.candidates(engines))
+    return built
+
+
+def _finish(adm, now, request_id):
+    adm.done(now, request_id, _WHOLE)
+    return adm.next(now)
+
+
+def _trained(now=0.0, **fields):
+    """Returns an admission that has seen one answer of a second."""
+    adm = _admission(**fields)
+    first = adm.offer(now, build.call())
+    _finish(adm, now, first.call.request_id)
+    return adm
+
+
+def _drain(adm, running, count, now=1.0):
+    """Ends the running call and what follows it; returns what was sent."""
+    sent = []
+    for _ in range(count):
+        results = _finish(adm, now, running.request_id)
+        (running,) = [r.call for r in results]
+        sent.append(running)
+    return sent
+
+
+def test_a_call_is_sent_at_once_while_there_is_room_and_waits_after():
+    adm = _admission(slots=2.0)
+    results = [adm.offer(0.0, build.call()) for _ in range(3)]
+    assert [type(r) for r in results] == [
+        admission.Admitted,
+        admission.Admitted,
+        admission.Queued,
+    ]
+    (sent,) = _finish(adm, 1.0, results[0].call.request_id)
+    assert sent.call is results[2].call
+
+
+def test_the_earliest_deadline_of_the_highest_class_goes_first():
+    adm = _admission()
+    running = adm.offer(0.0, build.call()).call
+    waiting = [
+        build.call(priority=priority, deadline=deadline)
+        for priority in (BATCH, NORMAL, URGENT)
+        for deadline in (90.0, 70.0, 80.0)
+    ]
+    for call in waiting:
+        adm.offer(0.0, call)
+    sent = _drain(adm, running, 9)
+    assert sent == sorted(waiting, key=lambda c: (c.priority, c.deadline))
+
+
+def test_an_unreachable_deadline_is_refused_at_once_with_when_to_return():
+    adm = _trained()
+    adm.offer(0.0, build.call())
+    results = [adm.offer(0.0, build.call(deadline=8.0)) for _ in range(10)]
+    refused = [r for r in results if not r]
+    assert len(refused) == 3
+    assert refused[0].kind is errors.ErrorKind.DEADLINE_UNREACHABLE
+    assert refused[0].answer.ran is errors.Ran.NO
+    assert 1.0 <= refused[0].retry_after <= 2.0
+
+
+def test_an_idle_model_takes_any_call_whatever_it_has_learned():
+    adm = _trained()
+    slow = outcome.Sample(outcome.Outcome.WHOLE, 50.0, 9.0, 0.5, 100)
+    adm.done(0.0, adm.offer(0.0, build.call()).call.request_id, slow)
+    assert adm.offer(0.0, build.call(deadline=2.0))
+
+
+def test_a_deadline_that_has_passed_is_refused_as_not_run():
+    adm = _admission()
+    adm.offer(0.0, build.call())
+    refusal = adm.offer(5.0, build.call(deadline=5.0))
+    assert refusal.kind is errors.ErrorKind.DEADLINE_EXCEEDED
+    assert refusal.answer.ran is errors.Ran.NO
+
+
+def test_a_waiting_call_is_given_up_as_soon_as_it_cannot_be_in_time():
+    adm = _trained()
+    adm.offer(0.0, build.call())
+    adm.offer(0.0, build.call(deadline=3.0))
+    assert adm.next(1.9) == []
+    assert adm.wake_at(1.9) == pytest.approx(2.0, abs=0.01)
+    (dropped,) = adm.next(2.01)
+    assert dropped.refusal.kind is errors.ErrorKind.DEADLINE_UNREACHABLE
+    assert adm.waiting == 0
+
+
+def test_a_caller_that_leaves_frees_its_place_at_once():
+    adm = _admission()
+    running = adm.offer(0.0, build.call()).call
+    left, stays = build.call(deadline=50.0), build.call(deadline=60.0)
+    adm.offer(0.0, left)
+    adm.offer(0.0, stays)
+    assert adm.cancel(left.request_id)
+    assert not adm.cancel(left.request_id)
+    assert _drain(adm, running, 1) == [stays]
+
+
+def test_without_replicas_new_calls_are_refused_and_waiting_ones_soon_after():
+    adm = _admission()
+    adm.offer(0.0, build.call())
+    adm.offer(0.0, build.call())
+    adm.set_candidates("seam", [])
+    refusal = adm.offer(0.0, build.call())
+    assert refusal.kind is errors.ErrorKind.NO_REPLICA
+    assert adm.next(0.0) == []
+    (dropped,) = adm.next(2.0)
+    assert dropped.refusal.kind is errors.ErrorKind.NO_REPLICA
+
+
+def test_a_model_without_room_does_not_hold_back_another():
+    adm = _admission()
+    adm.set_candidates("other", [build.candidate("e9")])
+    adm.offer(0.0, build.call())
+    adm.offer(0.0, build.call())
+    assert isinstance(
+        adm.offer(0.0, build.call(model="other")), admission.Admitted
+    )
+
+
+def test_on_a_shared_engine_the_higher_class_of_another_model_goes_first():
+    adm = _admission()
+    adm.set_candidates("other", build.candidates(1))
+    running = adm.offer(0.0, build.call()).call
+    low, high = build.call(priority=BATCH), build.call(model="other")
+    adm.offer(0.0, low)
+    adm.offer(0.0, high)
+    assert _drain(adm, running, 2) == [high, low]
+
+
+def _class_shares(**settings):
+    """Returns each class's part of 400 sends while all classes wait."""
+    adm = _admission(**settings)
+    running = adm.offer(0.0, build.call()).call
+    counts = collections.Counter()
+    for _ in range(400):
+        for priority in requests.Priority:
+            while len(adm._pool("seam").queue(priority)) < 8:
+                adm.offer(0.0, build.call(priority=priority))
+        (running,) = _drain(adm, running, 1)
+        counts[running.priority] += 1
+    return [counts[p] / 400 for p in requests.Priority]
+
+
+def test_low_classes_get_their_share_and_the_highest_the_rest():
+    urgent, normal, batch = _class_shares()
+    assert normal == pytest.approx(0.10, abs=0.01)
+    assert batch == pytest.approx(0.05, abs=0.01)
+    assert urgent == pytest.approx(0.85, abs=0.01)
+
+
+def test_the_share_check_catches_strict_priority():
+    assert _class_shares(shares=(0.0, 0.0, 0.0)) == [1.0, 0.0, 0.0]
+
+
+def _served_to_light_caller(**settings):
+    """Returns how many of 20 calls of a light caller are among 60 sent.
+
+    A heavy caller has filled the queue with earlier deadlines before.
+    """
+    adm = _admission(**settings)
+    running = adm.offer(0.0, build.call(caller="heavy")).call
+    for _ in range(200):
+        adm.offer(0.0, build.call(caller="heavy", deadline=500.0))
+    for _ in range(20):
+        adm.offer(0.0, build.call(caller="light", deadline=900.0))
+    adm.next(0.0)
+    sent = _drain(adm, running, 60)
+    return sum(1 for call in sent if call.caller == "light")
+
+
+def test_one_caller_cannot_crowd_out_another():
+    assert _served_to_light_caller() >= 18
+
+
+def test_the_crowding_check_catches_deadlines_alone():
+    assert _served_to_light_caller(quantum_tokens=1e9) == 0
+
+
+def test_a_full_queue_makes_place_at_the_cost_of_the_crowding_caller():
+    adm = _admission()
+    adm.offer(0.0, build.call(caller="heavy"))
+    for i in range(128):
+        adm.offer(0.0, build.call(caller="heavy", deadline=100.0 + i))
+    refusal = adm.offer(0.0, build.call(caller="heavy"))
+    assert refusal.kind is errors.ErrorKind.OVERLOADED
+    assert isinstance(
+        adm.offer(0.0, build.call(caller="light")), admission.Queued
+    )
+    assert adm.wake_at(0.0) == 0.0
+    (dropped,) = adm.next(0.0)
+    assert dropped.call.deadline == 227.0
+    assert dropped.refusal.kind is errors.ErrorKind.OVERLOADED
+    assert dropped.refusal.answer.ran is errors.Ran.NO
+
+
+class _Machine(stateful.RuleBasedStateMachine):
+    """Each call ends exactly once and limits hold at all times."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.adm = _admission(engines=2, queue_bounds=(3, 4, 5))
+        self.waiting = {}
+        self.running = {}
+
+    def _take(self, results):
+        for result in results:
+            call = self.waiting.pop(result.call.request_id)
+            if isinstance(result, admission.Admitted):
+                assert self.now < call.deadline, "sent after its deadline"
+                self.running[call.request_id] = result.engine
+            else:
+                assert result.refusal.answer.ran is errors.Ran.NO
+
+    @stateful.rule(
+        priority=st.sampled_from(requests.Priority),
+        caller=st.sampled_from("abc"),
+        budget=st.floats(0.0, 20.0),
+        model=st.sampled_from(["seam", "other"]),
+    )
+    def offer(self, priority, caller, budget, model):
+        call = build.call(
+            priority=priority,
+            caller=caller,
+            model=model,
+            deadline=self.now + budget,
+        )
+        result = self.adm.offer(self.now, call)
+        if isinstance(result, admission.Queued):
+            self.waiting[call.request_id] = call
+        elif isinstance(result, admission.Admitted):
+            self.running[call.request_id] = result.engine
+        else:
+            assert result.answer.ran is errors.Ran.NO
+        self._take(self.adm.next(self.now))
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(data=st.data(), kind=st.sampled_from(outcome.Outcome))
+    def finish(self, data, kind):
+        request_id = data.draw(st.sampled_from(sorted(self.running)))
+        del self.running[request_id]
+        sample = _WHOLE._replace(outcome=kind)
+        self.adm.done(self.now, request_id, sample, loads.LoadHint(1, 0))
+        self._take(self.adm.next(self.now))
+
+    @stateful.precondition(lambda self: self.waiting)
+    @stateful.rule(data=st.data())
+    def leave(self, data):
+        request_id = data.draw(st.sampled_from(sorted(self.waiting)))
+        del self.waiting[request_id]
+        assert self.adm.cancel(request_id)
+
+    @stateful.rule(
+        model=st.sampled_from(["seam", "other"]), count=st.integers(0, 2)
+    )
+    def replicas_change(self, model, count):
+        self.adm.set_candidates(model, build.candidates(count))
+
+    @stateful.rule(seconds=st.floats(0.0, 5.0))
+    def wait(self, seconds):
+        target = self.now + seconds
+        while True:
+            wake = self.adm.wake_at(self.now)
+            if wake is None or wake >= target:
+                break
+            self.now = max(wake, self.now + 0.01)
+            self._take(self.adm.next(self.now))
+        self.now = max(self.now, target)
+
+    @stateful.invariant()
+    def limits_hold(self):
+        assert self.adm.waiting == len(self.waiting)
+        counts = collections.Counter(self.running.values())
+        assert all(n == 1 for n in counts.values())
+
+
+_Machine.TestCase.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=40
+)
+TestAdmission = _Machine.TestCase
+
+
+class _ForgetfulPool(pool.Pool):
+    """Deliberate fault: waiting calls are sent however late it is."""
+
+    def overdue(self, now):
+        del now
+        return []
+
+    def next_overdue(self):
+        return None
+
+
+def test_the_machine_catches_calls_sent_after_their_deadline(monkeypatch):
+    monkeypatch.setattr(pool, "Pool", _ForgetfulPool)
+    with pytest.raises(AssertionError, match="sent after its deadline"):
+        stateful.run_state_machine_as_test(
+            _Machine,
+            settings=hypothesis.settings(
+                max_examples=200,
+                stateful_step_count=40,
+                phases=[hypothesis.Phase.generate],
+            ),
+        )
