Measure what membership costs a node

Cause: the control budget per node has to be shown at the planned size. Change: tools.capacity_membership, decision code of all nodes on a virtual clock with the real codec.

--- a/tests/builders_network.py
+++ b/tests/builders_network.py
@@ -11,6 +11,7 @@
 
 TICK_S = 0.1
 DELAY_S = 0.005
+HEADER_BYTES = 28
 
 
 class _Event(NamedTuple):
@@ -91,6 +92,10 @@
             if name != target and name not in self.frozen
         }
 
+    def size_of(self, message: object) -> int:
+        """Returns the bytes that a message takes on the wire."""
+        return len(self._codec.pack(message)) + HEADER_BYTES
+
     def _state(self, node, target: str) -> membership.State | None:
         member = node.member(target)
         return member.state if member else None
@@ -107,7 +112,7 @@
     def _send(
         self, source: str, target: str, message: object, loss: float
     ) -> None:
-        self.sent_bytes[source] += len(self._codec.pack(message)) + 28
+        self.sent_bytes[source] += self.size_of(message)
         if (source, target) in self.cut or self._rng.random() < loss:
             return
         at = self.now + DELAY_S * self._rng.uniform(1, 3)
--- /dev/null
+++ b/tools/capacity_membership.py
@@ -0,0 +1,108 @@
+"""Measures what membership costs a node, by size of the fleet.
+
+The decision code of all nodes runs in this process on a virtual clock, over a
+network without loss; messages are packed and unpacked as on the wire.
+"""
+
+import json
+import pathlib
+import sys
+import time
+from typing import TypedDict
+
+from azureline.fleet import messages
+from tests import builders_network
+
+RESULTS = pathlib.Path("docs/results/membership.json")
+SIZES = (8, 16, 32, 64, 128, 360)
+DOMAINS = 7
+SETTLE_S = 60.0
+WINDOW_S = 60.0
+RUMOURS = 5
+SEED = 1
+
+
+class Row(TypedDict):
+    """The figures at one size.
+
+    Attributes:
+      nodes: size of the fleet.
+      bytes_per_s: bytes that a node sends per second in a quiet fleet, with
+        28 bytes of headers for each message; mean over the nodes.
+      busiest_bytes_per_s: the same for the node that sends most.
+      cpu_share: processor time per node and second, decision code and codec.
+      spread_s: seconds until a rumour is on every node; worst of several.
+      join_bytes: bytes of the state that a new node receives.
+      dead_seen_s: seconds until every node sees a killed node as dead.
+    """
+
+    nodes: int
+    bytes_per_s: float
+    busiest_bytes_per_s: float
+    cpu_share: float
+    spread_s: float
+    join_bytes: int
+    dead_seen_s: float
+
+
+def main() -> int:
+    """Measures every size, writes the results and prints them."""
+    rows = [measure(size) for size in SIZES]
+    RESULTS.write_text(
+        json.dumps({"seed": SEED, "rows": rows}, indent=1) + "\n"
+    )
+    for row in rows:
+        print(json.dumps(row))
+    return 0
+
+
+def measure(size: int) -> Row:
+    """Returns the figures for one size."""
+    network = builders_network.Network(SEED)
+    names = network.add_many(size, DOMAINS)
+    network.run(SETTLE_S)
+    before = dict(network.sent_bytes)
+    started = time.process_time()
+    network.run(WINDOW_S)
+    cpu = time.process_time() - started
+    rates = [(network.sent_bytes[n] - before[n]) / WINDOW_S for n in names]
+    return Row(
+        nodes=size,
+        bytes_per_s=round(sum(rates) / size, 1),
+        busiest_bytes_per_s=round(max(rates), 1),
+        cpu_share=round(cpu / WINDOW_S / size, 6),
+        spread_s=round(max(_spread(network, i) for i in range(RUMOURS)), 1),
+        join_bytes=_join_bytes(network),
+        dead_seen_s=round(_dead_seen(network, names[-1]), 1),
+    )
+
+
+def _spread(network: builders_network.Network, number: int) -> float:
+    key = f"config/{number}"
+    rumour = messages.Rumour(key, 1, 0, 0, bytes(200))
+    network.act("n1", network.nodes["n1"].tell(network.now, rumour))
+    started = network.now
+    while any(n.store.get(key) is None for n in network.nodes.values()):
+        network.run(builders_network.TICK_S)
+    return network.now - started
+
+
+def _join_bytes(network: builders_network.Network) -> int:
+    pull = messages.SyncPull("new", "new", 1, ())
+    effects = network.nodes["n0"].received(network.now, "new", 1, pull)
+    return network.size_of(effects[0].message)
+
+
+def _dead_seen(network: builders_network.Network, name: str) -> float:
+    network.kill(name)
+    started = network.now
+    while any(
+        (member := node.member(name)) is None or member.state.name != "DEAD"
+        for node in network.nodes.values()
+    ):
+        network.run(builders_network.TICK_S)
+    return network.now - started
+
+
+if __name__ == "__main__":
+    sys.exit(main())
