Accept versions by compare-and-swap and carry them from node to node

Cause: an accepted configuration must be in force everywhere and never go back, with answers lost after the write, two operators at once, lagging peers, restarts and outages of the platform's service.

Ruled out: a retry that does not look at what was written, which turns an accepted edit into a conflict or overwrites another's; a watch on the service per node, which uses up its reads; putting a version in force only once a majority holds it, which adds a round per change and protects only versions accepted in the seconds before an outage; counting answers of nodes that hold a version which is not in force.

Change: one key with version, identity, author, digest, document and the undo edits of up to 32 earlier versions. A lost answer is settled by reading. Files that would take back a recent change are a conflict unless the version they started from is named; edits of other paths can be rebased and are checked again. ConfigLedger takes deltas and whole documents from peers, never a lower version, and starts without the service only on the answers of a majority of the nodes it knows.

Of three faults put into the ledger (trust any peer, count answers without regard to the number of nodes, take any version) the machine finds all three.

--- /dev/null
+++ b/azureline/config/version.py
@@ -0,0 +1,168 @@
+"""An accepted configuration as it is kept in the platform's service."""
+
+from typing import Any
+from typing import NamedTuple
+
+from azureline.config import delta
+
+KEY = "config/current"
+MAX_VALUE_BYTES = 1_000_000
+HISTORY_LENGTH = 32
+
+
+class Past(NamedTuple):
+    """An earlier version, kept so that a change can be traced or undone.
+
+    Attributes:
+      version: number of the version.
+      identity: unique id of the apply that made it.
+      author: who applied it.
+      undo: edits that turn the next version's document into this one's.
+    """
+
+    version: int
+    identity: str
+    author: str
+    undo: delta.Edits
+
+
+class Accepted(NamedTuple):
+    """A configuration that was accepted by compare-and-swap.
+
+    Attributes:
+      version: grows by one with each accepted change.
+      identity: unique id of the apply that made it.
+      author: who applied it.
+      parent: the version that it replaced, or 0.
+      digest: SHA-256 of the document, in hexadecimal.
+      document: the plain configuration, with every option present.
+      history: earlier versions, the latest first.
+    """
+
+    version: int
+    identity: str
+    author: str
+    parent: int
+    digest: str
+    document: delta.Document
+    history: tuple[Past, ...] = ()
+
+    def document_at(self, version: int) -> delta.Document | None:
+        """Returns the document of an earlier version, or None if forgotten."""
+        document = self.document
+        if version == self.version:
+            return document
+        for past in self.history:
+            document = delta.apply(document, past.undo)
+            if isinstance(document, delta.Mismatch):
+                return None
+            if past.version == version:
+                return document
+        return None
+
+    def made_by(self, identity: str) -> int:
+        """Returns the version that the apply with an id made, or 0."""
+        if identity == self.identity:
+            return self.version
+        for past in self.history:
+            if past.identity == identity:
+                return past.version
+        return 0
+
+
+class TooLarge(NamedTuple):
+    """Falsy sentinel: the configuration does not fit the service's bound.
+
+    Attributes:
+      size: its size in bytes, compressed and without history.
+    """
+
+    size: int
+
+    def __bool__(self) -> bool:
+        return False
+
+
+def successor(
+    current: Accepted | None,
+    document: delta.Document,
+    author: str,
+    identity: str,
+    above: int = 0,
+) -> Accepted:
+    """Returns the version that follows the current one.
+
+    Args:
+      current: what is accepted now, or None.
+      document: the new plain configuration.
+      author: who applies it.
+      identity: unique id of the apply.
+      above: the new version is higher than this as well.
+    """
+    parent = current.version if current else 0
+    history: tuple[Past, ...] = ()
+    if current:
+        undo = delta.diff(document, current.document)
+        past = Past(parent, current.identity, current.author, undo)
+        history = (past, *current.history)[:HISTORY_LENGTH]
+    return Accepted(
+        version=max(parent, above) + 1,
+        identity=identity,
+        author=author,
+        parent=parent,
+        digest=delta.digest(document),
+        document=document,
+        history=history,
+    )
+
+
+def encode(accepted: Accepted) -> bytes | TooLarge:
+    """Returns the stored form, with as much history as the bound allows."""
+    history = accepted.history
+    while True:
+        trimmed = accepted._replace(history=history)
+        data = delta.pack(_to_plain(trimmed))
+        if len(data) <= MAX_VALUE_BYTES:
+            return data
+        if not history:
+            return TooLarge(len(data))
+        history = history[: len(history) // 2]
+
+
+def decode(data: bytes) -> Accepted:
+    """Returns the configuration in its stored form.
+
+    Raises:
+      delta.MalformedError: if it is none, or its digest does not fit.
+    """
+    plain = delta.unpack(data)
+    try:
+        fields = {name: plain[name] for name in Accepted._fields}
+        fields["history"] = tuple(_past(*past) for past in plain["history"])
+        accepted = Accepted(**fields)
+    except (TypeError, KeyError, AttributeError) as e:
+        raise delta.MalformedError(f"no configuration: {e}") from None
+    if not isinstance(accepted.version, int) or accepted.version < 1:
+        raise delta.MalformedError(f"version {accepted.version!r}")
+    if not isinstance(accepted.document, dict):
+        raise delta.MalformedError("the document is no object")
+    if accepted.digest != delta.digest(accepted.document):
+        raise delta.MalformedError("the digest does not fit the document")
+    return accepted
+
+
+def _past(version: int, identity: str, author: str, undo: Any) -> Past:
+    return Past(version, identity, author, delta.edits_from_plain(undo))
+
+
+def _to_plain(accepted: Accepted) -> dict[str, Any]:
+    history = [
+        [
+            past.version,
+            past.identity,
+            past.author,
+            delta.edits_to_plain(past.undo),
+        ]
+        for past in accepted.history
+    ]
+    return accepted._replace(history=tuple(history))._asdict()
--- a/tests/builders_config.py
+++ b/tests/builders_config.py
@@ -1,11 +1,16 @@
 """Builders of settings and configurations for tests."""
 
+from collections.abc import Callable
 import copy
 from typing import Any
 
+from twisted.internet import defer
+
 from azureline.config import defaults
 from azureline.config import schema
 from azureline.config import structure
+from azureline.config import version
+from azureline.platform import interface
 
 GIB = 2**30
 
@@ -61,3 +66,61 @@
     """Returns the typed form of `document` with the same arguments."""
     completed = defaults.complete(document(*args, **kwargs), "configuration")
     return structure.typed(schema.Configuration, completed)
+
+
+def accepted(
+    number: int = 1, parent: version.Accepted | None = None, **limits: Any
+) -> version.Accepted:
+    """Returns an accepted configuration, the successor of `parent` if given."""
+    limits = {"once_slots": number} | limits
+    completed = defaults.complete(document(limits=limits), "configuration")
+    return version.successor(
+        parent, completed, "tester", f"apply-{number}", above=number - 1
+    )
+
+
+class FakeService:
+    """A key-value service in memory that can be told to fail.
+
+    Attributes:
+      entry: what the key holds.
+      faults: what happens to the next calls of `put` and `get`, in order:
+        "down" loses the call, "lost" loses the answer, None answers.
+      calls: number of calls.
+    """
+
+    def __init__(self, entry: interface.Entry | None = None):
+        self.entry = entry
+        self.faults: list[str | None] = []
+        self.before_put: list[Callable[[], None]] = []
+        self.calls = 0
+
+    def get(self, key: str) -> defer.Deferred[Any]:
+        """Reads the key."""
+        if self._fault():
+            return defer.succeed(interface.Unavailable("timeout"))
+        return defer.succeed(self.entry)
+
+    def put(self, key: str, value: bytes, expected: int) -> defer.Deferred[Any]:
+        """Writes the key if its version is the expected one."""
+        fault = self._fault()
+        if self.before_put:
+            self.before_put.pop(0)()
+        current = self.entry.version if self.entry else 0
+        if fault == "down":
+            return defer.succeed(interface.Unavailable("refused", sent=False))
+        if current != expected:
+            return defer.succeed(interface.Conflict(self.entry))
+        self.entry = interface.Entry(value, current + 1)
+        if fault == "lost":
+            return defer.succeed(interface.Unavailable("timeout"))
+        return defer.succeed(self.entry)
+
+    def hold(self, value: version.Accepted) -> None:
+        """Puts a configuration there as another operator would."""
+        number = self.entry.version if self.entry else 0
+        self.entry = interface.Entry(version.encode(value), number + 1)
+
+    def _fault(self) -> str | None:
+        self.calls += 1
+        return self.faults.pop(0) if self.faults else None
--- /dev/null
+++ b/tests/test_config_ledger.py
@@ -0,0 +1,289 @@
+"""Tests of how versions travel between nodes and never go back."""
+
+import functools
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from azureline.config import ledger
+from azureline.config import messages
+from azureline.config import problems
+from azureline.config import version
+
+_NODES = ("a", "b", "c", "d", "e")
+_NAMES = st.sampled_from(_NODES)
+_MAJORITY = 3
+
+
+@functools.cache
+def _version(number):
+    document = {"limits": {"once_slots": number}}
+    made = version.successor(None, document, "x", "y", above=number - 1)
+    return made._replace(parent=number - 1)
+
+
+def _ledger(cls=ledger.ConfigLedger, name="a", life=0):
+    return cls(random.Random(f"{name}{life}"), reader=lambda d: d)
+
+
+def _serving(number=1):
+    node = _ledger()
+    node.confirmed(0.0, _version(number))
+    return node
+
+
+def _number(node):
+    return node.in_force.version if node.in_force else 0
+
+
+class _Fleet(stateful.RuleBasedStateMachine):
+    """Five nodes, the platform's service, and messages in any order."""
+
+    ledger_class = ledger.ConfigLedger
+
+    @stateful.initialize()
+    def start(self):
+        self.now = 0.0
+        self.service_up = True
+        self.newest = 1
+        self.lives = dict.fromkeys(_NODES, 0)
+        self.nodes = {}
+        self.floors = dict.fromkeys(_NODES, 0)
+        self.highest = dict.fromkeys(_NODES, 0)
+        self.queue = []
+        for name in _NODES:
+            self._boot(name)
+            self.nodes[name].confirmed(self.now, _version(1))
+
+    def _boot(self, name):
+        self.lives[name] += 1
+        node = _ledger(self.ledger_class, name, self.lives[name])
+        node.known(self.now, frozenset(_NODES) - {name})
+        self.nodes[name] = node
+        self.highest[name] = 0
+        self.queue = [sent for sent in self.queue if sent[1] != name]
+
+    def _post(self, source, sends):
+        self.queue += [(source, peer, message) for peer, message in sends]
+
+    def _deliver(self, index):
+        source, target, message = self.queue.pop(index)
+        answers = self.nodes[target].received(self.now, source, message)
+        self._post(target, answers)
+
+    @stateful.rule(names=st.sets(_NAMES, min_size=1))
+    def accept_a_change(self, names):
+        if self.service_up:
+            self.newest += 1
+            self.read_the_service(names)
+
+    @stateful.rule()
+    def start_or_end_an_outage(self):
+        self.service_up = not self.service_up
+
+    @stateful.rule(names=st.sets(_NAMES, min_size=1))
+    def read_the_service(self, names):
+        for name in sorted(names) if self.service_up else ():
+            self.nodes[name].confirmed(self.now, _version(self.newest))
+
+    @stateful.rule(name=_NAMES)
+    def restart(self, name):
+        held = sorted(map(_number, self.nodes.values()), reverse=True)
+        self.floors[name] = held[_MAJORITY - 1]
+        self._boot(name)
+
+    @stateful.rule(source=_NAMES, peer=_NAMES)
+    def offer(self, source, peer):
+        offer = self.nodes[source].offer
+        if offer and source != peer:
+            self._post(source, [messages.Send(peer, offer)])
+
+    @stateful.rule()
+    def let_time_pass(self):
+        self.now += 1.0
+        for name, node in self.nodes.items():
+            self._post(name, node.tick(self.now))
+
+    @stateful.rule(name=_NAMES, peer=_NAMES)
+    def talk(self, name, peer):
+        self.let_time_pass()
+        pair = {name, peer}
+        for _ in range(10):
+            between = [s for s in self.queue if {s[0], s[1]} == pair]
+            if not between:
+                return
+            self._deliver(self.queue.index(between[0]))
+
+    @stateful.precondition(lambda self: self.queue)
+    @stateful.rule(data=st.data(), count=st.integers(1, 8))
+    def deliver_some(self, data, count):
+        for _ in range(min(count, len(self.queue))):
+            self._deliver(data.draw(st.integers(0, len(self.queue) - 1)))
+
+    @stateful.precondition(lambda self: self.queue)
+    @stateful.rule(name=_NAMES)
+    def lose_all_messages_from(self, name):
+        self.queue = [sent for sent in self.queue if sent[0] != name]
+
+    @stateful.invariant()
+    def versions_do_not_go_back(self):
+        for name, node in self.nodes.items():
+            number = _number(node)
+            assert number >= self.highest[name], f"{name} went back"
+            assert number <= self.newest
+            if number:
+                self.highest[name] = number
+                assert number >= self.floors[name], f"{name} serves an old one"
+
+    def teardown(self):
+        """When one node reads the service, all that can follow do."""
+        self.service_up = True
+        self.read_the_service({"a"})
+        serving = [name for name in _NODES if _number(self.nodes[name])]
+        for _ in range(12):
+            for name in _NODES[1:]:
+                self.offer("a", name)
+            self.let_time_pass()
+            while self.queue:
+                self._deliver(0)
+        followers = _NODES if len(serving) >= _MAJORITY else serving
+        versions = {_number(self.nodes[name]) for name in followers}
+        assert versions == {self.newest}
+
+
+class _TrustsAnyPeer(ledger.ConfigLedger):
+    """Goes into service with what the first peer has."""
+
+    def _enter_by_majority(self):
+        self._in_service = self._held is not None
+
+
+class _CountsOnlyAnswers(ledger.ConfigLedger):
+    """Takes two answers for a majority, however many nodes there are."""
+
+    def _enter_by_majority(self):
+        if self._held and len(self._answers) > 1:
+            newest = max(self._answers.values())
+            self._in_service = self._held.version >= newest
+
+
+class _TakesAnyVersion(ledger.ConfigLedger):
+    """Takes up whatever a peer offers."""
+
+    def offered(self, now, peer, number, digest):
+        return [messages.Send(peer, messages.Pull(0, ""))]
+
+    def _is_newer(self, number, digest):
+        return self._held is None or number != self._held.version
+
+
+def _run_fleet(cls, examples, steps):
+    machine = type("Fleet", (_Fleet,), {"ledger_class": cls})
+    settings = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    stateful.run_state_machine_as_test(machine, settings=settings)
+
+
+def test_no_node_goes_back_and_none_starts_with_an_old_version():
+    _run_fleet(ledger.ConfigLedger, examples=200, steps=40)
+
+
+def test_deltas_are_served_while_they_are_shorter_than_the_whole():
+    old, node = _serving(1), _serving(1)
+    for number in range(2, 60):
+        node.confirmed(0.0, _version(number))
+    [send] = old.offered(0.0, "b", *node.offer)
+    assert send.message == messages.Pull(1, _version(1).digest)
+    answer = node.pulled(messages.Pull(58, _version(58).digest))
+    assert [step.version for step in answer.deltas] == [59]
+    assert old.received(0.1, "b", node.pulled(send.message)) == []
+    assert _number(old) == 59
+    assert isinstance(node.pulled(messages.Pull(0, "")), messages.Full)
+    assert isinstance(node.pulled(messages.Pull(59, "")), messages.NothingNewer)
+
+
+def test_deltas_that_do_not_fit_lead_to_the_whole():
+    node, other = _serving(1), _serving(2)
+    other.confirmed(0.0, _version(3))
+    batch = other.pulled(messages.Pull(2, _version(2).digest))
+    [send] = node.received(0.0, "b", batch)
+    assert send == ("b", messages.Pull(0, ""))
+    node.received(0.0, "b", other.pulled(send.message))
+    assert _number(node) == 3
+    assert node.take_counts()["config.delta_mismatch"] == 1
+
+
+def test_an_equal_version_with_another_digest_is_refused_and_counted():
+    node = _serving(2)
+    assert node.offered(0.0, "b", 2, "0" * 64) == []
+    other = version.successor(None, {"x": 1}, "b", "b", above=1)
+    node.confirmed(0.0, other)
+    assert node.in_force.digest == _version(2).digest
+    assert node.take_counts()["config.digest_mismatch"] == 2
+
+
+def test_a_service_that_lost_its_content_takes_nothing_back():
+    node = _serving(5)
+    node.confirmed(1.0, _version(2))
+    node.confirmed(2.0, None)
+    assert _number(node) == 5
+    assert node.take_counts()["config.platform_behind"] == 2
+
+
+def test_what_this_program_cannot_read_stays_out_and_is_pulled_once():
+    def reader(document):
+        if document["limits"]["once_slots"] == 2:
+            return problems.Invalid(())
+        return document
+
+    node = ledger.ConfigLedger(random.Random(1), reader)
+    node.confirmed(0.0, _version(1))
+    node.full_received(0.0, "b", version.encode(_version(2)))
+    assert node.offered(0.0, "b", 2, _version(2).digest) == []
+    assert _number(node) == 1
+    assert node.take_counts()["config.unreadable"] == 1
+    node.full_received(0.0, "b", version.encode(_version(3)))
+    assert node.configuration == _version(3).document
+
+
+def test_malformed_messages_change_nothing():
+    node = _serving(1)
+    bad = messages.Delta(1, 2, "x", "y", "z", b"junk")
+    node.received(0.0, "b", messages.Full(b"junk"))
+    node.received(0.0, "b", messages.DeltaBatch((bad,)))
+    assert _number(node) == 1
+    assert node.take_counts()["config.malformed"] == 1
+
+
+def test_a_silent_peer_delays_a_pull_by_its_timeout_only():
+    node, newer = _serving(1), _serving(2)
+    assert node.offered(0.0, "b", *newer.offer)
+    assert node.offered(0.1, "c", *newer.offer) == []
+    [send] = node.tick(ledger.PULL_TIMEOUT_S)
+    assert send.peer == "c"
+
+
+def test_questions_of_a_starting_node_are_spread_over_time():
+    node = _ledger()
+    names = {f"n{i}" for i in range(360)}
+    node.known(0.0, frozenset(names))
+    asked = [{s.peer for s in node.tick(float(i))} for i in range(23)]
+    assert max(map(len, asked)) == ledger.ASKED_AT_ONCE
+    assert set().union(*asked) == names
+    assert node.tick(22.5) == []
+
+
+@pytest.mark.parametrize(
+    ("fault", "steps"),
+    [(_TrustsAnyPeer, 25), (_CountsOnlyAnswers, 40), (_TakesAnyVersion, 25)],
+)
+def test_the_machine_finds(fault, steps):
+    with pytest.raises(AssertionError, match="went back|an old one"):
+        _run_fleet(fault, examples=1000, steps=steps)
--- /dev/null
+++ b/tests/test_config_store.py
@@ -0,0 +1,234 @@
+"""Tests of versions, differences and the apply protocol."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from azureline.config import delta
+from azureline.config import problems
+from azureline.config import store
+from azureline.config import version
+from tests import builders_config
+
+_KEYS = st.sampled_from("abc")
+_DOCUMENTS = st.dictionaries(
+    _KEYS,
+    st.recursive(
+        st.integers(0, 2) | st.lists(st.integers(0, 1), max_size=2),
+        lambda inner: st.dictionaries(_KEYS, inner, max_size=3),
+        max_leaves=6,
+    ),
+)
+
+
+async def _no_sleep(seconds):
+    del seconds
+
+
+def _run(service, recheck=lambda document: None, **changes):
+    request = _request(**changes)
+    applier = store.Applier(service, _no_sleep, recheck)
+    coroutine = applier.apply(request)
+    try:
+        while True:
+            coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+
+
+def _request(document=None, identity="mine", **changes):
+    if document is None:
+        document = _edited(builders_config.accepted(), 7)
+    return store.Request(document, "me", identity, **changes)
+
+
+def _edited(accepted, slots=None, ratio=None):
+    """Returns the document with one or two of its limits changed."""
+    limits = dict(accepted.document["limits"])
+    limits["once_slots"] = slots or limits["once_slots"]
+    limits["retry_budget_ratio"] = ratio or limits["retry_budget_ratio"]
+    return accepted.document | {"limits": limits}
+
+
+def _service(accepted):
+    service = builders_config.FakeService()
+    if accepted:
+        service.hold(accepted)
+    return service
+
+
+def _held(service):
+    return version.decode(service.entry.value)
+
+
+@given(_DOCUMENTS, _DOCUMENTS)
+def test_a_difference_leads_from_one_document_to_the_other(old, new):
+    edits = delta.unpack_edits(delta.pack_edits(delta.diff(old, new)))
+    assert delta.apply(old, edits) == new
+    assert bool(edits.paths) == (old != new)
+
+
+@given(_DOCUMENTS, _DOCUMENTS, _DOCUMENTS)
+def test_disjoint_edits_commute(base, one, other):
+    mine, theirs = delta.diff(base, one), delta.diff(base, other)
+    if mine.overlap(theirs):
+        return
+    first = delta.apply(delta.apply(base, mine), theirs)
+    assert first == delta.apply(delta.apply(base, theirs), mine)
+
+
+@given(st.binary(max_size=100))
+def test_any_bytes_are_a_configuration_or_malformed(data):
+    for read in (version.decode, delta.unpack_edits):
+        with pytest.raises(delta.MalformedError):
+            read(data)
+
+
+def test_an_altered_document_is_malformed():
+    accepted = builders_config.accepted()
+    altered = accepted._replace(document=_edited(accepted, 9))
+    with pytest.raises(delta.MalformedError, match="digest"):
+        version.decode(version.encode(altered))
+
+
+def test_history_gives_earlier_documents_within_the_bound():
+    first = newest = builders_config.accepted(1)
+    for number in range(2, 6):
+        newest = builders_config.accepted(number, newest)
+    decoded = version.decode(version.encode(newest))
+    assert decoded == newest
+    assert decoded.document_at(1) == first.document
+    assert decoded.document_at(9) is None
+
+
+def test_a_large_configuration_gives_up_history_then_is_refused():
+    noise = random.Random(1)
+    text = [noise.randbytes(300_000).hex() for _ in range(3)]
+    one = version.successor(None, {"x": text[:2]}, "a", "1")
+    two = version.successor(one, {"x": text[1:]}, "a", "2")
+    assert version.decode(version.encode(two)).history == ()
+    large = version.successor(None, {"x": text}, "a", "3")
+    assert isinstance(version.encode(large), version.TooLarge)
+
+
+@pytest.mark.parametrize("first", [None, builders_config.accepted()])
+def test_a_change_is_applied_once(first):
+    service = _service(first)
+    applied = _run(service)
+    assert applied.version == (2 if first else 1)
+    assert _held(service).identity == "mine"
+    again = _run(service, identity="again")
+    assert (again.version, again.edits) == (applied.version, delta.Edits())
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        ["down", "down"],
+        [None, "down", "down", None, None],
+        [None, "lost"],
+        [None, "lost", "down"],
+    ],
+)
+def test_an_outage_or_a_lost_answer_is_settled_by_reading(faults):
+    service = _service(builders_config.accepted())
+    service.faults = faults
+    assert _run(service).version == 2
+    assert _held(service).history[0].version == 1
+
+
+def test_a_lost_answer_is_settled_even_after_anothers_change():
+    service = _service(builders_config.accepted())
+    service.faults = [None, "lost"]
+    get = service.get
+
+    def get_after_another(key):
+        if service.calls == 2:
+            mine = _held(service)
+            later = _edited(mine, ratio=0.5)
+            service.hold(version.successor(mine, later, "b", "b"))
+        return get(key)
+
+    service.get = get_after_another
+    applied = _run(service)
+    assert (applied.version, applied.current.version) == (2, 3)
+
+
+def test_a_service_that_stays_down_leaves_it_open_whether_it_landed():
+    service = _service(builders_config.accepted())
+    service.faults = [None, "lost"] + ["down"] * 20
+    assert _run(service) == store.Unsettled("timeout", True)
+    service.faults = ["down"] * 20
+    assert _run(service) == store.Unsettled("timeout", False)
+
+
+def test_of_two_operators_at_once_the_second_is_told_what_changed():
+    first = builders_config.accepted()
+    service = _service(first)
+    theirs = version.successor(first, _edited(first, ratio=0.5), "b", "b")
+    service.before_put = [lambda: service.hold(theirs)]
+    conflict = _run(service)
+    assert not conflict
+    assert conflict.since.paths == (("limits", "retry_budget_ratio"),)
+    assert conflict.clashing == ()
+    assert _held(service) == theirs
+
+
+def test_an_edit_of_other_paths_is_rebased_after_a_new_check():
+    first = builders_config.accepted()
+    service = _service(first)
+    theirs = version.successor(first, _edited(first, ratio=0.5), "b", "b")
+    service.hold(theirs)
+    mine = _edited(first, 7)
+    assert not _run(service, document=mine, expect=1)
+    invalid = problems.Invalid(())
+    refused = _run(
+        service, lambda d: invalid, document=mine, expect=1, rebase=True
+    )
+    assert refused == invalid
+    assert _held(service) == theirs
+    applied = _run(service, document=mine, expect=1, rebase=True)
+    assert applied.edits.paths == (("limits", "once_slots"),)
+    assert _held(service).document == _edited(first, 7, 0.5)
+
+
+def test_a_rebase_goes_on_when_another_change_lands_meanwhile():
+    first = builders_config.accepted()
+    service = _service(first)
+    theirs = version.successor(first, _edited(first, ratio=0.5), "b", "b")
+    service.before_put = [lambda: service.hold(theirs)]
+    applied = _run(service, document=_edited(first, 7), expect=1, rebase=True)
+    assert applied.version == 3
+
+
+def test_clashing_edits_are_not_rebased():
+    first = builders_config.accepted()
+    service = _service(first)
+    service.hold(version.successor(first, _edited(first, 5), "b", "b"))
+    conflict = _run(service, document=_edited(first, 7), expect=1, rebase=True)
+    assert conflict.clashing == (("limits", "once_slots"),)
+
+
+def test_stale_files_do_not_take_back_a_recent_change_by_default():
+    first = builders_config.accepted()
+    service = _service(first)
+    theirs = version.successor(first, _edited(first, ratio=0.5), "b", "b")
+    service.hold(theirs)
+    conflict = _run(service, document=_edited(first, 7))
+    assert conflict.clashing == (("limits", "retry_budget_ratio"),)
+    assert _held(service) == theirs
+    assert _run(service, document=_edited(first, 7), expect=2).version == 3
+
+
+def test_a_service_that_lost_its_content_gets_a_version_above_a_given_one():
+    assert _run(_service(None), above=57).version == 58
+
+
+def test_an_unreadable_value_is_never_overwritten():
+    service = builders_config.FakeService()
+    _run(service)
+    service.entry = service.entry._replace(value=b"x")
+    assert isinstance(_run(service), store.Unreadable)
+    assert service.entry.value == b"x"
