--- a/azureline/fleet/ownership.py
+++ b/azureline/fleet/ownership.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+import functools
 import hashlib
 import random
 from typing import NamedTuple
@@ -501,6 +502,7 @@
     return sum(_weight(name, other) > own for other in nodes)
 
 
+@functools.lru_cache(maxsize=1 << 15)
 def _weight(name: str, node: str) -> bytes:
     data = f"{name} {node}".encode()
     return hashlib.blake2b(data, digest_size=8).digest()
