--- a/azureline/once/log.py
+++ b/azureline/once/log.py
@@ -6,6 +6,7 @@
 closed only when the index after it may be overwritten.
 """
 
+from collections.abc import Iterable
 import random
 from typing import NamedTuple
 
@@ -30,9 +31,9 @@
 
     pages: int = 64
     chunks: int = 80
-    page_entries: int = 32
+    page_entries: int = 16
     max_page_entries: int = 512
-    fold_pages: int = 24
+    fold_pages: int = 40
     chunk_entries: int = 3_600
 
 
@@ -202,8 +203,7 @@
         index = chunk.number % self._layout.chunks
         match settled:
             case cell.Landed(version):
-                newest = max((e.issued_s for e in chunk.entries), default=0)
-                self._slices[index] = Slice(version, newest)
+                self._slices[index] = Slice(version, chunk.newest_s)
                 self._chunk = chunk
                 for sequence in list(self._closed):
                     if sequence <= chunk.last_page:
@@ -254,10 +254,10 @@
             max(self._closed),
             self._stamp(),
             self._floor_s,
-            tuple(merged.values()),
+            page.pack_entries(merged.values()),
         )
 
-    def _merge(self, base: tuple[page.Entry, ...]) -> dict[bytes, page.Entry]:
+    def _merge(self, base: Iterable[page.Entry]) -> dict[bytes, page.Entry]:
         merged = {e.digest: e for e in base}
         for sequence in sorted(self._closed):
             for entry in self._closed[sequence]:
--- a/azureline/once/owner.py
+++ b/azureline/once/owner.py
@@ -62,11 +62,11 @@
         self._deposed = False
         self._draining = False
         self._layout = layout
+        self._table = table_lib.Table()
         self._takeover = takeover_lib.Takeover(
-            slot, epoch, self._writer, rng, layout
+            slot, epoch, self._writer, rng, self._table, layout
         )
         self._early: dict[str, tuple[float, messages.Claim]] = {}
-        self._table = table_lib.Table()
         self._log: log_lib.Log | None = None
         self._book: book_lib.Book | None = None
         self._write_at = 0.0
@@ -228,7 +228,7 @@
 
     def _activate(self, now: float) -> list[effects.Effect]:
         wall = now + self._wall_offset
-        recovered = self._takeover.finish(wall, self._table)
+        recovered = self._takeover.finish(wall)
         self._log = log_lib.Log(
             self._slot,
             self._epoch,
@@ -268,12 +268,11 @@
             if not self._book.waiting or self._down(now):
                 return _NEVER
             return now + SETTLE_S - self._log.age(now)
-        floor_due = self._floor_due()
         if self._log.full:
-            return floor_due
+            return self._floor_due()
         if self._book.has_intents:
             return self._write_at
-        due = min(floor_due, self._book.outcomes_at)
+        due = min(self._floor_due(), self._book.outcomes_at)
         return max(self._write_at, due)
 
     def _floor_due(self) -> float:
--- a/azureline/once/page.py
+++ b/azureline/once/page.py
@@ -6,17 +6,21 @@
 tell its own write from another's.
 """
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import enum
 import struct
 from typing import NamedTuple
 
 import msgpack
 
+DIGEST_BYTES = 8
 BODY_BYTES = 4
 MAX_ATTEMPT = 63
 
 _PACKED = struct.Struct(">8s4sIBB")
 ENTRY_BYTES = _PACKED.size
+_ISSUED = slice(DIGEST_BYTES + BODY_BYTES, DIGEST_BYTES + BODY_BYTES + 4)
 _PAGE = 1
 _CHUNK = 2
 _FIELDS = 8
@@ -92,14 +96,25 @@
       last_page: sequence number of the last page that it covers.
       stamp: identity of the last write.
       floor_s: keys issued before this time have been left out.
-      entries: one for each key.
+      packed: one entry for each key, in their fixed-size form.
     """
 
     number: int
     last_page: int
     stamp: Stamp
     floor_s: int
-    entries: tuple[Entry, ...]
+    packed: bytes
+
+    @property
+    def entries(self) -> Iterator[Entry]:
+        """The entries, unpacked one by one."""
+        for digest, body, issued_s, state, attempt in _iterate(self.packed):
+            yield Entry(digest, body, issued_s, State(state), attempt)
+
+    @property
+    def newest_s(self) -> int:
+        """Time of the newest key, or -1 if there is none."""
+        return max((fields[2] for fields in _iterate(self.packed)), default=-1)
 
 
 def later(first: Entry | None, second: Entry) -> Entry:
@@ -136,11 +151,23 @@
         raise MalformedError(f"bad entry: {e}") from None
 
 
+def issued_s(data: bytes) -> int:
+    """Returns the key's time of an entry in its fixed-size form."""
+    return int.from_bytes(data[_ISSUED], "big")
+
+
+def pack_entries(entries: Iterable[Entry]) -> bytes:
+    """Returns entries in their fixed-size form, one after another."""
+    return b"".join(_PACKED.pack(*entry) for entry in entries)
+
+
 def pack(value: Page | Chunk) -> bytes:
     """Returns the bytes of a page or chunk."""
-    kind = _PAGE if isinstance(value, Page) else _CHUNK
-    number, extent, stamp, floor_s, entries = value
-    packed = b"".join(_PACKED.pack(*entry) for entry in entries)
+    number, extent, stamp, floor_s, packed = value
+    kind = _CHUNK
+    if isinstance(value, Page):
+        kind = _PAGE
+        packed = pack_entries(value.entries)
     return msgpack.packb([kind, number, extent, *stamp, floor_s, packed])
 
 
@@ -159,12 +186,15 @@
     kind, number, extent, epoch, writer, batch, floor_s, packed = fields
     if kind not in (_PAGE, _CHUNK) or not isinstance(packed, bytes):
         raise MalformedError("not a page")
-    if len(packed) % _PACKED.size:
+    if len(packed) % ENTRY_BYTES:
         raise MalformedError("an entry is cut short")
-    entries = tuple(
-        unpack_entry(packed[i : i + _PACKED.size])
-        for i in range(0, len(packed), _PACKED.size)
-    )
-    make = Page if kind == _PAGE else Chunk
-    stamp = Stamp(epoch, writer, batch)
-    return make(number, extent, stamp, floor_s, entries)
+    if any(fields[3] > max(State) for fields in _iterate(packed)):
+        raise MalformedError("unknown state")
+    chunk = Chunk(number, extent, Stamp(epoch, writer, batch), floor_s, packed)
+    if kind == _CHUNK:
+        return chunk
+    return Page(number, extent, chunk.stamp, floor_s, tuple(chunk.entries))
+
+
+def _iterate(packed: bytes) -> Iterator[tuple[bytes, bytes, int, int, int]]:
+    return _PACKED.iter_unpack(packed)
--- a/azureline/once/table.py
+++ b/azureline/once/table.py
@@ -42,6 +42,32 @@
         minute = self._minutes.setdefault(entry.issued_s // _BUCKET_S, {})
         minute[entry.digest] = page.pack_entry(entry)
 
+    def load(self, packed: bytes, floor_s: int) -> None:
+        """Adds entries in their fixed-size form.
+
+        Args:
+          packed: the entries, one after another.
+          floor_s: keys issued before this time are left out.
+        """
+        size = page.ENTRY_BYTES
+        for start in range(0, len(packed), size):
+            data = packed[start : start + size]
+            issued_s = page.issued_s(data)
+            if issued_s < floor_s:
+                continue
+            minute = self._minutes.setdefault(issued_s // _BUCKET_S, {})
+            digest = data[: page.DIGEST_BYTES]
+            if digest in minute:
+                self.put(page.unpack_entry(data))
+            else:
+                minute[digest] = data
+                self._size += 1
+
+    def clear(self) -> None:
+        """Forgets all keys."""
+        self._minutes.clear()
+        self._size = 0
+
     def expire(self, floor_s: int) -> None:
         """Drops the minutes that lie wholly before `floor_s`."""
         last = floor_s // _BUCKET_S
--- a/azureline/once/takeover.py
+++ b/azureline/once/takeover.py
@@ -39,8 +39,20 @@
         epoch: int,
         writer: str,
         rng: random.Random,
+        table: table_lib.Table,
         layout: log.Layout = log.LAYOUT,
     ):
+        """Creates a takeover that has read nothing yet.
+
+        Args:
+          slot: number of the slot.
+          epoch: the new owner's epoch.
+          writer: identity of the new owner.
+          rng: source of jitter.
+          table: receives the entries that have not expired.
+          layout: sizes of the log.
+        """
+        self._table = table
         self._layout = layout
         self._slot = slot
         self._epoch = epoch
@@ -49,7 +61,8 @@
         self._phase = _Phase.SCAN
         self._todo: collections.deque[str] = collections.deque()
         self._reading: set[str] = set()
-        self._values: dict[str, interface.Entry | None] = {}
+        self._versions: dict[str, int] = {}
+        self._parsed: dict[str, page.Page | page.Chunk | None] = {}
         self._cell = cell.Cell(rng)
         self._batch = 0
         self._sealed: page.Page | None = None
@@ -91,9 +104,7 @@
             self._todo.append(key)
             self._resume_at = now + self._rng.uniform(0, READ_RETRY_MAX_S)
             return []
-        self._values[key] = result
-        if result is not None and cell.parse(result) is None:
-            self._damaged = True
+        self._keep(key, result)
         if self._todo or self._reading:
             return self._pump(now)
         if self._phase is _Phase.SCAN:
@@ -110,45 +121,44 @@
         key = self._cell.key
         match self._cell.settle(now, result):
             case cell.Landed(version):
-                value = interface.Entry(page.pack(self._sealed), version)
-                self._values[key] = value
+                self._versions[key] = version
+                self._parsed[key] = self._sealed
                 return self._load(now)
-            case cell.Foreign(found, _):
+            case cell.Foreign():
                 # The old owner is still writing: follow it.
-                self._values[key] = result.current
-                self._damaged |= found is None
+                self._keep(key, result.current)
                 return self._seal(now)
         return []
 
-    def finish(self, wall: float, table: table_lib.Table) -> log.Recovered:
-        """Fills the table and returns the log.
+    def finish(self, wall: float) -> log.Recovered:
+        """Fills the table with the newest pages and returns the log.
 
         A gap in the log means that it is not known what ran.  The floor then
         rises above every key that can exist, so that none is taken for new.
 
         Args:
           wall: seconds since the Unix epoch.
-          table: receives the entries that have not expired.
         """
         pages = self._pages()
         chunks, stale = self._chunks()
         head = self._sealed
-        floor_s = max(p.floor_s for p in pages.values())
+        floor_s = head.floor_s
         folded = chunks[-1].last_page if chunks else -1
         needed = range(folded + 1, head.sequence + 1)
         whole = all(sequence in pages for sequence in needed)
         if self._damaged or not whole or not self._contiguous(chunks, stale):
             floor_s = int(wall + key_lib.MAX_FUTURE_S)
+            self._table.clear()
         unfolded = [pages[s] for s in needed if s in pages]
-        for value in [*chunks, *unfolded]:
+        for value in unfolded:
             for entry in value.entries:
                 if entry.issued_s >= floor_s:
-                    table.put(entry)
+                    self._table.put(entry)
         ring = self._layout.chunks
         redundant = {c.number % ring for c in stale}
         return log.Recovered(
             head,
-            [self._version(key) for key in self._page_keys],
+            [self._versions.get(key, 0) for key in self._page_keys],
             {p.sequence: p.entries for p in unfolded if p.closed},
             chunks[-1] if chunks else None,
             [self._slice(i, i in redundant) for i in range(ring)],
@@ -156,6 +166,15 @@
             self._batch,
         )
 
+    def _keep(self, key: str, result: interface.Entry | None) -> None:
+        """Keeps what was read; entries of chunks go to the table at once."""
+        value = cell.parse(result)
+        self._damaged |= result is not None and value is None
+        self._versions[key] = result.version if result else 0
+        self._parsed[key] = value
+        if self._phase is _Phase.LOAD and isinstance(value, page.Chunk):
+            self._table.load(value.packed, self._sealed.floor_s)
+
     def _read(self, now: float, keys: Iterable[str]) -> list[effects.Effect]:
         self._todo.extend(keys)
         return self._pump(now)
@@ -185,7 +204,7 @@
             head = page.Page(head.sequence + 1, False, stamp, head.floor_s, ())
         self._sealed = head._replace(stamp=stamp)
         key = self._page_keys[head.sequence % self._layout.pages]
-        version = self._version(key)
+        version = self._versions.get(key, 0)
         return [self._cell.start(now, key, self._sealed, version)]
 
     def _load(self, now: float) -> list[effects.Effect]:
@@ -204,12 +223,8 @@
             return stamp.writer != self._writer
         return stamp.epoch > self._epoch
 
-    def _version(self, key: str) -> int:
-        entry = self._values.get(key)
-        return entry.version if entry else 0
-
     def _pages(self) -> dict[int, page.Page]:
-        found = [cell.parse(self._values.get(k)) for k in self._page_keys]
+        found = [self._parsed.get(key) for key in self._page_keys]
         return {p.sequence: p for p in found if isinstance(p, page.Page)}
 
     def _chunks(self) -> tuple[list[page.Chunk], list[page.Chunk]]:
@@ -218,7 +233,7 @@
         A deposed owner's chunk may have landed late.  It then covers no page
         that a chunk with a lower number does not cover.
         """
-        found = [cell.parse(self._values.get(k)) for k in self._chunk_keys]
+        found = [self._parsed.get(key) for key in self._chunk_keys]
         chunks: list[page.Chunk] = []
         stale: list[page.Chunk] = []
         for chunk in sorted(c for c in found if isinstance(c, page.Chunk)):
@@ -238,11 +253,9 @@
         return numbers.issuperset(range(max(0, last + 1 - ring), last + 1))
 
     def _slice(self, index: int, redundant: bool) -> log.Slice:
-        entry = self._values.get(self._chunk_keys[index])
-        if entry is None:
-            return log.Slice(0, -1)
-        chunk = cell.parse(entry)
+        key = self._chunk_keys[index]
+        chunk = self._parsed.get(key)
+        version = self._versions.get(key, 0)
         if redundant or not isinstance(chunk, page.Chunk):
-            return log.Slice(entry.version, -1)
-        newest = max((e.issued_s for e in chunk.entries), default=-1)
-        return log.Slice(entry.version, newest)
+            return log.Slice(version, -1)
+        return log.Slice(version, chunk.newest_s)
--- a/tests/test_once_histories.py
+++ b/tests/test_once_histories.py
@@ -83,8 +83,8 @@
 
 class ForgetTheLog(owner.Owner):
     def _activate(self, now):
-        finish = self._takeover.finish
-        self._takeover.finish = lambda wall, _: finish(wall, table.Table())
+        self._takeover._table = table.Table()
+        self._table.__init__()
         return super()._activate(now)
 
 
--- a/tests/test_once_key.py
+++ b/tests/test_once_key.py
@@ -75,7 +75,7 @@
     st.integers(0, 1 << 40),
     STAMPS,
     st.integers(0, 1 << 32),
-    st.lists(ENTRIES, max_size=5).map(tuple),
+    st.lists(ENTRIES, max_size=5).map(page.pack_entries),
 )
 
 
--- a/tests/test_once_owner.py
+++ b/tests/test_once_owner.py
@@ -9,9 +9,9 @@
 from azureline.once import owner
 from azureline.platform import interface
 from tests import builders_once
-from tests.builders_once import claim
-from tests.builders_once import outcome
 
+claim = builders_once.claim
+outcome = builders_once.outcome
 ANSWER = messages.Answer(201, (("x-lot", "7"),), b"approved")
 DID_NOT_RUN = messages.Result.DID_NOT_RUN
 Kind = errors.ErrorKind
@@ -165,15 +165,23 @@
 
 
 def test_a_damaged_log_makes_every_key_expired():
-    bench = builders_once.Bench()
-    for number in range(9):
-        bench.request(claim(bench.key(), f"r{number}"))
-    damaged = log.page_key(0, 0)
+    layout = builders_once.LAYOUT._replace(page_entries=1)
+    bench = builders_once.Bench(layout)
+    first = claim(bench.key())
+    bench.request(first)
+    bench.request(outcome(first, DID_NOT_RUN))
+    bench.advance(book.OUTCOME_DELAY_S)
+    again = first._replace(request_id="r2")
+    assert bench.request(again) == [messages.Granted(0, "r2", 2)]
+    damaged = log.page_key(0, 2)
     version = bench.service.get(damaged).version
     bench.service.put(damaged, b"\xc1", version)
     bench.take_over()
-    replies = bench.request(claim(bench.key(), "r10"))
-    assert _refused(replies) == (Kind.KEY_EXPIRED, Ran.UNKNOWN)
+    for replies in (
+        bench.request(first._replace(request_id="r3")),
+        bench.request(claim(bench.key(), "r4")),
+    ):
+        assert _refused(replies) == (Kind.KEY_EXPIRED, Ran.UNKNOWN)
 
 
 def test_memory_is_bounded_by_refusals_as_not_run():
