--- a/azureline/routing/picker.py
+++ b/azureline/routing/picker.py
@@ -18,6 +18,7 @@
 
 from azureline import requests
 from azureline.core import errors
+from azureline.routing import affinity
 from azureline.routing import loads as loads_lib
 from azureline.routing import outcome as outcomes
 from azureline.routing import prefixes
@@ -173,7 +174,8 @@
         loads = {c.engine: self._ratio(now, c, mean) for c in usable}
         bound = self._affinity_bound(subset, loads)
         pool, reason = self._preferred(now, call, usable, loads, bound)
-        return Choice(self._less_loaded(pool or subset, loads), reason)
+        pair = self._pair(call, pool or subset, loads, bound)
+        return Choice(self._less_loaded(pair, loads), reason)
 
     def usable(
         self, now: float, candidates: Sequence[Candidate]
@@ -303,13 +305,34 @@
             return self._subset(fitting), "adapter"
         return [], "load"
 
+    def _pair(
+        self,
+        call: requests.ModelCall,
+        pool: list[Candidate],
+        loads: dict[str, float],
+        bound: float,
+    ) -> list[Candidate]:
+        """Returns two engines of the pool that the content selects.
+
+        Contents differ, so this draws as evenly as chance; but copies of one
+        request that come through many nodes meet at the same two engines,
+        and can crash no more than these at once.
+        """
+        if not call.content:
+            return self._rng.sample(pool, min(2, len(pool)))
+        ordered = sorted(
+            pool, key=lambda c: affinity.rank(call.content, c.engine)
+        )
+        fitting = [c for c in ordered if loads[c.engine] < bound]
+        return (fitting or ordered)[:2]
+
     def _less_loaded(
-        self, pool: list[Candidate], loads: dict[str, float]
+        self, pair: list[Candidate], loads: dict[str, float]
     ) -> str:
-        """Returns the less loaded of two random engines of the pool."""
-        if len(pool) == 1:
-            return pool[0].engine
-        a, b = self._rng.sample(pool, 2)
+        """Returns the less loaded of up to two engines."""
+        if len(pair) == 1:
+            return pair[0].engine
+        a, b = pair
         difference = loads[a.engine] - loads[b.engine]
         if abs(difference) < _EQUAL_LOAD and a.domain != b.domain:
             return b.engine if b.domain == self._domain else a.engine
--- a/tests/test_routing_picker.py
+++ b/tests/test_routing_picker.py
@@ -17,9 +17,9 @@
 
 def _chosen(p, replicas, count=200, now=0.0, **fields):
     """Returns how often each engine is chosen; nothing is sent."""
-    call = build.call(**fields)
     return collections.Counter(
-        p.choose(now, call, replicas).engine for _ in range(count)
+        p.choose(now, build.call(**fields), replicas).engine
+        for _ in range(count)
     )
 
 
@@ -98,6 +98,16 @@
     assert max(used.values()) <= 3 * 60 * 8 / 50
 
 
+def test_copies_of_a_content_meet_at_two_engines_through_any_node():
+    replicas = build.candidates(6)
+    engines = set()
+    for node in range(40):
+        p = build.new_picker(seed=node, node=f"n{node}")
+        call = build.call(content=b"same")
+        engines.add(p.choose(0.0, call, replicas).engine)
+    assert len(engines) <= 2
+
+
 def test_the_own_failure_domain_wins_between_equals():
     chosen = _chosen(build.new_picker(), build.candidates(3))
     assert chosen["e0"] > chosen["e1"] + chosen["e2"]
@@ -154,11 +164,9 @@
 class _FollowsReports(picker.Picker):
     """Deliberate fault: the engine that looked idlest gets everything."""
 
-    def _less_loaded(self, pool, load_by_engine):
-        del load_by_engine
-        return min(
-            pool, key=lambda c: self._loads._load(c.engine).others
-        ).engine
+    def _pair(self, call, pool, load_by_engine, bound):
+        del call, load_by_engine, bound
+        return [min(pool, key=lambda c: self._loads._load(c.engine).others)]
 
 
 def _herd(cls, seed):
