Keep a memory book per engine that lost and late orders cannot fool

Cause: an order without an answer has both happened and not happened, and reports lag, so the memory in use must be bounded rather than known.

Ruled out: settling by the report's arrival, by an answer, by a refusal, by a restart or by the engine's fence. Each is a deliberate fault in the tests and overcommits in a history of four to eight steps; a restarted engine forgets its fence and its order ids, so even a fenced engine needs the wait.

Change: a report settles the orders whose latest start (reservation, longest travel, expiry, margin) lies before the earliest time at which the report can have been taken (poll sent, minus the report's age). A successor's book counts the whole capacity until a report passes takeover, lease and the same bound.

The seven faulty books overcommit in their directed histories; the random machine finds the two that it is run on.

Conclusion: one rule for engines that fence and engines that do not.

--- /dev/null
+++ b/tests/builders_fleet.py
@@ -0,0 +1,109 @@
+"""Builders of orders, reports and fake engines for the fleet's tests."""
+
+from typing import NamedTuple
+
+from azureline.backends import interface
+from azureline.fleet import book
+
+LOAD = interface.OrderKind.LOAD_MODEL
+UNLOAD = interface.OrderKind.UNLOAD_MODEL
+
+
+def order(order_id, kind, target, size, fence=1, expires_in_s=5.0, version="1"):
+    return interface.Order(
+        order_id, kind, target, version, fence, expires_in_s, size
+    )
+
+
+def resident(name, size, state="ready", version="1"):
+    return interface.Resident(name, version, size, state)
+
+
+def report(models=(), sequence=1, incarnation="a", age_s=0.0, **changes):
+    base = interface.Report(
+        engine="e1",
+        incarnation=incarnation,
+        sequence=sequence,
+        age_s=age_s,
+        capacity_bytes=10,
+        cache_bytes=0,
+        models=tuple(models),
+        adapters=(),
+        running=0,
+        queued=0,
+        last_order_id="",
+        fence=0,
+        fences=False,
+        draining=False,
+    )
+    return base._replace(**changes)
+
+
+class Sent(NamedTuple):
+    """A copy of an order on its way."""
+
+    order: interface.Order
+    sent_at: float
+
+
+class FakeEngine:
+    """Obeys every live order without checking its own memory."""
+
+    def __init__(self, fences=False):
+        self.fences = fences
+        self.fence = 0
+        self.models = {}
+        self.incarnation = 0
+        self.sequence = 0
+        self._done = {}
+
+    @property
+    def used(self):
+        return sum(size for size, _ in self.models.values())
+
+    def restart(self):
+        """Comes back empty; the fence and the order ids are forgotten."""
+        self.models = {}
+        self.fence = 0
+        self.incarnation += 1
+        self.sequence = 0
+        self._done = {}
+
+    def receive(self, sent, now):
+        """Starts an order unless its expiry has passed; returns the answer."""
+        limit = sent.sent_at + book.ORDER_TRAVEL_MAX_S + sent.order.expires_in_s
+        if sent.order.order_id in self._done:
+            return self._done[sent.order.order_id]
+        if now > limit:
+            return interface.OrderResult.REFUSED_EXPIRED
+        if self.fences and sent.order.fence < self.fence:
+            return interface.OrderResult.REFUSED_FENCE
+        self.fence = max(self.fence, sent.order.fence)
+        self._start(sent.order)
+        self._done[sent.order.order_id] = interface.OrderResult.ACCEPTED
+        return interface.OrderResult.ACCEPTED
+
+    def _start(self, order_):
+        name = order_.target
+        if order_.kind is LOAD and name not in self.models:
+            self.models[name] = (order_.bytes_needed, "loading")
+        elif order_.kind is UNLOAD and name in self.models:
+            self.models[name] = (self.models[name][0], "unloading")
+
+    def finish(self, name):
+        """Ends a load or an unload in progress."""
+        size, state = self.models.get(name, (0, ""))
+        if state == "unloading":
+            del self.models[name]
+        elif state == "loading":
+            self.models[name] = (size, "ready")
+
+    def snapshot(self):
+        self.sequence += 1
+        return report(
+            [resident(n, s, state) for n, (s, state) in self.models.items()],
+            sequence=self.sequence,
+            incarnation=str(self.incarnation),
+            fence=self.fence,
+            fences=self.fences,
+        )
--- /dev/null
+++ b/tests/test_fleet_book.py
@@ -0,0 +1,342 @@
+"""Tests of the memory book against an engine that obeys every live order."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from azureline.backends import interface
+from azureline.fleet import book
+from tests import builders_fleet as build
+
+CAPACITY = 10
+CACHE = 1
+LEASE_S = 3.0
+SIZES = {"x": 5, "y": 6}
+
+
+class BookMachine(stateful.RuleBasedStateMachine):
+    """Two owners in turn order an engine whose messages go astray."""
+
+    book_class = book.Book
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.ids = 0
+        self.copies = []
+        self.snapshots = []
+        self.answers = []
+        self.owners = []
+        self.left = []
+
+    @stateful.initialize(fences=st.booleans())
+    def start(self, fences):
+        self.engine = build.FakeEngine(fences)
+        self.owners = [self._book(0.0)]
+        self.owners[0].reported(0.0, self.engine.snapshot(), 0.0)
+
+    def _book(self, unsettled_until):
+        return self.book_class(CAPACITY, CACHE, unsettled_until, SIZES)
+
+    def _active(self, frozen):
+        """Returns an owner that may still pass its own lease check."""
+        if frozen and self.left and self.now < self.left[-1] + LEASE_S:
+            return len(self.owners) - 2
+        return len(self.owners) - 1
+
+    @stateful.rule(
+        frozen=st.booleans(), lag=st.integers(0, 2), late=st.booleans()
+    )
+    def poll(self, frozen=False, lag=0, late=False):
+        """The engine answers a poll with one of its last samples."""
+        self.snapshots.append((self.now, self.engine.snapshot()))
+        taken, report = self.snapshots[-1 - min(lag, len(self.snapshots) - 1)]
+        report = report._replace(age_s=self.now - taken)
+        self.answers.append((self._active(frozen), self.now, report))
+        if not late:
+            self._deliver_report(-1)
+
+    @stateful.precondition(lambda self: self.answers)
+    @stateful.rule(at=st.integers(0, 5))
+    def late_report(self, at):
+        self._deliver_report(at % len(self.answers))
+
+    def _deliver_report(self, at):
+        owner, asked, report = self.answers.pop(at)
+        self.owners[owner].reported(self.now, report, asked)
+
+    @stateful.rule(
+        frozen=st.booleans(),
+        load=st.booleans(),
+        name=st.sampled_from(sorted(SIZES)),
+        late=st.booleans(),
+        heard=st.booleans(),
+    )
+    def send(self, load, name, late=False, frozen=False, heard=True):
+        owner = self._active(frozen)
+        self.ids += 1
+        kind = build.LOAD if load else build.UNLOAD
+        wanted = build.order(str(self.ids), kind, name, SIZES[name], owner + 1)
+        if self.owners[owner].reserve(self.now, wanted):
+            self.copies.append((owner, build.Sent(wanted, self.now)))
+            if not late:
+                self._deliver_order(-1, heard)
+
+    @stateful.precondition(lambda self: self.copies)
+    @stateful.rule(at=st.integers(0, 5), heard=st.booleans())
+    def second_copy(self, at, heard=True):
+        self._deliver_order(at % len(self.copies), heard)
+
+    def _deliver_order(self, at, heard):
+        owner, sent = self.copies[at]
+        result = self.engine.receive(sent, self.now)
+        if heard:
+            self.owners[owner].answered(self.now, sent.order.order_id, result)
+
+    @stateful.precondition(lambda self: self.copies)
+    @stateful.rule(at=st.integers(0, 5))
+    def time_out_order(self, at):
+        owner, sent = self.copies[at % len(self.copies)]
+        self.owners[owner].answered(
+            self.now, sent.order.order_id, interface.OrderResult.UNKNOWN
+        )
+
+    @stateful.rule(name=st.sampled_from(sorted(SIZES)))
+    def finish(self, name):
+        self.engine.finish(name)
+
+    @stateful.rule()
+    def restart(self):
+        self.engine.restart()
+
+    @stateful.rule()
+    def take_over(self):
+        self.left.append(self.now)
+        until = book.takeover_settles_at(self.now, LEASE_S)
+        self.owners.append(self._book(until))
+
+    @stateful.rule(seconds=st.sampled_from([1.0, 4.0, 12.0]))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @stateful.invariant()
+    def memory_holds(self):
+        if self.owners:
+            assert self.engine.used <= CAPACITY - CACHE
+
+
+class SettlesByArrival(book.Book):
+    """Takes a report for as new as its arrival."""
+
+    def _earliest_taken(self, now, report, asked):
+        return now
+
+
+class FreesOnUnload(book.Book):
+    """Counts an item as gone as soon as its unload is sent."""
+
+    def committed_bytes(self, now):
+        gone = {
+            book.item_of(entry.order): entry.order.bytes_needed
+            for entry in self.open_orders
+            if entry.order.kind is build.UNLOAD
+        }
+        freed = sum(size for item, size in gone.items() if self.holds(item))
+        return super().committed_bytes(now) - freed
+
+
+class ForgetsOnRestart(book.Book):
+    """Takes a restarted engine for one that no order can reach any more."""
+
+    def _rest_on(self, report, earliest, before):
+        if self._is_restart(report):
+            self._open.clear()
+        super()._rest_on(report, earliest, before)
+
+
+class TrustsTimeouts(book.Book):
+    """Takes an order without an answer for one that did not arrive."""
+
+    def answered(self, now, order_id, result):
+        if result is interface.OrderResult.UNKNOWN:
+            self._open.pop(order_id, None)
+
+
+class TrustsRefusals(book.Book):
+    """Takes a refusal for the end of every copy of the order."""
+
+    def answered(self, now, order_id, result):
+        if result is not interface.OrderResult.ACCEPTED:
+            self._open.pop(order_id, None)
+
+
+class TrustsFences(book.Book):
+    """Skips the wait where the engine refuses old fences."""
+
+    def reported(self, now, report, asked=None):
+        if report.fences and report.fence >= 2:
+            self._settled_to = 0.0
+        return super().reported(now, report, asked)
+
+
+class SkipsTheWait(book.Book):
+    """Settles a successor's book by the first report."""
+
+    def __init__(self, capacity, reserve, unsettled_until=0.0, sizes=None):
+        super().__init__(capacity, reserve, 0.0, sizes)
+
+
+def _settles_by_arrival(machine):
+    machine.poll(late=True)
+    machine.send(True, "x")
+    machine.wait(12.0)
+    machine.poll(lag=1)
+    machine.send(True, "y")
+
+
+def _frees_on_unload(machine):
+    machine.send(True, "x")
+    machine.finish("x")
+    machine.wait(12.0)
+    machine.poll()
+    machine.send(False, "x", late=True)
+    machine.send(True, "y")
+
+
+def _forgets_on_restart(machine):
+    machine.send(True, "x", late=True)
+    machine.restart()
+    machine.poll()
+    machine.send(True, "y")
+    machine.second_copy(0)
+
+
+def _trusts_timeouts(machine):
+    machine.send(True, "x", late=True)
+    machine.time_out_order(0)
+    machine.send(True, "y")
+    machine.second_copy(0)
+
+
+def _trusts_refusals(machine):
+    machine.send(True, "x", late=True)
+    machine.take_over()
+    machine.send(False, "x")
+    machine.second_copy(0)
+    machine.send(True, "y", late=True, frozen=True)
+    machine.restart()
+    machine.second_copy(0)
+    machine.second_copy(2)
+
+
+def _trusts_fences(machine):
+    machine.send(True, "x", late=True)
+    machine.take_over()
+    machine.send(False, "x")
+    machine.poll()
+    machine.restart()
+    machine.second_copy(0)
+    machine.send(True, "y")
+
+
+def _skips_the_wait(machine):
+    machine.send(True, "x", late=True)
+    machine.take_over()
+    machine.poll()
+    machine.second_copy(0)
+    machine.send(True, "y")
+
+
+HISTORIES = [
+    (SettlesByArrival, _settles_by_arrival),
+    (FreesOnUnload, _frees_on_unload),
+    (ForgetsOnRestart, _forgets_on_restart),
+    (TrustsTimeouts, _trusts_timeouts),
+    (TrustsRefusals, _trusts_refusals),
+    (TrustsFences, _trusts_fences),
+    (SkipsTheWait, _skips_the_wait),
+]
+
+
+def _overcommits(book_class, history):
+    machine = BookMachine()
+    machine.book_class = book_class
+    machine.start(fences=True)
+    history(machine)
+    return machine.engine.used > CAPACITY - CACHE
+
+
+@pytest.mark.parametrize(("faulty", "history"), HISTORIES)
+def test_a_faulty_book_overcommits_where_the_book_holds(faulty, history):
+    assert _overcommits(faulty, history)
+    assert not _overcommits(book.Book, history)
+
+
+def test_real_memory_never_exceeds_capacity():
+    stateful.run_state_machine_as_test(
+        BookMachine,
+        settings=hypothesis.settings(max_examples=400, stateful_step_count=25),
+    )
+
+
+@pytest.mark.parametrize("faulty", [FreesOnUnload, TrustsTimeouts])
+def test_the_random_machine_finds_a_faulty_book(faulty):
+    machine = type("Faulty", (BookMachine,), {"book_class": faulty})
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(
+            machine,
+            settings=hypothesis.settings(
+                max_examples=2000,
+                stateful_step_count=25,
+                phases=(hypothesis.Phase.generate,),
+            ),
+        )
+
+
+def _loaded_book():
+    kept = book.Book(CAPACITY, CACHE)
+    kept.reported(0.0, build.report(), 0.0)
+    assert kept.reserve(0.0, build.order("1", build.LOAD, "x", 5))
+    return kept
+
+
+def test_a_lost_load_frees_its_room_after_the_latest_start():
+    kept = _loaded_book()
+    dead_at = book.latest_start(0.0, 5.0)
+    refused = kept.reserve(1.0, build.order("2", build.LOAD, "y", 6))
+    assert refused.reason is book.Reason.NO_ROOM
+    kept.reported(dead_at + 1, build.report(sequence=2), dead_at)
+    assert kept.reserve(dead_at + 1, build.order("2", build.LOAD, "y", 6))
+
+
+def test_an_unload_on_its_way_leaves_the_replica_uncounted():
+    kept = _loaded_book()
+    kept.reported(2.0, build.report([build.resident("x", 5)], 2), 1.0)
+    assert kept.ready("x")
+    kept.reserve(2.0, build.order("2", build.UNLOAD, "x", 5))
+    assert not kept.ready("x")
+    assert kept.committed_bytes(2.0) == 6
+
+
+def test_a_late_report_of_an_unseen_incarnation_casts_doubt():
+    kept = _loaded_book()
+    kept.reported(2.0, build.report([build.resident("x", 5)], 2), 1.0)
+    late = build.report([build.resident("x", 5)], incarnation="b", age_s=3.0)
+    assert not kept.reported(3.0, late, 2.5)
+    assert not kept.ready("x")
+    assert kept.committed_bytes(3.0) == 6
+
+
+def test_adapters_cache_and_loads_in_progress_count():
+    kept = book.Book(CAPACITY, CACHE, sizes={"x": 4})
+    report = build.report(
+        [build.resident("x", 1, "loading")],
+        adapters=(build.resident("a", 2),),
+        cache_bytes=3,
+    )
+    assert kept.committed_bytes(0.0) == CAPACITY
+    kept.reported(0.0, report, 0.0)
+    assert kept.committed_bytes(0.0) == 4 + 2 + 3
+    load = build.order("1", build.LOAD, "x", 5, expires_in_s=60.0)
+    assert kept.reserve(0, load).reason is book.Reason.EXPIRY_TOO_LONG
