Serve a request end to end through a node

Cause: the first start of three nodes beside stand-ins served nothing: an exception while a configuration came into force was lost, since Twisted's log of unhandled failures went nowhere.

Ruled out: membership and the follower, which had agreed on version 1 within two seconds on all three nodes.

Change: unhandled failures reach the logs; the missing hand-over is gone together with the options for slots and retention of idempotency keys, since changing the number of slots would make owners forget keys. A process that no longer listens counts as crashed at once. Suspicions are rumours.

--- a/azureline/backends/http.py
+++ b/azureline/backends/http.py
@@ -41,10 +41,12 @@
     Attributes:
       reason: what went wrong, for logs.
       sent: whether the request may have reached the server.
+      refused: whether the VM answered that no process listens there.
     """
 
     reason: str
     sent: bool
+    refused: bool = False
 
     def __bool__(self) -> bool:
         return False
@@ -348,7 +350,8 @@
     # A timeout of the whole call is a `defer.TimeoutError`, which is none of
     # these; Twisted's own connect timeout is a `ConnectError`.
     sent = not isinstance(error, _NOT_SENT)
-    return Failure(f"{type(error).__name__}: {error}"[:200], sent)
+    refused = isinstance(error, net_error.ConnectionRefusedError)
+    return Failure(f"{type(error).__name__}: {error}"[:200], sent, refused)
 
 
 def _parse_report(body: bytes) -> interface.Report | Failure:
--- a/azureline/config/schema.py
+++ b/azureline/config/schema.py
@@ -325,9 +325,6 @@
         the KV cache and to adapters.
       queue: requests that may wait in one node.
       retry_budget_ratio: retries sent per request offered, in one node.
-      once_retention_s: seconds for which the outcome of a non-idempotent
-        request is kept.
-      once_slots: owners among which idempotency keys are divided.
     """
 
     store_loads_per_s: Rate
@@ -336,8 +333,6 @@
     cache_reserve_ratio: Ratio
     queue: Queue
     retry_budget_ratio: Ratio
-    once_retention_s: Seconds
-    once_slots: Positive
 
 
 class Policy(NamedTuple):
--- a/azureline/node.py
+++ b/azureline/node.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer
 from twisted.internet import reactor as default_reactor
 from twisted.internet import task
+from twisted.python import log as twisted_log
 
 from azureline import requests
 from azureline.backends import http as backend_http
@@ -39,6 +40,7 @@
 from azureline.serving import once_calls
 from azureline.serving import once_owners
 from azureline.serving import services as services_lib
+from azureline.serving import suspicion
 
 DRAIN_POLL_S = 0.1
 DRAIN_QUIET_S = 0.5
@@ -141,6 +143,7 @@
         self._poller.start()
         self._generations.start()
         self._once.start()
+        self._suspicion.start()
         self._follower.start()
         self._port = self._reactor.listenTCP(
             self._settings.port,
@@ -298,13 +301,12 @@
         chooser = picker.Picker(
             self._settings.name, self._settings.domain, self._rng, breakers
         )
-        self._suspects = suspects.Suspects(self._settings.name, self._rng)
+        self._suspects = suspects.Suspects()
         self._generations = generations_lib.Generations(
             self._reactor,
             self._clock,
-            admission.Admission(chooser, limits.Limits()),
+            admission.Admission(chooser, limits.Limits(), self._rng),
             retries,
-            breakers,
             self._suspects,
             self._directory,
             adapters_lib.Adapters(
@@ -318,6 +320,14 @@
             self._backends,
             self._counters,
         )
+        self._suspicion = suspicion.Suspicion(
+            self._reactor,
+            self._clock,
+            self._neighbours,
+            self._suspects,
+            self._counters,
+        )
+        self._generations.on_suspects(self._suspicion.flush)
         self._services = services_lib.Services(
             self._reactor,
             self._clock,
@@ -340,10 +350,6 @@
             }
         )
         self._directory.configure(config)
-        self._once.configure(
-            config.limits.once_slots, config.limits.once_retention_s
-        )
-        self._once_owners.configure(config.limits.once_retention_s)
         self._room.configure(config)
         self._generations.refresh(list(config.models))
         self._neighbours.announce(config_version=version)
@@ -380,6 +386,7 @@
         self._poller.close()
         self._follower.close()
         self._once.close()
+        self._suspicion.close()
         self._generations.close()
         await self._once_owners.close()
         await self._room.close()
@@ -426,6 +433,8 @@
         signal.signal(signal.SIGINT, on_signal)
         defer.ensureDeferred(node.start()).addErrback(failed)
 
+    # Failures that nothing handles reach the logs through the same door.
+    twisted_log.PythonLoggingObserver().start()
     default_reactor.callWhenRunning(begin)
     default_reactor.run(installSignalHandlers=False)
 
--- a/azureline/serving/engine_room.py
+++ b/azureline/serving/engine_room.py
@@ -21,6 +21,7 @@
 from azureline.fleet import owning as owning_lib
 from azureline.metrics import counters as metrics
 from azureline.nodes import neighbours as neighbours_lib
+from azureline.once import key as key_lib
 from azureline.platform import interface
 
 ENGINE_SLOTS = 256
@@ -281,5 +282,5 @@
 
 def _slot_names(config: schema.Configuration) -> tuple[str, ...]:
     names = {slot_of(engine) for engine in config.model_engines}
-    names |= {f"once/{i}" for i in range(config.limits.once_slots)}
+    names |= {f"once/{i}" for i in range(key_lib.SLOTS)}
     return tuple(sorted(names))
--- a/azureline/serving/generation.py
+++ b/azureline/serving/generation.py
@@ -10,8 +10,8 @@
 from azureline.backends import http
 from azureline.core import clock as clocks
 from azureline.core import errors
+from azureline.routing import loads
 from azureline.routing import outcome
-from azureline.routing import picker
 from azureline.routing import retry
 from azureline.routing import stream
 
@@ -49,7 +49,7 @@
     """
 
     sample: outcome.Sample
-    hint: picker.LoadHint | None
+    hint: loads.LoadHint | None
     reason: retry.Reason | None
     refusal: errors.Refusal | None
 
@@ -63,6 +63,9 @@
     def caller_left(self, gen: "Generation") -> None:
         """Learns that a caller left before its call was sent."""
 
+    def engine_gone(self, engine: str) -> None:
+        """Learns that no process listens where an engine was."""
+
 
 class Generation:
     """Runs the attempts of one call, one at a time."""
@@ -93,6 +96,7 @@
         self.attempt = 0
         self.engine = ""
         self.tried: list[str] = []
+        self.pinned = ""
         self._owner = owner
         self._messages = messages
         self._backends = backends
@@ -105,7 +109,7 @@
         self._first_at: float | None = None
         self._last_at = 0.0
         self._tokens = 0
-        self._hint: picker.LoadHint | None = None
+        self._hint: loads.LoadHint | None = None
         self._transport: Any = None
         answer.watch(self)
 
@@ -191,7 +195,10 @@
             return
         now = self._clock.now()
         if isinstance(opened, http.Failure):
-            self._act(relay.closed(now, wanted.attempt))
+            if opened.refused:
+                self._owner.engine_gone(self.engine)
+            if relay is self._relay:
+                self._act(relay.closed(now, wanted.attempt))
         elif opened.status != 200:
             self._act(relay.engine_lost(now))
         else:
@@ -200,7 +207,7 @@
     def _connected(
         self, relay: stream.StreamRelay, attempt: int, opened: http.Stream
     ) -> None:
-        self._hint = picker.parse_load(opened.load) or self._hint
+        self._hint = loads.parse_load(opened.load) or self._hint
         outputs = relay.opened(self._clock.now(), attempt, opened.request_id)
         self._backends.deliver(opened, _Sink(self, relay, attempt))
         self._act(outputs)
--- a/azureline/serving/generations.py
+++ b/azureline/serving/generations.py
@@ -1,5 +1,6 @@
 """All generations of one node: admission, retries and suspicion together."""
 
+from collections.abc import Callable
 from typing import Any
 
 from absl import logging
@@ -12,7 +13,7 @@
 from azureline.fleet import directory as directories
 from azureline.metrics import counters as metrics
 from azureline.routing import admission as admission_lib
-from azureline.routing import breaker
+from azureline.routing import loads
 from azureline.routing import outcome as outcomes
 from azureline.routing import picker
 from azureline.routing import retry
@@ -22,6 +23,7 @@
 from azureline.serving import generation
 
 TICK_S = 0.05
+LANE_RETRY_S = 0.2
 
 
 class Generations:
@@ -33,7 +35,6 @@
         clock: clocks.Clock,
         admission: admission_lib.Admission,
         retries: retry.Retries,
-        breakers: breaker.Breakers,
         suspects: suspects_lib.Suspects,
         directory: directories.Directory,
         adapters: adapters_lib.Adapters,
@@ -48,7 +49,6 @@
           clock: source of time.
           admission: decides when each call is sent, and where.
           retries: decides on failed attempts.
-          breakers: learns which engines fail.
           suspects: knows the requests that crash engines.
           directory: says where engines are.
           adapters: has adapters loaded before calls are sent.
@@ -60,7 +60,6 @@
         self._clock = clock
         self._admission = admission
         self._retries = retries
-        self._breakers = breakers
         self._suspects = suspects
         self._directory = directory
         self._adapters = adapters
@@ -68,6 +67,8 @@
         self._counters = counters
         self._settings = settings
         self._active: dict[str, generation.Generation] = {}
+        self._ended_runs: dict[str, str] = {}
+        self._on_suspects: Callable[[], None] = lambda: None
         self._ticker = task.LoopingCall(self._on_tick)
         self._ticker.clock = reactor
 
@@ -76,6 +77,10 @@
         """The number of generations that have no final answer yet."""
         return len(self._active)
 
+    def on_suspects(self, handler: Callable[[], None]) -> None:
+        """Has `handler` called when there are new suspects."""
+        self._on_suspects = handler
+
     def start(self) -> None:
         """Starts the timer."""
         self._ticker.start(TICK_S, now=False)
@@ -107,14 +112,24 @@
 
     def engine_restarted(self, engine: str, incarnation: str) -> None:
         """Learns that the run of an engine with this incarnation has died."""
-        crash = suspects_lib.Crash(engine, incarnation)
-        now, wall = self._clock.now(), self._clock.wall()
-        self._suspects.crashed(now, wall, crash)
+        if self._ended_runs.get(engine) == incarnation:
+            return
+        self._ended_runs[engine] = incarnation
+        self._suspects.crashed(self._clock.wall(), engine, incarnation)
         self._counters.count("engines.crashed")
+        self._on_suspects()
         for gen in list(self._active.values()):
             if gen.engine == engine:
                 gen.engine_lost()
 
+    def engine_gone(self, engine: str) -> None:
+        """Learns that no process listens where an engine was."""
+        incarnation = self._directory.incarnation(engine)
+        logging.warning(
+            "event=engine_gone engine=%s incarnation=%s", engine, incarnation
+        )
+        self.engine_restarted(engine, incarnation)
+
     def refresh(self, models: list[str]) -> None:
         """Takes over the directory's present replicas of these models."""
         for model in models:
@@ -124,27 +139,21 @@
         self._pump()
 
     def attempt_ended(
-        self, gen: generation.Generation, outcome: generation.Outcome
+        self, gen: generation.Generation, ended: generation.Ended
     ) -> None:
         """Ends a call, or sends it again."""
-        now, wall = self._clock.now(), self._clock.wall()
-        call = gen.call
-        whole = outcome.sample.ok
-        self._admission.done(now, call.request_id, outcome.sample, outcome.hint)
-        self._suspects.finished(now, wall, gen.engine, call, whole)
-        if whole:
-            self._breakers.succeeded(now, gen.engine)
-            self._finish(gen, outcome)
-        elif outcome.refusal is not None:
-            self._refuse(gen, outcome.refusal)
+        self._release(gen.call, gen.engine, ended.sample, ended.hint)
+        if ended.sample.outcome is outcomes.Outcome.WHOLE:
+            self._finish(gen, ended.sample)
+        elif ended.refusal is not None:
+            self._refuse(gen, ended.refusal)
         else:
-            self._failed(gen, outcome.reason)
+            self._failed(gen, ended.reason)
         self._pump()
 
     def caller_left(self, gen: generation.Generation) -> None:
         """Drops a call that waits."""
-        now = self._clock.now()
-        self._admission.cancel(now, gen.call.request_id)
+        self._admission.cancel(gen.call.request_id)
         self._counters.count("refused.caller_gone")
         self._active.pop(gen.call.request_id, None)
 
@@ -152,14 +161,22 @@
         """Offers a call to admission unless it is gone or suspected."""
         if gen.call.request_id not in self._active:
             return
-        now, wall = self._clock.now(), self._clock.wall()
-        match self._suspects.check(now, wall, gen.call):
+        wall = self._clock.wall()
+        candidates = self._directory.candidates(gen.call.model)
+        replicas = [c.engine for c in candidates]
+        usable = [
+            c.engine for c in candidates if c.state is picker.State.SERVING
+        ]
+        gen.pinned = ""
+        match self._suspects.check(wall, gen.call, replicas, usable):
             case suspects_lib.Clear():
                 self._offer(gen, tuple(gen.tried))
-            case suspects_lib.Quarantine(avoid):
-                self._offer(gen, (*gen.tried, *avoid))
+            case suspects_lib.Quarantine(server):
+                gen.pinned = server
+                self._offer(gen, tuple(r for r in replicas if r != server))
             case suspects_lib.Wait(until):
-                self._later(until, gen)
+                self._counters.count("suspects.held")
+                self._later(self._clock.now() + until - wall, gen)
             case errors.Refusal() as refusal:
                 self._refuse(gen, refusal)
 
@@ -176,34 +193,40 @@
                 self._refuse(gen, refusal)
 
     def _send(self, gen: generation.Generation, engine: str) -> None:
-        now = self._clock.now()
+        if gen.pinned not in ("", engine):
+            self._give_back(gen, engine)
+            self._later(self._clock.now() + LANE_RETRY_S, gen)
+            return
         if gen.attempt == 0:
             self._retries.sent_first()
-        self._suspects.started(now, engine, gen.call)
-        self._breakers.started(now, engine)
+        self._suspects.started(engine, gen.call)
         url = self._directory.url(engine)
 
         def loaded(ready: bool) -> None:
             if gen.call.request_id in self._active:
                 gen.send(engine, url if ready else "")
                 return
-            left = outcomes.Sample(outcomes.Outcome.CANCELLED, 0.0)
-            self._release(gen.call, engine, left, None)
+            self._give_back(gen, engine)
 
         self._adapters.ensure(engine, gen.call.adapter, loaded)
 
+    def _give_back(self, gen: generation.Generation, engine: str) -> None:
+        """Gives up a place at an engine to which nothing was sent."""
+        unused = outcomes.Sample(outcomes.Outcome.CANCELLED, 0.0)
+        self._release(gen.call, engine, unused, None)
+
     def _release(
         self,
         call: requests.ModelCall,
         engine: str,
         sample: outcomes.Sample,
-        hint: picker.LoadHint | None,
+        hint: loads.LoadHint | None,
     ) -> None:
         """Tells the decisions that a call is no longer at an engine."""
         now, wall = self._clock.now(), self._clock.wall()
         whole = sample.outcome is outcomes.Outcome.WHOLE
         self._admission.done(now, call.request_id, sample, hint)
-        self._suspects.finished(now, wall, engine, call, whole)
+        self._suspects.finished(wall, engine, call, whole)
 
     def _failed(
         self, gen: generation.Generation, reason: retry.Reason | None
@@ -212,10 +235,6 @@
         reason = reason or retry.Reason.STREAM_GONE
         if gen.call.adapter:
             self._adapters.forget(gen.engine, gen.call.adapter)
-        if reason is not retry.Reason.BUSY and self._breakers.failed(
-            now, gen.engine
-        ):
-            self._counters.count("breakers.opened")
         decided = self._retries.decide(
             now, gen.call.deadline, gen.attempt, reason
         )
@@ -268,7 +287,7 @@
         now = self._clock.now()
         for gen in list(self._active.values()):
             gen.tick(now)
-        wake_at = self._admission.wake_at()
+        wake_at = self._admission.wake_at(now)
         if wake_at is not None and now >= wake_at:
             self._pump()
 
--- a/azureline/serving/once_calls.py
+++ b/azureline/serving/once_calls.py
@@ -39,6 +39,7 @@
     call: entry.Call
     sent: site.ServiceRequest
     done: defer.Deferred
+    replayed: list[bool]
 
 
 class OnceCalls:
@@ -72,8 +73,6 @@
         self._holder = holder
         self._services = services
         self._counters = counters
-        self._slots = key_lib.SLOTS
-        self._retention_s = key_lib.RETENTION_S
         self._pending: dict[str, _Pending] = {}
         self._ticker = task.LoopingCall(self._on_tick)
         self._ticker.clock = reactor
@@ -85,11 +84,6 @@
         """The number of calls that the owner or the caller still waits for."""
         return len(self._pending)
 
-    def configure(self, slots: int, retention_s: float) -> None:
-        """Takes the number of slots and the retention of keys in seconds."""
-        self._slots = slots
-        self._retention_s = retention_s
-
     def start(self) -> None:
         """Starts the timer."""
         self._ticker.start(TICK_S, now=False)
@@ -104,13 +98,11 @@
     ) -> site.ServiceAnswer | errors.Refusal:
         """Carries out a call at most once for its key."""
         now = self._clock.now()
-        key = key_lib.parse(
-            sent.call.key, self._clock.wall(), self._retention_s
-        )
+        key = key_lib.parse(sent.call.key, self._clock.wall())
         if isinstance(key, errors.Refusal):
             return key
         claim = messages.Claim(
-            slot=key_lib.slot(sent.call.caller, key.text, self._slots),
+            slot=key_lib.slot(sent.call.caller, key.text),
             caller=sent.call.caller,
             key=key.text,
             content=sent.call.content,
@@ -120,7 +112,7 @@
         )
         call = entry.Call(claim, now, self._rng)
         done: defer.Deferred = defer.Deferred()
-        pending = _Pending(call, sent, done)
+        pending = _Pending(call, sent, done, [])
         self._pending[claim.request_id] = pending
         self._counters.count("requests.once")
         self._act(pending, call.start(now))
@@ -130,6 +122,8 @@
         pending = self._pending.get(message.request_id)
         if pending is None:
             return
+        if isinstance(message, messages.Replay):
+            pending.replayed.append(True)
         now = self._clock.now()
         self._act(pending, pending.call.reply(now, message))
 
@@ -195,5 +189,10 @@
         self._counters.count("answered.once")
         content_type = dict(result.headers).get(_CONTENT_TYPE, "")
         pending.done.callback(
-            site.ServiceAnswer(result.status, content_type, result.body)
+            site.ServiceAnswer(
+                result.status,
+                content_type,
+                result.body,
+                bool(pending.replayed),
+            )
         )
