--- a/azureline/config/check.py
+++ b/azureline/config/check.py
@@ -70,6 +70,14 @@
     return structure.typed(schema.Configuration, completed, strict=False)
 
 
+def check_document(document: dict[str, Any]) -> problems.Invalid | None:
+    """Returns what is wrong with a whole document, or None."""
+    configuration = _typed(document)
+    if isinstance(configuration, problems.Invalid):
+        return configuration
+    return None
+
+
 def cross_references(
     configuration: schema.Configuration,
 ) -> list[problems.Problem]:
@@ -115,20 +123,10 @@
 
 
 def _check_merged(merged: overlay.Merged) -> Checked | problems.Invalid:
-    found = defaults.missing(merged.document)
-    if found:
-        return _located(merged, found)
-    configuration = structure.typed(schema.Configuration, merged.document)
+    configuration = _typed(merged.document)
     if isinstance(configuration, problems.Invalid):
-        return _located(merged, configuration.problems)
-    found = cross_references(configuration)
-    if found:
-        return _located(merged, [_blame(merged, p) for p in found])
-    capacities = feasibility.capacities_of(configuration)
-    packing = feasibility.pack(configuration.models, capacities)
-    if isinstance(packing, feasibility.Infeasible):
-        message = f"this configuration cannot be served: {packing.reason}"
-        return _located(merged, [problems.Problem(message, ("engines",))])
+        found = [_blame(merged, p) for p in configuration.problems]
+        return _located(merged, found)
     warnings = [
         problems.Problem(sentence, ("engines",))
         for sentence in feasibility.lost_groups(configuration)
@@ -138,13 +136,37 @@
     return Checked(document, configuration, merged.warnings + located)
 
 
+def _typed(
+    document: dict[str, Any],
+) -> schema.Configuration | problems.Invalid:
+    """Returns the typed form of a document that can be served."""
+    found = defaults.missing(document)
+    if found:
+        return problems.Invalid(tuple(found))
+    configuration = structure.typed(schema.Configuration, document)
+    if isinstance(configuration, problems.Invalid):
+        return configuration
+    found = cross_references(configuration) or _unservable(configuration)
+    return problems.Invalid(tuple(found)) if found else configuration
+
+
+def _unservable(configuration: schema.Configuration) -> list[problems.Problem]:
+    capacities = feasibility.capacities_of(configuration)
+    packing = feasibility.pack(configuration.models, capacities)
+    if not isinstance(packing, feasibility.Infeasible):
+        return []
+    message = f"this configuration cannot be served: {packing.reason}"
+    return [problems.Problem(message, ("engines",))]
+
+
 def _blame(
     merged: overlay.Merged, problem: problems.Problem
 ) -> problems.Problem:
     """Names the removal that took away what the problem's value refers to."""
     value: Any = merged.document
     for key in problem.path:
-        value = value[key]
+        inner = isinstance(value, list) or key in value
+        value = value[key] if inner else None
     for (_, name), place in merged.removed.items():
         if name == value:
             message = f"needs {name!r}, which {place.file}:{place.line} removes"
--- a/azureline/config/defaults.py
+++ b/azureline/config/defaults.py
@@ -1,20 +1,19 @@
 """Fills the shipped defaults into documents."""
 
 import functools
-import pathlib
 from typing import Any
 
 from azureline.config import jsonc
 from azureline.config import problems
 
-_FILE = pathlib.Path(__file__).with_name("defaults.json")
+_FILE = "defaults.json"
 _EACH = "*"
 
 
 @functools.cache
 def load() -> dict[str, Any]:
     """Returns the shipped defaults; the caller must not change them."""
-    return jsonc.load(str(_FILE)).value
+    return jsonc.load_shipped(_FILE).value
 
 
 def complete(
--- a/azureline/config/jsonc.py
+++ b/azureline/config/jsonc.py
@@ -1,6 +1,7 @@
 """Reads JSON with comments and remembers the line of every value."""
 
 import functools
+from importlib import resources
 import json
 import math
 import pathlib
@@ -12,7 +13,8 @@
 from azureline.config import problems
 
 MAX_DEPTH = 32
-_GRAMMAR = pathlib.Path(__file__).with_name("jsonc.lark")
+_PACKAGE = "azureline.config"
+_GRAMMAR = "jsonc.lark"
 _CONSTANTS = {"TRUE": True, "FALSE": False, "NULL": None}
 
 
@@ -54,6 +56,11 @@
     return parse(text, path)
 
 
+def load_shipped(name: str) -> Source:
+    """Reads a file of this package, which may be packed in an archive."""
+    return parse(_shipped(name), name)
+
+
 def parse(text: str, file: str = "") -> Source | problems.Invalid:
     """Parses JSON with `//` and `/* */` comments and trailing commas.
 
@@ -126,10 +133,14 @@
 
 @functools.cache
 def _parser() -> lark.Lark:
-    grammar = _GRAMMAR.read_text(encoding="utf-8")
+    grammar = _shipped(_GRAMMAR)
     return lark.Lark(grammar, parser="lalr", propagate_positions=True)
 
 
+def _shipped(name: str) -> str:
+    return resources.files(_PACKAGE).joinpath(name).read_text("utf-8")
+
+
 def _syntax_message(error: lark.exceptions.UnexpectedInput, text: str) -> str:
     if isinstance(error, lark.exceptions.UnexpectedToken):
         if error.token.type == "$END":
--- a/azureline/config/overlay.py
+++ b/azureline/config/overlay.py
@@ -87,6 +87,7 @@
     def __init__(self, base: jsonc.Source, overlay: jsonc.Source):
         self.found: list[problems.Problem] = []
         self.warnings: list[problems.Problem] = []
+        self._base_paths = frozenset(base.lines)
         self.places = {
             path: Place(base.file, line) for path, line in base.lines.items()
         }
@@ -100,9 +101,9 @@
         if not isinstance(change, dict):
             self._report("expected an object", path)
             return base
-        if path and len(path) == 1 and path[0] in schema.NAMED_SECTIONS:
-            return self._merge_section(base, change, path)
         self._note(path, path)
+        if len(path) == 1 and path[0] in schema.NAMED_SECTIONS:
+            return self._merge_section(base, change, path)
         return self._merge_keys(base, change, path, "option")
 
     def _merge_keys(
@@ -176,7 +177,8 @@
         return filled[section][path[-1]]
 
     def _replace(self, base: Any, change: Any, path: problems.Path) -> Any:
-        if change == base and type(change) is type(base):
+        stated = path in self._base_paths
+        if stated and change == base and type(change) is type(base):
             message = "the overlay restates the base's value"
             self.warnings.append(problems.Problem(message, path))
         for written in self._overlay.lines:
--- /dev/null
+++ b/azureline/ui/client.py
@@ -0,0 +1,82 @@
+"""Reads a node's operators' interface."""
+
+import json
+from typing import Any
+from typing import NamedTuple
+
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.web import client
+
+from azureline.config import rollout
+
+POLL_S = 0.25
+STATUS_PATH = "/operators/status"
+
+
+class NoAnswer(NamedTuple):
+    """Falsy sentinel: the node gave no usable answer.
+
+    Attributes:
+      reason: what went wrong.
+    """
+
+    reason: str
+
+    def __bool__(self) -> bool:
+        return False
+
+
+async def read_status(
+    reactor: Any, node: str, timeout_s: float
+) -> dict[str, Any] | NoAnswer:
+    """Reads the status document of a node.
+
+    Args:
+      reactor: the reactor.
+      node: "HOST:PORT" of its HTTP interface, or the URL of its root.
+      timeout_s: seconds that the call may take.
+    """
+    root = node if "://" in node else f"http://{node}"
+    agent = client.Agent(reactor, connectTimeout=timeout_s)
+    url = root.rstrip("/") + STATUS_PATH
+    asked = agent.request(b"GET", url.encode())
+    asked.addCallback(_read)
+    asked.addTimeout(timeout_s, reactor)
+    try:
+        code, body = await asked
+        if code != 200:
+            return NoAnswer(f"{url} answered with status {code}")
+        return json.loads(body)
+    except (ValueError, defer.TimeoutError) as e:
+        return NoAnswer(f"{url} gave no usable answer: {e}")
+    except Exception as e:  # Whatever it is, there is no status.
+        return NoAnswer(f"{url} gave no answer: {type(e).__name__}: {e}")
+
+
+async def follow(
+    reactor: Any, node: str, accepted: int, timeout_s: float, wait_s: float
+) -> tuple[list[dict[str, Any]], rollout.Rollout] | NoAnswer:
+    """Reads which version is in force until it is the newest everywhere.
+
+    Args:
+      reactor: the reactor.
+      node: see `read_status`.
+      accepted: the version that the platform's service holds, or 0.
+      timeout_s: seconds that one call may take.
+      wait_s: seconds after which it is told as it is.
+    """
+    give_up_at = reactor.seconds() + wait_s
+    while True:
+        document = await read_status(reactor, node, timeout_s)
+        if isinstance(document, NoAnswer):
+            return document
+        found = rollout.summarize(document["nodes"], accepted)
+        if found.complete or reactor.seconds() >= give_up_at:
+            return document["nodes"], found
+        await task.deferLater(reactor, POLL_S, lambda: None)
+
+
+def _read(response: Any) -> defer.Deferred[tuple[int, bytes]]:
+    reading = client.readBody(response)
+    return reading.addCallback(lambda body: (response.code, body))
--- /dev/null
+++ b/azureline/ui/render.py
@@ -0,0 +1,184 @@
+"""Turns results into text for operators."""
+
+import json
+from typing import Any
+
+from azureline.config import delta
+from azureline.config import problems
+from azureline.config import rollout
+from azureline.config import store
+from azureline.config import version
+
+_MAX_VALUE_CHARS = 60
+_ENGINE_HEADER = (
+    "ENGINE",
+    "DOMAIN",
+    "OWNER",
+    "STATE",
+    "MEMORY",
+    "RUNNING",
+    "MODELS",
+)
+_GIB = 2**30
+
+
+def table(header: tuple[str, ...], rows: list[tuple[Any, ...]]) -> str:
+    """Returns rows under a header, in columns."""
+    cells = [header, *[tuple(str(cell) for cell in row) for row in rows]]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(header))]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in cells
+    )
+
+
+def edits(old: delta.Document, change: delta.Edits) -> str:
+    """Returns one line per changed path."""
+    lines = [f"- {problems.path_text(path)}" for path in change.removed]
+    for path, value in change.settings:
+        before = delta.get(old, path)
+        name = problems.path_text(path)
+        if before is None:
+            lines.append(f"+ {name} = {_short(value)}")
+        else:
+            lines.append(f"~ {name}: {_short(before)} -> {_short(value)}")
+    return "\n".join(lines)
+
+
+def heading(accepted: version.Accepted | None) -> str:
+    """Returns a line that says what is accepted."""
+    if accepted is None:
+        return "no configuration is accepted yet"
+    return (
+        f"version {accepted.version} by {accepted.author}, "
+        f"sha256 {accepted.digest[:12]}"
+    )
+
+
+def history(accepted: version.Accepted) -> str:
+    """Returns a table of the versions that are still known."""
+    rows = [(accepted.version, accepted.author, accepted.identity)]
+    rows += [
+        (past.version, past.author, past.identity) for past in accepted.history
+    ]
+    return table(("VERSION", "AUTHOR", "IDENTITY"), rows)
+
+
+def conflict(found: store.Conflict) -> str:
+    """Returns what stands in the way of a change, and what to do."""
+    if found.current is None:
+        return "conflict: the platform's service holds no configuration"
+    lines = [f"conflict: accepted is {heading(found.current)}"]
+    if found.since is None:
+        lines.append(f"what changed since version {found.expected} is unknown")
+    else:
+        before = found.current.document_at(found.expected) or {}
+        lines.append(f"changed since version {found.expected}:")
+        lines.append(edits(before, found.since))
+    if found.clashing:
+        lines.append("your files change these paths too:")
+        lines += [f"  {problems.path_text(path)}" for path in found.clashing]
+    lines.append(
+        "nothing was written; take the changes into your files and use "
+        f"--expect {found.current.version}"
+    )
+    if found.since is not None and not found.clashing:
+        lines.append(
+            f"or keep your files and use --expect {found.expected} --rebase"
+        )
+    return "\n".join(lines)
+
+
+def rolled_out(nodes: list[dict[str, Any]], found: rollout.Rollout) -> str:
+    """Returns a table of the VMs and their versions, and a summary."""
+    rows = [
+        (
+            node["name"],
+            node["domain"],
+            node["state"],
+            node["config_version"] or "none",
+            "" if node["name"] in found.in_force else "BEHIND",
+        )
+        for node in nodes
+        if node["name"] not in found.gone
+    ]
+    rows += [
+        (node["name"], node["domain"], node["state"], "?", "")
+        for node in nodes
+        if node["name"] in found.gone
+    ]
+    live = len(found.in_force) + len(found.behind)
+    return (
+        table(("VM", "DOMAIN", "STATE", "VERSION", ""), rows)
+        + f"\nversion {found.newest} is in force on {len(found.in_force)} "
+        + f"of {live} live VMs"
+    )
+
+
+def status(document: dict[str, Any]) -> str:
+    """Returns a node's status document as tables."""
+    parts = [f"configuration: version {document['config_version'] or 'none'}"]
+    if document.get("unreachable_domains"):
+        names = ", ".join(document["unreachable_domains"])
+        parts.append(f"unreachable failure domains: {names}")
+    parts.append(_nodes(document["nodes"]))
+    parts.append(_engines(document["engines"]))
+    models = sorted(document["models"].items())
+    parts.append(table(("MODEL", "REPLICAS"), models))
+    for title in ("refusals", "retries", "moves"):
+        counts = sorted(document.get(title, {}).items())
+        if counts:
+            parts.append(table((title.upper(), "COUNT"), counts))
+    return "\n\n".join(parts)
+
+
+def _nodes(nodes: list[dict[str, Any]]) -> str:
+    rows = [
+        (n["name"], n["domain"], n["state"], n["config_version"], n["age_s"])
+        for n in nodes
+    ]
+    return table(("NODE", "DOMAIN", "STATE", "CONFIG", "SECONDS"), rows)
+
+
+def _engines(engines: list[dict[str, Any]]) -> str:
+    rows = []
+    for engine in engines:
+        used = engine["memory_used"] / _GIB
+        memory = f"{used:.1f}/{engine['memory_bytes'] / _GIB:.1f} GiB"
+        models = " ".join(_model(model) for model in engine["models"])
+        state = engine.get("state", "")
+        rows.append(
+            (
+                engine["name"],
+                engine["domain"],
+                engine["owner"] or "none",
+                state,
+                memory,
+                engine["running"],
+                models,
+            )
+        )
+    header = (
+        "ENGINE",
+        "DOMAIN",
+        "OWNER",
+        "STATE",
+        "MEMORY",
+        "RUNNING",
+        "MODELS",
+    )
+    return table(header, rows)
+
+
+def _model(model: dict[str, Any]) -> str:
+    text = f"{model['name']}@{model['version']}"
+    return text if model["state"] == "ready" else f"{text}({model['state']})"
+
+
+def _short(value: Any) -> str:
+    text = json.dumps(value, sort_keys=True)
+    if len(text) > _MAX_VALUE_CHARS:
+        return text[: _MAX_VALUE_CHARS - 3] + "..."
+    return text
--- a/tests/builders_config.py
+++ b/tests/builders_config.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 from twisted.internet import defer
+from twisted.internet import task
+from twisted.python import failure
 
 from azureline.config import defaults
 from azureline.config import schema
@@ -124,3 +126,52 @@
     def _fault(self) -> str | None:
         self.calls += 1
         return self.faults.pop(0) if self.faults else None
+
+
+def run_on_clock(work: Callable[[Any], Any]) -> Any:
+    """Runs a coroutine as `command.run` does, on a clock that jumps."""
+    clock = task.Clock()
+    working = defer.ensureDeferred(work(clock))
+    for _ in range(1000):
+        if working.called:
+            break
+        clock.advance(0.25)
+    results: list[Any] = []
+    working.addBoth(results.append)
+    if isinstance(results[0], failure.Failure):
+        results[0].raiseException()
+    return results[0]
+
+
+def status(**versions: int) -> dict[str, Any]:
+    """Returns a status document of nodes with versions in force."""
+    nodes = [
+        {
+            "name": name,
+            "domain": "a",
+            "state": "alive",
+            "config_version": number,
+            "age_s": 1.0,
+        }
+        for name, number in versions.items()
+    ]
+    engine = {
+        "name": "engine-1",
+        "domain": "a",
+        "owner": "n1",
+        "state": "serving",
+        "models": [
+            {"name": "small", "version": "1", "state": "ready"},
+            {"name": "large", "version": "2", "state": "loading"},
+        ],
+        "memory_used": 3 * 2**29,
+        "memory_bytes": 4 * GIB,
+        "running": 7,
+    }
+    return {
+        "config_version": max(versions.values()),
+        "nodes": nodes,
+        "engines": [engine],
+        "models": {"small": 1, "large": 0},
+        "refusals": {"overloaded": 3},
+    }
