Rise above an epoch found in a log, and send claims on when a runner stops

Cause: a lost or restored ownership record would give every new owner an epoch below the log's, so that its seal fails for ever; a runner that stops left its waiting claims without a reply until they were resent. Ruled out: taking the epoch from the log itself (two sources of epochs). Change: Ownership.outbid, Runner.deposed_by, Owner.abandon; the runner takes limits.

--- a/azureline/fleet/ownership.py
+++ b/azureline/fleet/ownership.py
@@ -176,6 +176,7 @@
       lease_until: when to stop acting.
       acquired_at: when this node took the slot.
       waited: whether the last holder has lapsed, not released.
+      least_epoch: the lowest epoch under which to take the slot.
     """
 
     record: Record | None = None
@@ -192,6 +193,7 @@
     lease_until: float = -_NEVER
     acquired_at: float = 0.0
     waited: bool = True
+    least_epoch: int = 1
 
 
 class Ownership:
@@ -326,6 +328,28 @@
             return self._written(now, name, slot, attempt, started)
         return self._overtaken(now, name, slot, current)
 
+    def outbid(self, now: float, name: str, epoch: int) -> list[Effect]:
+        """Gives up a slot and takes it again above an epoch seen elsewhere.
+
+        To be called when what the slot protects has been found sealed by a
+        higher epoch than this node's, though the record is still this node's:
+        the record has been lost or restored.
+
+        Args:
+          now: monotonic time in seconds.
+          name: name of the slot.
+          epoch: the epoch that was found.
+        """
+        slot = self._slots[name]
+        slot.least_epoch = max(slot.least_epoch, epoch + 1)
+        if slot.mode is not _Mode.HOLDING or slot.record.epoch > epoch:
+            return []
+        slot.lease_until = -_NEVER
+        if slot.attempt is None:
+            slot.mode = _Mode.IDLE
+            slot.next_at = now
+        return [Lost(name), *self.tick(now)]
+
     def release(self, now: float) -> list[Effect]:
         """Stops acting and gives up all slots, for a graceful shutdown."""
         self._leaving = True
@@ -388,7 +412,8 @@
         if fresh and now >= takeable_at:
             slot.mode = _Mode.TAKING
             slot.waited = bool(slot.record and slot.record.holder)
-            epoch = slot.hinted.epoch + 1 if slot.hinted else 1
+            known = slot.hinted.epoch if slot.hinted else 0
+            epoch = max(known + 1, slot.least_epoch)
             return self._propose(now, name, slot, self._node, epoch)
         if read:
             slot.next_at = min(takeable_at, now + self._jittered(POLL_S))
@@ -397,8 +422,11 @@
         return [Read(name)]
 
     def _takeable_at(self, slot: _Slot) -> float:
+        record = slot.record
         delay = slot.rank * RANK_DELAY_S
-        if slot.record is not None and slot.record.holder:
+        if record is not None and record.holder:
+            if record.identity == self._identity:
+                return slot.changed_at
             delay += LEASE_S + MARGIN_S
         return slot.changed_at + delay
 
@@ -434,6 +462,10 @@
             slot.next_at = _NEVER
             return [Lost(name), HolderSeen(name, record)]
         found: list[Effect] = []
+        if record.epoch < slot.least_epoch:
+            slot.mode = _Mode.IDLE
+            slot.next_at = now
+            return self._act(now, name, slot)
         taken = slot.mode is _Mode.TAKING
         slot.mode = _Mode.HOLDING
         if self._leaving:
--- a/azureline/once/owner.py
+++ b/azureline/once/owner.py
@@ -105,6 +105,14 @@
             found += self._book.drain() + self._flush(now)
         return found
 
+    def abandon(self) -> list[effects.Effect]:
+        """Sends all waiting claims away; the owner does nothing more."""
+        self._deposed = True
+        found = self._send_early_away()
+        if self._book is not None:
+            found += self._book.dismiss()
+        return found
+
     def lease(self, until: float) -> None:
         """Learns until when no other node can own the slot."""
         self._lease_until = until
@@ -301,11 +309,7 @@
         """Ends the owner if a successor has been seen."""
         if not any(isinstance(e, effects.Deposed) for e in found):
             return found
-        self._deposed = True
-        found += self._send_early_away()
-        if self._book is not None:
-            found += self._book.dismiss()
-        return found
+        return found + self.abandon()
 
     def _send_early_away(self) -> list[effects.Effect]:
         early = self._early
--- a/azureline/once/runner.py
+++ b/azureline/once/runner.py
@@ -6,9 +6,11 @@
 from typing import NamedTuple
 
 from absl import logging
+from twisted.internet import defer
 
 from azureline.core import clock as clock_lib
 from azureline.core import task
+from azureline.once import book
 from azureline.once import effects
 from azureline.once import messages
 from azureline.once import owner as owner_lib
@@ -59,6 +61,10 @@
     pass
 
 
+class _Abandon(NamedTuple):
+    pass
+
+
 class _Tick(NamedTuple):
     pass
 
@@ -78,6 +84,7 @@
         clock: clock_lib.Clock,
         reactor: Any,
         rng: random.Random,
+        limits: book.Limits | None = None,
     ):
         """Creates the task; `start` begins the takeover of the slot.
 
@@ -92,6 +99,7 @@
           clock: the node's clocks.
           reactor: Twisted's reactor, for timers.
           rng: source of jitter.
+          limits: retention and bounds on memory.
         """
         super().__init__(f"once/{slot}")
         self._slot = slot
@@ -103,9 +111,10 @@
         self._reactor = reactor
         self._timer: Any = None
         self._stopped = False
+        self._deposed_by = 0
         self._on_drained: Callable[[int], None] | None = None
         self._owner = owner_lib.Owner(
-            slot, epoch, writer, clock.now(), clock.wall(), rng
+            slot, epoch, writer, clock.now(), clock.wall(), rng, limits
         )
 
     @property
@@ -113,6 +122,16 @@
         """Whether the slot is sealed and loaded."""
         return self._owner.active
 
+    @property
+    def deposed_by(self) -> int:
+        """Epoch of the owner that was found in the log, or 0."""
+        return self._deposed_by
+
+    def stop(self) -> defer.Deferred[None]:
+        """Sends waiting claims to the next owner, then ends the task."""
+        self.post(_Abandon())
+        return super().stop()
+
     def start(self) -> None:
         """Starts reading the mailbox and takes the slot over."""
         self.stack.callback(self._close)
@@ -143,6 +162,8 @@
             case Drain(on_drained):
                 self._on_drained = on_drained
                 return owner.drain(now)
+            case _Abandon():
+                return owner.abandon()
             case _Start():
                 return owner.start(now)
             case _Tick():
@@ -167,6 +188,7 @@
                     "task=%s event=deposed by_epoch=%d", self.name, epoch
                 )
                 self._count("once.deposed")
+                self._deposed_by = epoch
                 self._on_deposed(self._slot)
 
     def _post_read(self, result: Any, key: str) -> None:
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -218,6 +218,21 @@
     assert {name: fleet.holders(name) for name in names} == before
 
 
+def test_a_holder_rises_above_an_epoch_found_elsewhere():
+    fleet = Fleet(6, 4, ["once/0"])
+    fleet.run(20.0)
+    (name,) = fleet.holders("once/0")
+    node = fleet.nodes[name]
+    node.step(node.state.outbid, "once/0", 57)
+    fleet.run(1.0)
+    assert fleet.holders("once/0") == [name]
+    assert node.state.epoch("once/0") == 58
+    assert node.events[-3:-1] == [
+        ownership.Acquired("once/0", 58),
+        ownership.HolderSeen("once/0", fleet.record("once/0")),
+    ]
+
+
 @pytest.mark.parametrize(
     ("nodes", "slots", "bound"), [(8, 8, 6.0), (360, 64, 50.0)]
 )
@@ -305,9 +320,21 @@
             assert len(self.fleet.holders("planner")) <= 1
 
 
+class OutbidMachine(OwnershipMachine):
+    """Adds holders that rise above epochs found elsewhere."""
+
+    @stateful.rule(index=st.integers(0, 2), above=st.integers(0, 5))
+    def outbid(self, index, above):
+        node = list(self.fleet.nodes.values())[index]
+        epoch = node.state.epoch("planner") + above
+        node.step(node.state.outbid, "planner", epoch)
+
+
 SETTINGS = settings(max_examples=150, stateful_step_count=40)
 OwnershipMachine.TestCase.settings = SETTINGS
 TestOwnership = OwnershipMachine.TestCase
+OutbidMachine.TestCase.settings = SETTINGS
+TestOutbid = OutbidMachine.TestCase
 
 
 @pytest.mark.parametrize(
