--- a/tests/builders_once.py
+++ b/tests/builders_once.py
@@ -329,8 +329,10 @@
         self._lease = seed % 3 != 0
         self._heap: list[tuple] = []
         self._serial = 0
-        self._outage = (0.0, 0.0)
+        self.outage = (0.0, 0.0)
         self._healed = False
+        self.run_s = 0.0
+        self.refuse_next = False
 
     def serial(self) -> int:
         self._serial += 1
@@ -404,7 +406,7 @@
             self.after(self.delay(), take_effect)
 
     def _down(self, process: Process) -> bool:
-        start, end = self._outage
+        start, end = self.outage
         cut = self.now < process.cut_until
         return not self._healed and (cut or start <= self.now < end)
 
@@ -413,7 +415,8 @@
     def dispatch(
         self, node: EntryProcess, claim: messages.Claim, request_id: str
     ) -> None:
-        if self.chance(self.rates.not_started):
+        if self.refuse_next or self.chance(self.rates.not_started):
+            self.refuse_next = False
             node.deliver(self.delay(), node.not_started, request_id)
             return
         self.after(self.delay(), self._run, node, claim, request_id)
@@ -429,7 +432,8 @@
         if self.chance(self.rates.no_answer):
             node.deliver(self.delay(), node.broken, request_id)
         else:
-            node.deliver(self.delay(), node.ran, request_id, answer)
+            delay = self.run_s + self.delay()
+            node.deliver(delay, node.ran, request_id, answer)
 
     # Owners.
 
@@ -505,7 +509,7 @@
         rng, rates = self.rng, self.rates
         if self.chance(rates.outage):
             start = rng.uniform(0.0, 10.0)
-            self._outage = start, start + rng.uniform(0.2, 6.0)
+            self.outage = start, start + rng.uniform(0.2, 6.0)
             self.failures["outage"] += 1
         for name in self.entries:
             self._plan_process(lambda n=name: self.entries[n])
