Fold chunks without unpacking them

Cause: a fold unpacked up to 3,600 entries in one step. Change: entries stay packed while they are merged.

--- a/azureline/once/log.py
+++ b/azureline/once/log.py
@@ -6,7 +6,6 @@
 closed only when the index after it may be overwritten.
 """
 
-from collections.abc import Iterable
 import random
 from typing import NamedTuple
 
@@ -241,30 +240,32 @@
 
     def _next_chunk(self) -> page.Chunk | None:
         number = self._chunk.number if self._chunk else 0
-        base = self._chunk.entries if self._chunk else ()
-        merged = self._merge(base)
+        merged = self._merge(self._chunk.packed if self._chunk else b"")
         if self._chunk and len(merged) > self._layout.chunk_entries:
             number += 1
             following = self._slices[number % self._layout.chunks]
             if following.newest_s >= self._floor_s:
                 return None
-            merged = self._merge(())
+            merged = self._merge(b"")
         return page.Chunk(
             number,
             max(self._closed),
             self._stamp(),
             self._floor_s,
-            page.pack_entries(merged.values()),
+            b"".join(merged.values()),
         )
 
-    def _merge(self, base: Iterable[page.Entry]) -> dict[bytes, page.Entry]:
-        merged = {e.digest: e for e in base}
+    def _merge(self, base: bytes) -> dict[bytes, bytes]:
+        """Adds the closed pages to packed entries, without expired ones."""
+        merged = page.split(base)
         for sequence in sorted(self._closed):
             for entry in self._closed[sequence]:
                 known = merged.get(entry.digest)
-                merged[entry.digest] = page.later(known, entry)
+                if known is not None:
+                    entry = page.later(page.unpack_entry(known), entry)
+                merged[entry.digest] = page.pack_entry(entry)
         floor_s = self._floor_s
-        return {d: e for d, e in merged.items() if e.issued_s >= floor_s}
+        return {d: e for d, e in merged.items() if page.issued_s(e) >= floor_s}
 
     def _write_chunk(
         self, now: float, chunk: page.Chunk
--- a/azureline/once/page.py
+++ b/azureline/once/page.py
@@ -156,6 +156,14 @@
     return int.from_bytes(data[_ISSUED], "big")
 
 
+def split(packed: bytes) -> dict[bytes, bytes]:
+    """Returns entries in their fixed-size form by digest."""
+    return {
+        packed[i : i + DIGEST_BYTES]: packed[i : i + ENTRY_BYTES]
+        for i in range(0, len(packed), ENTRY_BYTES)
+    }
+
+
 def pack_entries(entries: Iterable[Entry]) -> bytes:
     """Returns entries in their fixed-size form, one after another."""
     return b"".join(_PACKED.pack(*entry) for entry in entries)
--- a/azureline/once/table.py
+++ b/azureline/once/table.py
@@ -49,14 +49,11 @@
           packed: the entries, one after another.
           floor_s: keys issued before this time are left out.
         """
-        size = page.ENTRY_BYTES
-        for start in range(0, len(packed), size):
-            data = packed[start : start + size]
+        for digest, data in page.split(packed).items():
             issued_s = page.issued_s(data)
             if issued_s < floor_s:
                 continue
             minute = self._minutes.setdefault(issued_s // _BUCKET_S, {})
-            digest = data[: page.DIGEST_BYTES]
             if digest in minute:
                 self.put(page.unpack_entry(data))
             else:
