--- a/azureline/once/owner.py
+++ b/azureline/once/owner.py
@@ -11,8 +11,11 @@
 from azureline.once import book as book_lib
 from azureline.once import cell
 from azureline.once import effects
+from azureline.once import limits as limits_lib
 from azureline.once import log as log_lib
 from azureline.once import messages
+from azureline.once import records as records_lib
+from azureline.once import replies as replies_lib
 from azureline.once import table as table_lib
 from azureline.once import takeover as takeover_lib
 from azureline.platform import interface
@@ -36,7 +39,7 @@
         now: float,
         wall: float,
         rng: random.Random,
-        limits: book_lib.Limits | None = None,
+        limits: limits_lib.Limits | None = None,
         layout: log_lib.Layout = log_lib.LAYOUT,
     ):
         """Creates an owner that has not taken the slot over yet.
@@ -55,10 +58,9 @@
         self._epoch = epoch
         self._writer = f"{writer}.{rng.getrandbits(32):08x}"
         self._rng = rng
-        self._limits = limits or book_lib.Limits()
+        self._limits = limits or limits_lib.Limits()
         self._wall_offset = wall - now
-        self._kept_s = self._limits.retention_s + book_lib.CLOCK_MARGIN_S
-        self._lease_until = 0.0
+        self._replies = replies_lib.Replies(slot, rng)
         self._deposed = False
         self._draining = False
         self._layout = layout
@@ -68,6 +70,7 @@
         )
         self._early: dict[str, tuple[float, messages.Claim]] = {}
         self._log: log_lib.Log | None = None
+        self._records: records_lib.Records | None = None
         self._book: book_lib.Book | None = None
         self._write_at = 0.0
 
@@ -86,7 +89,7 @@
         """Whether nothing is left to be written after `drain`."""
         if not self._draining or self._book is None or self._deposed:
             return self._draining
-        return not self._log.busy and not self._book.unsaved
+        return not self._log.busy and not self._records.unsaved
 
     @property
     def entries(self) -> int:
@@ -115,9 +118,7 @@
 
     def lease(self, until: float) -> None:
         """Learns until when no other node can own the slot."""
-        self._lease_until = until
-        if self._book is not None:
-            self._book.lease_until = until
+        self._replies.lease_until = until
 
     def wake_at(self, now: float) -> float:
         """Returns the time at which `tick` must be called."""
@@ -138,7 +139,7 @@
         """Takes a message of an entry node."""
         refused = isinstance(message, messages.Claim) and self._draining
         if self._deposed or refused:
-            return [self._not_owner(message.node, message.request_id)]
+            return self._replies.not_owner([message])
         if self._book is None:
             return self._hold(now, message)
         match message:
@@ -221,7 +222,9 @@
             case messages.Claim():
                 full = len(self._early) >= MAX_EARLY
                 if full and request_id not in self._early:
-                    return [self._not_ready(message)]
+                    return [
+                        self._replies.refuse(message, self._replies.not_ready())
+                    ]
                 deadline = now + message.budget_s
                 self._early.setdefault(request_id, (deadline, message))
             case messages.Withdraw():
@@ -232,7 +235,10 @@
         late = [c for d, c in self._early.values() if d <= now]
         for claim in late:
             del self._early[claim.request_id]
-        return [self._not_ready(claim) for claim in late]
+        return [
+            self._replies.refuse(claim, self._replies.not_ready())
+            for claim in late
+        ]
 
     def _activate(self, now: float) -> list[effects.Effect]:
         wall = now + self._wall_offset
@@ -245,14 +251,10 @@
             recovered,
             self._layout,
         )
-        self._book = book_lib.Book(
-            self._slot,
-            self._table,
-            recovered.floor_s,
-            self._rng,
-            self._limits,
+        self._records = records_lib.Records(
+            self._table, recovered.floor_s, self._limits
         )
-        self._book.lease_until = self._lease_until
+        self._book = book_lib.Book(self._records, self._replies, self._limits)
         found: list[effects.Effect] = []
         early = self._early
         self._early = {}
@@ -280,7 +282,7 @@
             return self._floor_due()
         if self._book.has_intents:
             return self._write_at
-        due = min(self._floor_due(), self._book.outcomes_at)
+        due = min(self._floor_due(), self._records.outcomes_at)
         return max(self._write_at, due)
 
     def _floor_due(self) -> float:
@@ -289,18 +291,26 @@
         Otherwise a slot that is full would take no key and so never expire
         one.
         """
-        if not len(self._table):
+        next_floor_s = self._log.floor_s + FLOOR_STEP_S
+        if not len(self._table) or self._records.newest_s < next_floor_s:
             return _NEVER
-        wall = self._log.floor_s + FLOOR_STEP_S + self._kept_s
-        return wall - self._wall_offset
+        return next_floor_s + self._limits.kept_s - self._wall_offset
+
+    def _floor(self, now: float) -> int:
+        """Returns the floor for the next page.
+
+        It never passes the newest key that callers have sent, so that a clock
+        that runs far ahead does not make keys expire for the next owner.
+        """
+        wall = now + self._wall_offset
+        return int(min(wall - self._limits.kept_s, self._records.newest_s))
 
     def _flush(self, now: float) -> list[effects.Effect]:
         found: list[effects.Effect] = []
         if not self._deposed and not self._log.busy:
             if now >= self._write_due(now):
-                floor_s = int(now + self._wall_offset - self._kept_s)
                 batch = [] if self._log.full else self._book.take_batch()
-                found += self._log.append(now, batch, floor_s)
+                found += self._log.append(now, batch, self._floor(now))
                 self._write_at = now + MIN_WRITE_INTERVAL_S
             found += self._log.fold(now)
         return found
@@ -314,19 +324,4 @@
     def _send_early_away(self) -> list[effects.Effect]:
         early = self._early
         self._early = {}
-        return [
-            self._not_owner(claim.node, claim.request_id)
-            for _, claim in early.values()
-        ]
-
-    def _not_owner(self, node: str, request_id: str) -> effects.Send:
-        return effects.Send(node, messages.NotOwner(self._slot, request_id))
-
-    def _not_ready(self, claim: messages.Claim) -> effects.Send:
-        refusal = errors.Refusal(
-            errors.ErrorKind.NOT_READY,
-            "The record of this key is being read",
-            ran=errors.Ran.UNKNOWN,
-        )
-        message = messages.refused(self._slot, claim.request_id, refusal)
-        return effects.Send(claim.node, message)
+        return self._replies.not_owner(claim for _, claim in early.values())
--- a/azureline/once/runner.py
+++ b/azureline/once/runner.py
@@ -10,8 +10,8 @@
 
 from azureline.core import clock as clock_lib
 from azureline.core import task
-from azureline.once import book
 from azureline.once import effects
+from azureline.once import limits as limits_lib
 from azureline.once import messages
 from azureline.once import owner as owner_lib
 from azureline.platform import interface
@@ -84,7 +84,7 @@
         clock: clock_lib.Clock,
         reactor: Any,
         rng: random.Random,
-        limits: book.Limits | None = None,
+        limits: limits_lib.Limits | None = None,
     ):
         """Creates the task; `start` begins the takeover of the slot.
 
--- a/tests/builders_once.py
+++ b/tests/builders_once.py
@@ -14,10 +14,10 @@
 from typing import NamedTuple
 
 from azureline.core import errors
-from azureline.once import book
 from azureline.once import effects
 from azureline.once import entry
 from azureline.once import key as key_lib
+from azureline.once import limits
 from azureline.once import log
 from azureline.once import messages
 from azureline.once import owner
@@ -32,7 +32,7 @@
     fold_pages=2,
     chunk_entries=5,
 )
-LIMITS = book.Limits(retention_s=20.0, entries=64, claims=32, waiters=3)
+LIMITS = limits.Limits(retention_s=20.0, entries=64, claims=32, waiters=3)
 CALL_TIMEOUT_S = 0.4
 LEASE_GAP_S = 0.3
 
--- a/tests/test_once_histories.py
+++ b/tests/test_once_histories.py
@@ -6,8 +6,8 @@
 import pytest
 
 from azureline.core import errors
-from azureline.once import book
 from azureline.once import entry
+from azureline.once import key as key_lib
 from azureline.once import log
 from azureline.once import messages
 from azureline.once import owner
@@ -114,8 +114,8 @@
 
 
 def _last_attempt(slot_owner, message):
-    key = book.key_lib.decode(message.key)
-    digest = book.key_lib.digest(message.caller, key.text)
+    key = key_lib.decode(message.key)
+    digest = key_lib.digest(message.caller, key.text)
     known = slot_owner._table.get(digest, key.issued_s)
     return known.attempt if known else message.attempt
 
--- a/tests/test_once_owner.py
+++ b/tests/test_once_owner.py
@@ -3,10 +3,10 @@
 import pytest
 
 from azureline.core import errors
-from azureline.once import book
 from azureline.once import log
 from azureline.once import messages
 from azureline.once import owner
+from azureline.once import records
 from azureline.platform import interface
 from tests import builders_once
 
@@ -42,7 +42,7 @@
     bench.request(outcome(first, answer=ANSWER))
     again = first._replace(request_id="r2", node="e1")
     assert bench.request(again) == [messages.Replay(0, "r2", ANSWER)]
-    bench.advance(book.OUTCOME_DELAY_S)
+    bench.advance(records.OUTCOME_DELAY_S)
     bench.take_over()
     assert bench.request(again) == [messages.RanWithoutAnswer(0, "r2")]
 
@@ -170,7 +170,7 @@
     first = claim(bench.key())
     bench.request(first)
     bench.request(outcome(first, DID_NOT_RUN))
-    bench.advance(book.OUTCOME_DELAY_S)
+    bench.advance(records.OUTCOME_DELAY_S)
     again = first._replace(request_id="r2")
     assert bench.request(again) == [messages.Granted(0, "r2", 2)]
     damaged = log.page_key(0, 2)
@@ -199,6 +199,8 @@
     ]
     assert messages.Refused in kinds
     bench.advance(60.0)
+    # The first key after a pause shows that time has passed for callers too.
+    bench.request(claim(bench.key(), "late"))
     for number in range(8):
         replies = bench.request(claim(bench.key(), f"s{number}"))
         assert replies == [messages.Granted(0, f"s{number}", 1)]
@@ -211,7 +213,7 @@
     for sent in claims:
         bench.request(sent)
         bench.request(outcome(sent))
-    bench.advance(book.OUTCOME_DELAY_S)
+    bench.advance(records.OUTCOME_DELAY_S)
     bench.take_over()
     for sent in claims:
         replies = bench.request(sent)
@@ -230,3 +232,16 @@
     bench.take_over()
     again = first._replace(request_id="r3")
     assert bench.request(again) == [messages.RanWithoutAnswer(0, "r3")]
+
+
+def test_a_clock_a_year_ahead_does_not_outlive_its_node(bench):
+    bench.request(claim(bench.key()))
+    year_s = 365 * 86_400.0
+    bench.take_over()
+    wrong = builders_once.EPOCH_S + bench.now + year_s
+    bench.act(bench.owner, bench.owner.tick(bench.now, wrong))
+    found = bench.owner.request(bench.now, claim(bench.key(), "r2"))
+    assert _refused([e.message for e in found])[0] is Kind.KEY_EXPIRED
+    bench.take_over()
+    replies = bench.request(claim(bench.key(), "r3"))
+    assert replies == [messages.Granted(0, "r3", 1)]
