Relay streams by offset, identity and explicit end

Cause: connections go silent or break while the engine goes on; a closed socket is not an end, and late bytes of an old connection must not be read.

Ruled out: parsing each event as JSON (the identity is the data's prefix); continuing on another engine with the text so far as a prompt, because the joined answer is one that no run produced and the caller cannot tell.

Change: relay with resume by offset, numbered connections, replacement of silent connections by progress, bounded buffer for slow callers, cancel when the caller leaves; after an engine's loss a retry elsewhere only before the first event, later STREAM_LOST that says how much was sent.

--- /dev/null
+++ b/tests/test_routing_stream.py
@@ -0,0 +1,295 @@
+"""Tests of the relay of token streams."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from azureline.core import errors
+from azureline.routing import stream
+
+_NAME = "r1"
+
+
+def event(offset, text="t", name=_NAME):
+    """Returns one event of a stream."""
+    return b'id: %d\ndata: {"id":"%b","text":"%b"}\n\n' % (
+        offset,
+        name.encode(),
+        text.encode(),
+    )
+
+
+def done(offset=None):
+    """Returns the explicit end, numbered or not."""
+    number = b"" if offset is None else b"id: %d\n" % offset
+    return number + b"data: [DONE]\n\n"
+
+
+def _relay(now=0.0, **settings):
+    return stream.StreamRelay(now, _NAME, stream.Settings(**settings))
+
+
+def _bytes(outputs):
+    return b"".join(o.data for o in outputs if isinstance(o, stream.Forward))
+
+
+def test_whole_events_are_forwarded_unchanged_however_split():
+    whole = event(0) + event(1) + done(2)
+    for step in range(1, 40):
+        relay = _relay()
+        seen = []
+        for start in range(0, len(whole), step):
+            seen += relay.received(0.0, 1, whole[start : start + step])
+        assert _bytes(seen) == whole
+        assert seen[-1] == stream.Finished(2)
+
+
+@pytest.mark.parametrize(
+    ("bad", "count"),
+    [
+        (event(1, name="r2"), "mismatches"),
+        (event(1, name="r10"), "mismatches"),
+        (event(3), "gaps"),
+        (done(3), "gaps"),
+        (b"id: x\ndata: {}\n\n", "malformed"),
+        (b"nonsense\n\n", "malformed"),
+        (b"id: 1\ndata: " + b"x" * 70000, "malformed"),
+    ],
+)
+def test_what_does_not_fit_is_dropped_counted_and_read_anew(bad, count):
+    relay = _relay()
+    relay.received(0.0, 1, event(0))
+    assert relay.received(0.0, 1, bad) == [stream.ResumeAt(1, 2)]
+    assert getattr(relay.counts, count) == 1
+    assert relay.received(0.0, 1, event(1)) == []
+    assert relay.received(0.0, 2, event(1)) == [stream.Forward(event(1))]
+
+
+def test_a_repeated_event_is_dropped():
+    relay = _relay()
+    relay.received(0.0, 1, event(0))
+    seen = relay.received(0.0, 1, event(0) + event(1))
+    assert _bytes(seen) == event(1)
+    assert relay.counts.repeats == 1
+
+
+def test_an_unnumbered_end_counts_only_on_a_known_connection():
+    relay = _relay()
+    assert relay.received(0.0, 1, done()) == [stream.ResumeAt(0, 2)]
+    relay.opened(0.0, 2, _NAME)
+    assert relay.received(0.0, 2, done())[-1] == stream.Finished(0)
+
+
+def test_an_answer_to_another_request_is_not_read():
+    relay = _relay()
+    assert relay.opened(0.0, 1, "r2") == [stream.ResumeAt(0, 2)]
+    assert relay.counts.mismatches == 1
+
+
+def test_a_closed_connection_is_not_an_end():
+    relay = _relay()
+    relay.received(0.0, 1, event(0))
+    assert relay.closed(0.0, 1) == [stream.ResumeAt(1, 2)]
+
+
+def test_a_silent_connection_is_replaced_after_the_timeout():
+    relay = _relay()
+    assert relay.tick(9.9) == []
+    relay.received(9.9, 1, event(0))
+    assert relay.wake_at() == pytest.approx(11.9)
+    assert relay.tick(11.8) == []
+    assert relay.tick(11.9) == [stream.ResumeAt(1, 2)]
+
+
+def test_fruitless_connections_end_the_stream_and_say_what_was_sent():
+    relay = _relay()
+    relay.received(0.0, 1, event(0))
+    for attempt in (1, 2, 3):
+        relay.closed(0.0, attempt)
+    cancel, failed = relay.closed(0.0, 4)
+    assert cancel == stream.Cancel()
+    assert failed.refusal.kind is errors.ErrorKind.STREAM_LOST
+    assert "after 1 events" in failed.refusal.detail
+
+
+def test_a_lost_engine_is_retried_elsewhere_only_before_the_first_event():
+    relay = _relay()
+    assert relay.engine_lost(0.0) == [stream.RetryElsewhere()]
+    relay = _relay()
+    relay.received(0.0, 1, event(0))
+    (failed,) = relay.engine_lost(0.0)
+    assert failed.refusal.kind is errors.ErrorKind.STREAM_LOST
+
+
+def test_a_slow_caller_pauses_the_engine_and_is_given_up_in_the_end():
+    relay = _relay(buffer_bytes=100)
+    outputs = relay.received(0.0, 1, event(0) + event(1) + event(2))
+    assert outputs[-1] == stream.Pause()
+    assert relay.tick(10.0) == []
+    assert relay.caller_took(10.0, 40) == [stream.Resume()]
+    relay.received(11.0, 1, event(3) + event(4))
+    cancel, failed = relay.tick(40.0)
+    assert cancel == stream.Cancel()
+    assert failed.refusal.kind is errors.ErrorKind.CALLER_GONE
+    assert relay.wake_at() is None
+
+
+def test_a_caller_that_leaves_cancels_the_stream_once():
+    relay = _relay()
+    assert relay.caller_left(0.0) == [stream.Cancel()]
+    assert relay.caller_left(0.0) == []
+    assert relay.received(0.0, 1, event(0)) == []
+
+
+class _Machine(stateful.RuleBasedStateMachine):
+    """What the caller has is a prefix of the answer, whole iff finished."""
+
+    relay_class = stream.StreamRelay
+    tokens = 5
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.relay = self.relay_class(
+            0.0, _NAME, stream.Settings(resumes=100, buffer_bytes=150)
+        )
+        self.parts = [event(i, f"t{i}") for i in range(self.tokens)]
+        self.parts.append(done(self.tokens))
+        self.truth = b"".join(self.parts)
+        self.pending = {1: self.truth}
+        self.got = b""
+        self.finished = False
+
+    def _take(self, outputs):
+        for output in outputs:
+            match output:
+                case stream.Forward(data=data):
+                    self.got += data
+                case stream.ResumeAt(offset=offset, attempt=attempt):
+                    rest = b"".join(self.parts[offset:])
+                    self.pending[attempt] = rest
+                case stream.Finished():
+                    self.finished = True
+                case _:
+                    pass
+
+    def _send(self, attempt, data):
+        self._take(self.relay.received(self.now, attempt, data))
+
+    @stateful.rule(count=st.integers(1, 120))
+    def engine_sends(self, count):
+        attempt = self.relay.attempt
+        rest = self.pending[attempt]
+        self.pending[attempt] = rest[count:]
+        self._send(attempt, rest[:count])
+
+    @stateful.rule(data=st.data(), count=st.integers(1, 200))
+    def late_bytes_of_an_old_connection(self, data, count):
+        attempt = data.draw(st.sampled_from(sorted(self.pending)))
+        rest = self.pending[attempt]
+        self.pending[attempt] = rest[count:]
+        self._send(attempt, rest[:count])
+
+    @stateful.rule()
+    def connection_closes(self):
+        self._take(self.relay.closed(self.now, self.relay.attempt))
+
+    @stateful.rule(seconds=st.floats(0.1, 15.0))
+    def silence(self, seconds):
+        self.now += seconds
+        self._take(self.relay.tick(self.now))
+
+    @stateful.precondition(lambda self: not self.relay._buffer)
+    @stateful.rule(back=st.integers(1, 3))
+    def engine_repeats(self, back):
+        attempt = self.relay.attempt
+        offset = max(0, self.relay.next_offset - back)
+        self.pending[attempt] = b"".join(self.parts[offset:])
+
+    @stateful.precondition(lambda self: not self.relay._buffer)
+    @stateful.rule(ahead=st.integers(1, 3))
+    def engine_skips(self, ahead):
+        offset = self.relay.next_offset + ahead
+        self.pending[self.relay.attempt] = b"".join(self.parts[offset:])
+
+    @stateful.precondition(lambda self: not self.relay._buffer)
+    @stateful.rule(whole=st.booleans())
+    def answer_of_another_request(self, whole):
+        offset = self.relay.next_offset
+        other = event(offset, name="r2") + (done() if whole else b"")
+        self.pending[self.relay.attempt] = other
+
+    @stateful.rule(part=st.floats(0.0, 1.0))
+    def caller_takes(self, part):
+        unsent = int(part * 100)
+        self._take(self.relay.caller_took(self.now, unsent))
+
+    @stateful.invariant()
+    def prefix_and_whole_iff_finished(self):
+        assert self.truth.startswith(self.got)
+        assert self.finished == (self.got == self.truth)
+
+
+_Machine.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40
+)
+TestStream = _Machine.TestCase
+
+
+class _TakesAnyOffset(stream.StreamRelay):
+    """Deliberate fault: repeats and gaps are forwarded."""
+
+    def _out_of_turn(self, offset, done):
+        del done
+        self._next = offset + 1
+        return stream._FORWARD
+
+
+class _TakesAnyRequest(stream.StreamRelay):
+    """Deliberate fault: the identity of events is not checked."""
+
+    def __init__(self, now, request_id, settings):
+        super().__init__(now, request_id, settings)
+        self._heads = (b"{",)
+
+
+class _TakesCloseForEnd(stream.StreamRelay):
+    """Deliberate fault: a closed connection is taken for the end."""
+
+    def closed(self, now, attempt):
+        if self.ended or attempt != self.attempt:
+            return []
+        self._ended = True
+        return [stream.Finished(self.next_offset)]
+
+
+class _TakesOldConnections(stream.StreamRelay):
+    """Deliberate fault: late bytes of a replaced connection are read."""
+
+    def received(self, now, attempt, data):
+        return super().received(now, self.attempt, data)
+
+
+@pytest.mark.parametrize(
+    "faulty",
+    [
+        _TakesAnyOffset,
+        _TakesAnyRequest,
+        _TakesCloseForEnd,
+        _TakesOldConnections,
+    ],
+)
+def test_the_machine_catches_faulty_relays(faulty):
+    class Machine(_Machine):
+        relay_class = faulty
+
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(
+            Machine,
+            settings=hypothesis.settings(
+                max_examples=300,
+                stateful_step_count=40,
+                phases=[hypothesis.Phase.generate],
+            ),
+        )
