Plan moves that keep models reachable and carry them out step by step

Cause: demand moves tenfold in an hour, engines leave, versions change, and with more models than accelerators there may be no free room to move in.

Ruled out: executing a plan as given (the deliberate fault of the tests: an executor that trusts its plan takes a last replica while the load before it is under way), and removing idle replicas for being idle, which costs a cold start later and frees nothing that is needed.

`moves.Executor` lets a load go only with room and a store permit, an unload only while another replica is surely ready.

Failures found on the way: outdated replicas that could not make room, a version change that waited for ever for replicas that had no room, a pending load on an engine that began to leave.

Conclusion: safety lies in the executor and the book, not in the plan.

--- /dev/null
+++ b/azureline/fleet/moves.py
@@ -0,0 +1,249 @@
+"""Carries out agreed moves, each step only while it is safe.
+
+The executor trusts no plan: an unload goes out only while another replica of
+the model is ready that nothing else may take away, a load only where the
+memory book has room and the weight store allows one more.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from azureline.fleet import draft as drafts
+from azureline.fleet import layout
+
+RETRY_S = 15.0
+"""Pause in seconds before an order without effect is repeated; it is longer
+than any order lives, so that one order at a time is under way."""
+
+GIVE_UP_S = 180.0
+"""Seconds after which a move that has not become possible is dropped."""
+
+_URGENCY = (
+    layout.Cause.REPAIR,
+    layout.Cause.DRAIN,
+    layout.Cause.ROOM,
+    layout.Cause.VERSION,
+    layout.Cause.ROLE,
+    layout.Cause.DEMAND,
+    layout.Cause.SPREAD,
+)
+
+
+class Executor:
+    """Holds the moves under way and picks the next safe steps."""
+
+    def __init__(self, params: layout.Params):
+        self._params = params
+        self._pending: list[drafts.Pending] = []
+        self._touched: dict[tuple[str, str], layout.Touched] = {}
+
+    @property
+    def pending(self) -> tuple[drafts.Pending, ...]:
+        """The moves that are agreed but not seen to be done."""
+        return tuple(self._pending)
+
+    @property
+    def touched(self) -> Mapping[tuple[str, str], layout.Touched]:
+        """The last load and unload by engine and model."""
+        return self._touched
+
+    def adopt(self, now: float, moves: Iterable[layout.Move]) -> None:
+        """Adds moves of a plan that are not under way already.
+
+        Args:
+          now: time in seconds.
+          moves: proposed moves, in order.
+        """
+        known = {_place(p.move) for p in self._pending}
+        for move in moves:
+            if _place(move) not in known:
+                known.add(_place(move))
+                self._pending.append(drafts.Pending(move, now))
+
+    def steps(
+        self,
+        now: float,
+        models: Sequence[layout.Model],
+        engines: Sequence[layout.Engine],
+        permits: int,
+    ) -> list[layout.Move]:
+        """Returns the moves to order now and notes them as ordered.
+
+        Args:
+          now: time in seconds.
+          models: the models to serve.
+          engines: the engines that are alive, as their books have them.
+          permits: loads that the weight store allows at this moment.
+
+        Returns:
+          Orders to send at once; each is safe after those before it.
+        """
+        by_name = {engine.name: engine for engine in engines}
+        versions = {model.name: model.version for model in models}
+        self._drop_finished(now, by_name, versions)
+        tally = _Tally(models, engines, self._pending)
+        chosen: list[layout.Move] = []
+        for pending in sorted(self._pending, key=_urgency):
+            engine = by_name[pending.move.engine]
+            if not _is_due(pending, now, engine):
+                continue
+            step = self._try_step(pending.move, tally, permits, by_name)
+            if not step:
+                continue
+            permits -= pending.move.kind is layout.MoveKind.LOAD
+            chosen.append(pending.move)
+            self._note(pending, now)
+        return chosen
+
+    def failed(self, move: layout.Move) -> None:
+        """Forgets a move that its engine refused; the next plan decides."""
+        self._pending = [p for p in self._pending if p.move != move]
+
+    def _try_step(
+        self,
+        move: layout.Move,
+        tally: "_Tally",
+        permits: int,
+        engines: Mapping[str, layout.Engine],
+    ) -> bool:
+        match move.kind:
+            case layout.MoveKind.LOAD:
+                return permits > 0 and tally.try_load(move)
+            case layout.MoveKind.UNLOAD:
+                return tally.try_unload(move)
+            case layout.MoveKind.SET_ROLE:
+                return not engines[move.engine].replicas
+
+    def _note(self, pending: drafts.Pending, now: float) -> None:
+        at = self._pending.index(pending)
+        self._pending[at] = pending._replace(issued=now)
+        move = pending.move
+        key = (move.engine, move.target)
+        last = self._touched.get(key, layout.Touched())
+        if move.kind is layout.MoveKind.LOAD:
+            self._touched[key] = last._replace(loaded=now)
+        elif move.kind is layout.MoveKind.UNLOAD:
+            self._touched[key] = last._replace(unloaded=now)
+        self._forget_old(now)
+
+    def _forget_old(self, now: float) -> None:
+        horizon = now - 2 * self._params.no_undo_s
+        for key, touched in list(self._touched.items()):
+            if max(touched) < horizon:
+                del self._touched[key]
+
+    def _drop_finished(
+        self,
+        now: float,
+        engines: Mapping[str, layout.Engine],
+        versions: Mapping[str, str],
+    ) -> None:
+        self._pending = [
+            pending
+            for pending in self._pending
+            if now - pending.since < GIVE_UP_S
+            and pending.move.engine in engines
+            and _is_open(pending.move, engines[pending.move.engine], versions)
+        ]
+
+
+class _Tally:
+    """Counts ready replicas and room while steps are being chosen."""
+
+    def __init__(
+        self,
+        models: Sequence[layout.Model],
+        engines: Sequence[layout.Engine],
+        pending: Sequence[drafts.Pending],
+    ):
+        self._free = {engine.name: engine.free for engine in engines}
+        self._models = {model.name: model for model in models}
+        leaving = {
+            (p.move.engine, p.move.target, p.move.version)
+            for p in pending
+            if p.issued is not None and p.move.kind is layout.MoveKind.UNLOAD
+        }
+        self._ready: dict[str, set[tuple[str, str]]] = {}
+        self._present = set()
+        for engine in engines:
+            for replica in engine.replicas:
+                key = (engine.name, replica.model, replica.version)
+                self._present.add(key)
+                if _serves(engine, replica) and key not in leaving:
+                    places = self._ready.setdefault(replica.model, set())
+                    places.add((engine.name, replica.version))
+
+    def try_load(self, move: layout.Move) -> bool:
+        """Takes the room for a load if there is enough."""
+        if self._free[move.engine] < move.bytes:
+            return False
+        self._free[move.engine] -= move.bytes
+        return True
+
+    def try_unload(self, move: layout.Move) -> bool:
+        """Takes a replica away if another stays ready."""
+        places = self._ready.get(move.target, set())
+        here = (move.engine, move.version)
+        key = (move.engine, move.target, move.version)
+        if key not in self._present:
+            return False
+        if move.target in self._models and not places - {here}:
+            return False
+        places.discard(here)
+        return True
+
+
+def _serves(engine: layout.Engine, replica: layout.Replica) -> bool:
+    return (
+        not engine.leaving
+        and replica.sure
+        and replica.state is layout.State.READY
+    )
+
+
+def _is_due(pending: drafts.Pending, now: float, engine: layout.Engine) -> bool:
+    if pending.issued is None:
+        return True
+    move = pending.move
+    under_way = any(
+        r.model == move.target
+        and r.version == move.version
+        and r.state.value == f"{move.kind.value}ing"
+        for r in engine.replicas
+    )
+    return not under_way and now - pending.issued >= RETRY_S
+
+
+def _place(move: layout.Move) -> tuple[str, str, str]:
+    return (move.engine, move.target, move.version)
+
+
+def _urgency(pending: drafts.Pending) -> int:
+    return _URGENCY.index(pending.move.cause)
+
+
+def _is_done(move: layout.Move, engine: layout.Engine) -> bool:
+    here = [
+        replica
+        for replica in engine.replicas
+        if (replica.model, replica.version) == (move.target, move.version)
+    ]
+    match move.kind:
+        case layout.MoveKind.LOAD:
+            return any(r.state is layout.State.READY for r in here)
+        case layout.MoveKind.UNLOAD:
+            return not here
+        case layout.MoveKind.SET_ROLE:
+            return engine.role == move.target
+
+
+def _is_open(
+    move: layout.Move, engine: layout.Engine, versions: Mapping[str, str]
+) -> bool:
+    """Returns whether a move is neither done nor overtaken by events."""
+    if _is_done(move, engine):
+        return False
+    if move.kind is not layout.MoveKind.LOAD:
+        return True
+    return not engine.leaving and versions.get(move.target) == move.version
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -4,6 +4,7 @@
 
 from azureline.backends import interface
 from azureline.fleet import book
+from azureline.fleet import layout
 
 LOAD = interface.OrderKind.LOAD_MODEL
 UNLOAD = interface.OrderKind.UNLOAD_MODEL
@@ -107,3 +108,68 @@
             fence=self.fence,
             fences=self.fences,
         )
+
+
+class VersionedEngine(FakeEngine):
+    """A fake engine that tells the versions of a model apart."""
+
+    @property
+    def ready(self):
+        return {
+            key for key, (_, state) in self.models.items() if state == "ready"
+        }
+
+    def _start(self, order_):
+        key = (order_.target, order_.version)
+        if order_.kind is LOAD and key not in self.models:
+            self.models[key] = (order_.bytes_needed, "loading")
+        elif order_.kind is UNLOAD and key in self.models:
+            self.models[key] = (self.models[key][0], "unloading")
+
+    def finish_all(self):
+        for key in list(self.models):
+            self.finish(key)
+
+    def snapshot(self):
+        base = super().snapshot()
+        return base._replace(
+            models=tuple(
+                resident(name, size, state, version)
+                for (name, version), (size, state) in self.models.items()
+            )
+        )
+
+
+def model(name, size, version="1", **changes):
+    return layout.Model(name, version, size)._replace(**changes)
+
+
+def engine(name, capacity, models, domain="d1", size=4):
+    """An engine that holds models of one size and version 1."""
+    replicas = tuple(
+        layout.Replica(m, "1", size, layout.State.READY) for m in models
+    )
+    free = capacity - size * len(models)
+    return layout.Engine(name, domain, capacity, free, replicas)
+
+
+def engine_of(name, domain, kept, now, draining=False):
+    """An engine as its book has it."""
+    replicas = tuple(
+        layout.Replica(
+            r.name,
+            r.version,
+            r.bytes_used,
+            layout.State(r.state),
+            kept.ready(r.name, r.version),
+        )
+        for r in kept.report.models
+    )
+    return layout.Engine(
+        name, domain, 9, kept.free_bytes(now), replicas, draining=draining
+    )
+
+
+def order_of(order_id, move):
+    kind = LOAD if move.kind is layout.MoveKind.LOAD else UNLOAD
+    return order(order_id, kind, move.target, move.bytes, version=move.version)
--- /dev/null
+++ b/tests/test_fleet_placement.py
@@ -0,0 +1,361 @@
+"""Tests of the plan and of the executor over books and fake engines."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from azureline.fleet import book
+from azureline.fleet import demand
+from azureline.fleet import draft
+from azureline.fleet import feasibility
+from azureline.fleet import layout
+from azureline.fleet import moves
+from azureline.fleet import placement
+from tests import builders_fleet as build
+
+PARAMS = layout.Params()
+READY = layout.State.READY
+
+
+def _plan(models, engines, work=None, pending=(), touched=None, **weights):
+    fleet = draft.Fleet(
+        tuple(models), tuple(engines), tuple(pending), touched or {}
+    )
+    params = PARAMS._replace(**weights)
+    return placement.plan(fleet, work or {}, params, now=1000.0)
+
+
+def _brief(planned):
+    return [(m.kind.value, m.target, m.engine, m.cause.value) for m in planned]
+
+
+def test_a_lost_model_is_loaded_before_anything_else():
+    engines = [build.engine("e1", 10, ["a"]), build.engine("e2", 10, [], "d2")]
+    models = [build.model("a", 4), build.model("b", 4)]
+    planned = _plan(models, engines)
+    assert _brief(planned)[0] == ("load", "b", "e2", "repair")
+    busy = _plan(models, engines, {"a": 0.5, "b": 0.1})
+    assert _brief(busy)[0] == ("load", "b", "e2", "repair")
+
+
+def test_each_model_gets_a_second_domain_where_room_is_free():
+    engines = [build.engine("e1", 10, ["a"]), build.engine("e2", 10, [], "d2")]
+    planned = _plan([build.model("a", 4)], engines)
+    assert _brief(planned) == [("load", "a", "e2", "spread")]
+
+
+def test_a_last_replica_moves_on_before_its_engine_is_emptied():
+    leaving = build.engine("e1", 10, ["a"])._replace(draining=True)
+    engines = [leaving, build.engine("e2", 10, [])]
+    models = [build.model("a", 4)]
+    planned = _plan(models, engines)
+    assert _brief(planned) == [("load", "a", "e2", "drain")]
+    engines[1] = build.engine("e2", 10, ["a"])
+    planned = _plan(models, engines)
+    assert _brief(planned) == [("unload", "a", "e1", "drain")]
+
+
+def test_a_role_changes_once_the_engine_is_empty():
+    changing = build.engine("e1", 10, [])._replace(wanted_role="ledger")
+    engines = [changing, build.engine("e2", 10, ["a"])]
+    planned = _plan([build.model("a", 4)], engines)
+    assert _brief(planned) == [("set_role", "ledger", "e1", "role")]
+
+
+def test_a_new_version_is_loaded_beside_the_old_one():
+    models = [build.model("a", 4, version="2")]
+    engines = [build.engine("e1", 10, ["a"])]
+    planned = _plan(models, engines)
+    assert _brief(planned) == [("load", "a", "e1", "version")]
+    both = build.engine("e1", 10, ["a"])
+    newer = layout.Replica("a", "2", 4, READY)
+    both = both._replace(replicas=(*both.replicas, newer), free=2)
+    planned = _plan(models, [both])
+    assert [(m.kind.value, m.version) for m in planned] == [("unload", "1")]
+
+
+def test_full_engines_make_room_by_relocation():
+    engines = [build.engine("e1", 10, ["a"]), build.engine("e2", 10, ["b"])]
+    sizes = {"a": 5, "b": 5, "c": 8}
+    engines = [e._replace(free=5) for e in engines]
+    planned = _plan([build.model(n, s) for n, s in sizes.items()], engines)
+    kinds = [(m.kind.value, m.target) for m in planned]
+    assert kinds[-1] == ("load", "c")
+    assert kinds[0][0] == "load"
+    assert kinds[1] == ("unload", kinds[0][1])
+
+
+def _hot(work, **weights):
+    engines = [
+        build.engine("e1", 10, ["a", "b"]),
+        build.engine("e2", 10, ["b"], "d2"),
+    ]
+    models = [build.model("a", 4), build.model("b", 4)]
+    engines[1] = engines[1]._replace(free=3)
+    models[0] = models[0]._replace(bytes=6)
+    return _plan(models, engines, work, **weights)
+
+
+def test_demand_evicts_a_spare_replica_only_if_the_move_pays_back():
+    assert _brief(_hot({"a": 1.5, "b": 0.1})) == [
+        ("unload", "b", "e2", "room"),
+        ("load", "a", "e2", "demand"),
+    ]
+    assert _hot({"a": 0.9, "b": 0.0}, move_weight=0.9) == []
+
+
+def test_a_recent_load_is_not_undone_for_its_gain():
+    engines = [
+        build.engine("e1", 10, ["a", "b"]),
+        build.engine("e2", 4, ["b"], "d2"),
+    ]
+    models = [build.model("a", 4), build.model("b", 4)]
+    recent = {("e2", "b"): layout.Touched(loaded=700.0)}
+    assert _plan(models, engines, {"a": 2.0}, touched=recent) == []
+    old = {("e2", "b"): layout.Touched(loaded=300.0)}
+    assert _plan(models, engines, {"a": 2.0}, touched=old)
+
+
+def test_demand_rises_fast_and_falls_slowly():
+    kept = demand.Demand(rise_s=10, fall_s=100)
+    kept.observe(0.0, {"a": 1.0})
+    kept.observe(10.0, {"a": 11.0})
+    assert kept.rates["a"] == pytest.approx(7.32, abs=0.01)
+    kept.observe(20.0, {})
+    assert kept.rates["a"] > 6.5
+
+
+@pytest.mark.parametrize(
+    ("sizes", "capacities", "word"),
+    [
+        ([4, 4], [4, 4, 4], None),
+        ([11], [10], "largest engine"),
+        ([6, 6], [10], "all models need"),
+        ([6, 6, 6], [10, 10], "no division"),
+        ([4, 4], [4, 4], "no engine keeps"),
+    ],
+)
+def test_an_impossible_configuration_is_refused_with_its_reason(
+    sizes, capacities, word
+):
+    models = [build.model(f"m{i}", size) for i, size in enumerate(sizes)]
+    engines = [build.engine(f"e{i}", c, []) for i, c in enumerate(capacities)]
+    verdict = feasibility.feasible(models, engines, PARAMS)
+    assert (verdict is None) if word is None else (word in verdict.reason)
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """A planner with books drives fake engines that fail at any point."""
+
+    names = ("a", "b", "c")
+    sizes = {"a": 3, "b": 4, "c": 4}
+    executor_class = moves.Executor
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.ids = 0
+        self.versions = dict.fromkeys(self.names, 1)
+        self.work = dict.fromkeys(self.names, 0.2)
+        self.engines = {}
+        self.books = {}
+        self.domains = {}
+        self.draining = set()
+        self.copies = []
+        self.executor = self.executor_class(PARAMS)
+        for at in range(3):
+            self._add_engine(f"e{at}", f"d{at}")
+        self._settle(40)
+        assert self._unreachable() == set()
+
+    def _add_engine(self, name, domain):
+        self.engines[name] = build.VersionedEngine()
+        self.books[name] = book.Book(10, 1)
+        self.domains[name] = domain
+        self._poll(name)
+
+    def _poll(self, name):
+        report = self.engines[name].snapshot()
+        self.books[name].reported(self.now, report, self.now)
+
+    def _layout(self):
+        return [
+            build.engine_of(
+                name,
+                self.domains[name],
+                self.books[name],
+                self.now,
+                name in self.draining,
+            )
+            for name in sorted(self.engines)
+        ]
+
+    def _models(self):
+        return [
+            build.model(n, self.sizes[n], version=str(self.versions[n]))
+            for n in self.names
+        ]
+
+    def _reachable_at(self, name):
+        return {
+            (e, version)
+            for e, engine in self.engines.items()
+            for model, version in engine.ready
+            if model == name
+        }
+
+    def _unreachable(self):
+        return {n for n in self.names if not self._reachable_at(n)}
+
+    def _round(self, lost=False, late=False):
+        for name in self.engines:
+            self._poll(name)
+        fleet = draft.Fleet(
+            tuple(self._models()),
+            tuple(self._layout()),
+            self.executor.pending,
+            self.executor.touched,
+        )
+        planned = placement.plan(fleet, self.work, PARAMS, self.now)
+        self.executor.adopt(self.now, planned)
+        steps = self.executor.steps(
+            self.now, self._models(), self._layout(), permits=2
+        )
+        for move in steps:
+            self._order(move, lost, late)
+
+    def _order(self, move, lost, late):
+        if move.kind is layout.MoveKind.SET_ROLE:
+            return
+        self.ids += 1
+        order = build.order_of(str(self.ids), move)
+        sent = self.books[move.engine].reserve(self.now, order)
+        if not sent:
+            return
+        if move.kind is layout.MoveKind.UNLOAD:
+            here = (move.engine, move.version)
+            others = self._reachable_at(move.target) - {here}
+            assert others, f"{move} takes the last replica"
+        if late:
+            self.copies.append((move, build.Sent(order, self.now)))
+        elif not lost:
+            self.engines[move.engine].receive(
+                build.Sent(order, self.now), self.now
+            )
+
+    def _settle(self, rounds):
+        for _ in range(rounds):
+            self._round()
+            self.now += 5.0
+            for engine in self.engines.values():
+                engine.finish_all()
+
+    @stateful.rule(fate=st.sampled_from(["arrives", "lost", "late"]))
+    def step(self, fate):
+        self._round(lost=fate == "lost", late=fate == "late")
+
+    @stateful.precondition(lambda self: self.copies)
+    @stateful.rule(at=st.integers(0, 5))
+    def late_copy(self, at):
+        """An order that acts late must not take the last replica either."""
+        move, sent = self.copies[at % len(self.copies)]
+        if move.engine not in self.engines:
+            return
+        before = self._unreachable()
+        self.engines[move.engine].receive(sent, self.now)
+        self.engines[move.engine].finish_all()
+        assert self._unreachable() <= before
+
+    @stateful.rule(seconds=st.sampled_from([1.0, 6.0, 20.0]))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @stateful.rule(name=st.sampled_from(["e0", "e1", "e2"]))
+    def finish(self, name):
+        self.engines[name].finish_all()
+
+    @stateful.rule(name=st.sampled_from(["e0", "e1", "e2"]))
+    def die(self, name):
+        """The engine comes back empty, as a new VM; its orders are lost."""
+        self.copies.clear()
+        self.draining.discard(name)
+        self._add_engine(name, self.domains[name])
+
+    @stateful.rule(name=st.sampled_from(["e0", "e1", "e2"]))
+    def drain(self, name):
+        self.draining = set() if self.draining else {name}
+
+    @stateful.rule(name=st.sampled_from(names))
+    def change_version(self, name):
+        self.versions[name] += 1
+
+    @stateful.rule(
+        name=st.sampled_from(names), work=st.sampled_from([0.0, 0.5, 2.0])
+    )
+    def shift_demand(self, name, work):
+        self.work[name] = work
+
+    @stateful.invariant()
+    def memory_holds(self):
+        assert all(e.used <= 9 for e in self.engines.values())
+
+    def teardown(self):
+        """When the failures end, everything comes back by itself."""
+        self.draining.clear()
+        self._settle(100)
+        assert self._unreachable() == set()
+        wanted = {(n, str(v)) for n, v in self.versions.items()}
+        for engine in self.engines.values():
+            assert engine.ready <= wanted
+
+
+def _run(machine, examples, phases=tuple(hypothesis.Phase)):
+    stateful.run_state_machine_as_test(
+        machine,
+        settings=hypothesis.settings(
+            max_examples=examples, stateful_step_count=20, phases=phases
+        ),
+    )
+
+
+def test_every_step_keeps_models_reachable_and_memory_in_bounds():
+    _run(FleetMachine, 120, (hypothesis.Phase.generate,))
+
+
+class _TrustingTally(moves._Tally):
+    """Lets a replica go without another that is ready."""
+
+    def try_unload(self, move):
+        return True
+
+
+def _steps_of_a_relocation():
+    engines = [build.engine("e1", 10, ["a"]), build.engine("e2", 10, ["b"])]
+    engines = [engine._replace(free=5) for engine in engines]
+    models = [build.model(n, s) for n, s in (("a", 5), ("b", 5), ("c", 8))]
+    executor = moves.Executor(PARAMS)
+    executor.adopt(0.0, _plan(models, engines))
+    return executor.steps(0.0, models, engines, permits=3)
+
+
+def test_an_executor_that_trusts_its_plan_takes_a_last_replica(monkeypatch):
+    kinds = [move.kind for move in _steps_of_a_relocation()]
+    assert kinds == [layout.MoveKind.LOAD]
+    monkeypatch.setattr(moves, "_Tally", _TrustingTally)
+    kinds = [move.kind for move in _steps_of_a_relocation()]
+    assert layout.MoveKind.UNLOAD in kinds
+
+
+def test_loads_wait_for_permits_and_lost_orders_are_repeated():
+    engines = [build.engine("e1", 20, [])]
+    models = [build.model(n, 4) for n in "abc"]
+    executor = moves.Executor(PARAMS)
+    executor.adopt(0.0, _plan(models, engines))
+    assert len(executor.steps(0.0, models, engines, permits=2)) == 2
+    assert len(executor.steps(1.0, models, engines, permits=2)) == 1
+    assert executor.steps(2.0, models, engines, permits=2) == []
+    again = executor.steps(moves.RETRY_S, models, engines, permits=9)
+    assert len(again) == 2
+    assert executor.steps(moves.GIVE_UP_S, models, engines, 9) == []
+    assert executor.pending == ()
