Keep the weight store's limits and the adapter cap fleet-wide

Cause: store loads are limited by rate and by number at once, adapter loads in transit by a cap over all engines, and no adapter load may need a message.

Ruled out, each as a deliberate fault that exceeds the cap in a directed history: counting only a borrower's last loan, counting a share from its arrival, starting loads to the very end of a share, a successor that lends at once.

Change: `StoreLimit` gives permits that count until a report settles them or the longest load is over; a successor counts what engines report. `Lender` and `Borrower` lend the cap for four seconds on demand, the duration counted from the request's sending, so that no clocks need to agree.

--- /dev/null
+++ b/tests/test_fleet_limits.py
@@ -0,0 +1,224 @@
+"""Tests of the limits that all nodes keep together."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from azureline.fleet import limits
+
+CAP = 6
+NAMES = ("n0", "n1", "n2")
+DRIFT = {"n0": 1.0, "n1": 0.98, "n2": 1.02}
+LENDER_LEASE_S = 3.0
+
+
+class LimitsMachine(stateful.RuleBasedStateMachine):
+    """Borrowers with drifting clocks, lost messages, freezes, takeovers."""
+
+    lender_class = limits.Lender
+    borrower_class = limits.Borrower
+    wait_s = LENDER_LEASE_S + limits.LEND_S + limits.LEND_MARGIN_S
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.lenders = [self.lender_class(CAP)]
+        self.left = float("-inf")
+        self.borrowers = {n: self.borrower_class(n) for n in NAMES}
+        self.requests = []
+        self.shares = []
+        self.transit = []
+
+    def _clock(self, name):
+        return 100.0 + self.now * DRIFT[name]
+
+    def _lender(self, former):
+        held = former and self.now < self.left + LENDER_LEASE_S
+        return self.lenders[-2 if held and len(self.lenders) > 1 else -1]
+
+    @stateful.rule(
+        name=st.sampled_from(NAMES),
+        waiting=st.integers(0, 6),
+        fate=st.sampled_from(["served", "served", "late", "lost"]),
+    )
+    def ask(self, name, waiting, fate="served"):
+        clock = self._clock(name)
+        request = self.borrowers[name].ask(clock, waiting)
+        if request is None or fate == "lost":
+            return
+        self.requests.append(request)
+        if fate == "served":
+            self.serve(-1)
+            self.deliver(-1)
+
+    @stateful.precondition(lambda self: self.requests)
+    @stateful.rule(at=st.integers(0, 5), former=st.booleans())
+    def serve(self, at, former=False):
+        request = self.requests[at % len(self.requests)]
+        self.shares.append(self._lender(former).handle(self.now, request))
+
+    @stateful.precondition(lambda self: self.shares)
+    @stateful.rule(at=st.integers(0, 5))
+    def deliver(self, at):
+        share = self.shares[at % len(self.shares)]
+        borrower = self.borrowers[share.borrower]
+        borrower.granted(self._clock(share.borrower), share)
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def start_all(self, name):
+        while self.borrowers[name].start(self._clock(name)):
+            self.transit.append((name, self.now + limits.TRANSIT_MAX_S))
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 3.0, 5.0]))
+    def wait(self, seconds):
+        self.now += seconds
+        for name, until in list(self.transit):
+            if until <= self.now:
+                self.transit.remove((name, until))
+                self.borrowers[name].ended()
+
+    @stateful.rule()
+    def take_over(self):
+        self.left = self.now
+        self.lenders.append(self.lender_class(CAP, self.now + self.wait_s))
+
+    @stateful.invariant()
+    def cap_holds(self):
+        assert len(self.transit) <= CAP
+
+
+def test_loads_in_transit_never_exceed_the_cap():
+    stateful.run_state_machine_as_test(
+        LimitsMachine,
+        settings=hypothesis.settings(max_examples=400, stateful_step_count=25),
+    )
+
+
+class CountsTheLastLoan(limits.Lender):
+    """Takes a smaller share for having replaced the larger one."""
+
+    def _held(self, now, borrower):
+        super()._held(now, borrower)
+        loans = self._loans.get(borrower, [])
+        return loans[-1].amount if loans else 0
+
+
+class CountsFromArrival(limits.Borrower):
+    """Counts the duration of a share from its arrival."""
+
+    def granted(self, now, share):
+        if share.number in self._asked:
+            self._asked[share.number] = (now, share.amount)
+        super().granted(now, share)
+
+
+class StartsToTheEnd(limits.Borrower):
+    """Starts loads that are still in transit when the share has ended."""
+
+    def _usable(self, now):
+        return self._amount if now < self._until + 0.5 else 0
+
+
+def _last_loan(machine):
+    machine.ask("n0", 6)
+    machine.start_all("n0")
+    machine.wait(3.0)
+    machine.ask("n1", 6, "late")
+    machine.serve(-1)
+    machine.ask("n0", 0, "late")
+    machine.serve(-1)
+    machine.ask("n2", 6)
+    machine.start_all("n0")
+    machine.start_all("n2")
+
+
+def _from_arrival(machine):
+    machine.ask("n0", 6, "late")
+    machine.serve(0)
+    machine.wait(3.0)
+    machine.deliver(0)
+    machine.wait(3.0)
+    machine.ask("n1", 6)
+    machine.start_all("n0")
+    machine.start_all("n1")
+
+
+def _to_the_end(machine):
+    machine.ask("n0", 6)
+    machine.wait(4.2)
+    machine.start_all("n0")
+    machine.wait(0.1)
+    machine.ask("n1", 6)
+    machine.start_all("n1")
+
+
+def _no_wait(machine):
+    machine.ask("n0", 6)
+    machine.take_over()
+    machine.ask("n1", 6)
+    machine.start_all("n0")
+    machine.start_all("n1")
+
+
+@pytest.mark.parametrize(
+    ("fault", "history"),
+    [
+        ({"lender_class": CountsTheLastLoan}, _last_loan),
+        ({"borrower_class": CountsFromArrival}, _from_arrival),
+        ({"borrower_class": StartsToTheEnd}, _to_the_end),
+        ({"wait_s": 0.0}, _no_wait),
+    ],
+)
+def test_a_faulty_share_exceeds_the_cap_where_shares_hold(fault, history):
+    broken = type("Broken", (LimitsMachine,), fault)()
+    history(broken)
+    assert len(broken.transit) > CAP
+    sound = LimitsMachine()
+    history(sound)
+    assert len(sound.transit) <= CAP
+
+
+def test_a_lone_borrower_gets_the_cap_and_contenders_fair_parts():
+    lender = limits.Lender(12)
+    assert lender.handle(0.0, limits.Request("n0", 1, 20)).amount == 12
+    assert lender.handle(1.0, limits.Request("n1", 1, 20)).amount == 0
+    assert lender.handle(2.0, limits.Request("n0", 2, 20)).amount == 6
+    assert lender.handle(5.0, limits.Request("n1", 2, 20)).amount == 6
+    assert lender.lent(5.0) == 12
+
+
+ENGINES = ("e1", "e2")
+
+
+def test_store_permits_keep_the_rate_and_the_number_at_once():
+    store = limits.StoreLimit(rate=2.0, at_once=2)
+    for engine in ENGINES:
+        store.seen(engine, 0.0, 0)
+    assert store.ask(0.0, "1", "e1", ENGINES)
+    assert store.ask(0.1, "2", "e1", ENGINES).reason == "rate"
+    assert store.ask(0.5, "2", "e1", ENGINES)
+    assert store.ask(1.0, "3", "e2", ENGINES).reason == "at_once"
+    store.ended("1")
+    assert store.ask(1.0, "3", "e2", ENGINES)
+
+
+def test_a_permit_without_news_counts_until_its_load_must_have_ended():
+    store = limits.StoreLimit(rate=2.0, at_once=1)
+    for engine in ENGINES:
+        store.seen(engine, 0.0, 0)
+    store.ask(0.0, "1", "e1", ENGINES)
+    assert not store.ask(limits.LOAD_MAX_S, "2", "e1", ENGINES)
+    assert store.ask(limits.LOAD_MAX_S + 12.0, "2", "e1", ENGINES)
+
+
+def test_a_successor_counts_former_loads_before_it_gives_permits():
+    store = limits.StoreLimit(rate=2.0, at_once=2, unsettled_until=20.0)
+    assert store.ask(10.0, "1", "e1", ENGINES).reason == "unsettled"
+    store.seen("e1", 10.0, 0)
+    store.seen("e2", 21.0, 1)
+    assert store.ask(21.0, "1", "e1", ENGINES).reason == "at_once"
+    store.seen("e1", 21.0, 0)
+    assert store.ask(21.0, "1", "e1", ENGINES)
+    assert store.ask(22.0, "2", "e1", ENGINES).reason == "at_once"
+    assert store.ask(20.0 + limits.LOAD_MAX_S, "2", "e1", ENGINES)
