--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,469 @@
+"""Measures what a node adds between callers and an engine.
+
+Runs the same load straight to an engine stand-in and through one node, one
+after the other in one run, and writes the figures to docs/.
+"""
+
+import collections
+from collections.abc import Callable
+import json
+import os
+import pathlib
+import platform
+import random
+import statistics
+import sys
+import time
+from typing import Any
+from typing import NamedTuple
+import urllib.parse
+
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import protocol
+from twisted.internet import reactor
+from twisted.internet import task
+
+from tools import demo
+from tools import deployment
+
+MODEL = demo.MODEL
+TOKENS_PER_S = 40
+RATE_STREAMS = 64  # At 40 tokens/s each, about 2,500 tokens/s.
+WARM_S = 1.5
+MEASURE_S = 8.0
+THINK_S = 0.1  # Longest pause of a caller; spreads calls over engine steps.
+PAUSE_S = 0.5
+RECONNECT_S = 1.0
+TIME_LIMIT_S = 110.0
+SEED = 1
+FIRST_TOKEN_RATIO_TARGET = 1.1
+CORE_SHARE_TARGET = 0.4
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+BASE = """\
+{
+  "models": {
+    "seam-advice": {
+      "memory_bytes": "14 GiB",
+      "tokens_per_s": 20000,
+      "max_running": 512
+    }
+  },
+  "callers": {"bench": {"key_sha256": "%s", "max_priority": "urgent"}}
+}
+"""
+OVERLAY = """\
+{
+  "site": "bench",
+  "engines": {"engine-1": {"domain": "d1", "memory_bytes": "80 GiB"}}
+}
+"""
+_PAGE = """\
+# What a node adds
+
+`make bench` (`python -m tools.bench`) runs one engine stand-in at
+{tokens_per_s} tokens/s per stream and 60 ms to the first token, and one node
+before it.  The same callers, seeded alike, call the engine straight and then
+the node, {measure_s:g} s each after {warm_s:g} s of warming up; each caller
+keeps its connection and pauses for up to {think_ms:g} ms between calls.  A
+core is one of the {cores} of the machine that ran this page's figures
+({python}).
+
+| streams | tokens | path | first token, median | p95 | gap, p95 | tokens/s |\
+ refused | node, core | µs of node per token |
+|---:|---:|---|---:|---:|---:|---:|---:|---:|---:|
+{rows}
+
+- First token at 32 streams, node to direct: {ratio:.3f} (target at most \
+{ratio_target}): {ratio_verdict}.
+- Core of the node at {rate:.0f} tokens/s: {share:.1%} (target under \
+{share_target:.0%}): {share_verdict}.
+
+The engine stand-in and the callers run on the same machine; their own shares
+of a core are in [results/bench.json](results/bench.json), and a figure beside
+a share near 100% is bounded by that process.
+"""
+
+
+class Block(NamedTuple):
+    """Figures of one load on one path.
+
+    Attributes:
+      path: "direct" or "node".
+      streams: concurrent callers.
+      max_tokens: tokens per answer.
+      first_token_ms_median: from sending to the first token.
+      first_token_ms_p95: the same for 95 in 100.
+      gap_ms_p95: mean time between tokens of an answer, for 95 in 100.
+      tokens_per_s: tokens received per second by all callers.
+      answers: answers that were received whole.
+      refused: answers other than 200.
+      node_core: share of a core that the node used.
+      engine_core: share of a core that the engine stand-in used.
+      caller_core: share of a core that the callers used.
+      node_us_per_token: processor time of the node per token.
+    """
+
+    path: str
+    streams: int
+    max_tokens: int
+    first_token_ms_median: float
+    first_token_ms_p95: float
+    gap_ms_p95: float
+    tokens_per_s: float
+    answers: int
+    refused: int
+    node_core: float
+    engine_core: float
+    caller_core: float
+    node_us_per_token: float
+
+
+class Load(NamedTuple):
+    """One load to be put on a path."""
+
+    streams: int
+    max_tokens: int
+
+
+class Tally:
+    """What the callers of one block have seen while it was measured."""
+
+    def __init__(self):
+        self.measuring = False
+        self.first_s: list[float] = []
+        self.gap_s: list[float] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def count(self, name: str, n: int = 1) -> None:
+        """Counts something if it falls into the measured time."""
+        if self.measuring:
+            self.counts[name] += n
+
+
+class Caller(protocol.Protocol):
+    """Calls again and again on one connection."""
+
+    def __init__(
+        self,
+        name: str,
+        load: Load,
+        tally: Tally,
+        rng: random.Random,
+        on_lost: Callable[[], None],
+    ):
+        self._on_lost = on_lost
+        self._name = name
+        self._load = load
+        self._tally = tally
+        self._rng = rng
+        self._calls = 0
+        self._timer: Any = None
+        self._rest = b""
+
+    def connectionMade(self) -> None:  # noqa: N802 - a name of twisted
+        """Begins at a random moment."""
+        self.transport.setTcpNoDelay(True)
+        self._later(self._rng.uniform(0, WARM_S / 2))
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Stops calling."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._on_lost()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Takes whole lines; events and chunk sizes have lines of their own."""
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        now = time.perf_counter()
+        for line in lines:
+            self._take(line, now)
+
+    def _take(self, line: bytes, now: float) -> None:
+        if line.startswith(b"data: {"):
+            if not self._tokens:
+                self._first_at = now
+            self._last_at = now
+            self._tokens += 1
+            self._tally.count("tokens")
+        elif line.startswith(b"data: [DONE]"):
+            self._done = True
+        elif line == b"0\r":
+            self._finish()
+        elif line.startswith(b"HTTP/1.1 ") and b" 200 " not in line:
+            self._tally.count("refused")
+            self.transport.loseConnection()
+
+    def _later(self, delay: float) -> None:
+        self._timer = reactor.callLater(delay, self._call)
+
+    def _call(self) -> None:
+        self._calls += 1
+        self._tokens = 0
+        self._done = False
+        self._was_measuring = self._tally.measuring
+        self._sent_at = time.perf_counter()
+        self.transport.write(self._request())
+
+    def _finish(self) -> None:
+        whole = self._done and self._tokens == self._load.max_tokens
+        self._tally.count("answers" if whole else "broken")
+        if self._was_measuring and self._tokens:
+            self._tally.first_s.append(self._first_at - self._sent_at)
+            gaps = max(1, self._tokens - 1)
+            self._tally.gap_s.append((self._last_at - self._first_at) / gaps)
+        self._later(self._rng.uniform(0, THINK_S))
+
+    def _request(self) -> bytes:
+        request_id = f"{self._name}-{self._calls}"
+        question = f"{request_id}: which chuck for this end? " + "x" * 400
+        body = json.dumps(
+            {
+                "request_id": request_id,
+                "model": MODEL,
+                "messages": [{"role": "user", "content": question}],
+                "max_tokens": self._load.max_tokens,
+                "stream": True,
+            }
+        )
+        head = (
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: bench\r\n"
+            f"Authorization: Bearer {demo.KEY}\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        return (head + body).encode()
+
+
+class Crowd:
+    """Callers of one block, which connect again when they are cut off."""
+
+    def __init__(self, url: str, load: Load, tally: Tally, name: str):
+        self._rng = random.Random(SEED)
+        self._load = load
+        self._tally = tally
+        self._name = name
+        address = urllib.parse.urlsplit(url)
+        self._endpoint = endpoints.TCP4ClientEndpoint(
+            reactor, address.hostname, address.port
+        )
+        self._callers: list[Caller] = []
+        self._stopped = False
+
+    async def start(self) -> None:
+        """Connects all callers."""
+        for i in range(self._load.streams):
+            await self._connect(i)
+
+    def stop(self) -> None:
+        """Closes all connections."""
+        self._stopped = True
+        for one in self._callers:
+            one.transport.loseConnection()
+
+    async def _connect(self, i: int) -> None:
+        made = Caller(
+            f"{self._name}-{i}-{len(self._callers)}",
+            self._load,
+            self._tally,
+            random.Random(self._rng.random()),
+            lambda: self._lost(i),
+        )
+        await endpoints.connectProtocol(self._endpoint, made)
+        self._callers.append(made)
+
+    def _lost(self, i: int) -> None:
+        """Connects again after a pause, as a caller that was refused does."""
+        if not self._stopped:
+            task.deferLater(reactor, RECONNECT_S, self._again, i)
+
+    def _again(self, i: int) -> None:
+        if not self._stopped:
+            defer.ensureDeferred(self._connect(i)).addErrback(lambda _: None)
+
+
+def processor_s(pid: int) -> float:
+    """Returns the processor time that a process has used, in seconds."""
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def run_block(
+    fleet: deployment.Deployment, path: str, load: Load
+) -> Block:
+    """Puts a load on a path and measures it."""
+    name = {"direct": "engine-1", "node": "node-1"}[path]
+    pids = [fleet.pid("node-1"), fleet.pid("engine-1"), os.getpid()]
+    tally = Tally()
+    crowd = Crowd(
+        fleet.urls[name],
+        load,
+        tally,
+        f"{path}-{load.streams}-{load.max_tokens}",
+    )
+    await crowd.start()
+    await task.deferLater(reactor, WARM_S)
+    before, begun_at = [processor_s(p) for p in pids], time.perf_counter()
+    tally.measuring = True
+    await task.deferLater(reactor, MEASURE_S)
+    tally.measuring = False
+    lasted_s = time.perf_counter() - begun_at
+    used = [processor_s(p) - b for p, b in zip(pids, before, strict=True)]
+    crowd.stop()
+    await task.deferLater(reactor, PAUSE_S)
+    return _block(path, load, tally, used, lasted_s)
+
+
+def _block(
+    path: str, load: Load, tally: Tally, used: list[float], lasted_s: float
+) -> Block:
+    tokens = max(1, tally.counts["tokens"])
+    node_s = used[0] if path == "node" else 0.0
+    return Block(
+        path=path,
+        streams=load.streams,
+        max_tokens=load.max_tokens,
+        first_token_ms_median=_percentile(tally.first_s, 50) * 1000,
+        first_token_ms_p95=_percentile(tally.first_s, 95) * 1000,
+        gap_ms_p95=_percentile(tally.gap_s, 95) * 1000,
+        tokens_per_s=tally.counts["tokens"] / lasted_s,
+        answers=tally.counts["answers"],
+        refused=tally.counts["refused"] + tally.counts["broken"],
+        node_core=used[0] / lasted_s,
+        engine_core=used[1] / lasted_s,
+        caller_core=used[2] / lasted_s,
+        node_us_per_token=node_s / tokens * 1e6,
+    )
+
+
+def _percentile(values: list[float], percent: int) -> float:
+    if len(values) < 2:
+        return sum(values)
+    return statistics.quantiles(values, n=100, method="inclusive")[percent - 1]
+
+
+def start(fleet: deployment.Deployment) -> None:
+    """Starts the platform, one engine and one node that serves its model."""
+    fleet.standin("platform", "platform", store_rate=4.0)
+    fleet.standin(
+        "engine",
+        "engine-1",
+        domain="d1",
+        memory_bytes=80 << 30,
+        max_running=512,
+        tokens_per_s=TOKENS_PER_S,
+        cache_bytes_per_token=1000,
+        resident=[f"{MODEL}@1={14 << 30}"],
+    )
+    fleet.node("node-1", "d1")
+    checks = demo.Checks()
+    demo.apply(fleet, checks, BASE % demo.key_digest(), OVERLAY)
+    demo.wait_until_served(fleet, checks, ["node-1"])
+    if checks.failed:
+        raise deployment.StartError(fleet.log_tail("node-1"))
+
+
+async def run(fleet: deployment.Deployment) -> list[Block]:
+    """Runs all blocks, each load on both paths."""
+    loads = [
+        Load(1, 8),
+        Load(32, 32),
+        Load(256, 32),
+        Load(RATE_STREAMS, 128),
+    ]
+    blocks = []
+    for load in loads:
+        for path in ("direct", "node"):
+            blocks.append(await run_block(fleet, path, load))
+            print(_row(blocks[-1]), flush=True)
+    return blocks
+
+
+def write(blocks: list[Block]) -> str:
+    """Writes the figures and the page; returns the page."""
+    by_load = {(b.path, b.streams): b for b in blocks}
+    ratio = (
+        by_load["node", 32].first_token_ms_median
+        / by_load["direct", 32].first_token_ms_median
+    )
+    at_rate = by_load["node", RATE_STREAMS]
+    results = _ROOT / "docs" / "results"
+    results.mkdir(parents=True, exist_ok=True)
+    figures = {
+        "command": "python -m tools.bench",
+        "cores": os.cpu_count(),
+        "python": platform.python_version(),
+        "seed": SEED,
+        "measure_s": MEASURE_S,
+        "first_token_ratio_at_32": ratio,
+        "blocks": [block._asdict() for block in blocks],
+    }
+    (results / "bench.json").write_text(json.dumps(figures, indent=2) + "\n")
+    page = _PAGE.format(
+        tokens_per_s=TOKENS_PER_S,
+        measure_s=MEASURE_S,
+        warm_s=WARM_S,
+        think_ms=THINK_S * 1000,
+        cores=os.cpu_count(),
+        python="Python " + platform.python_version(),
+        rows="\n".join(_row(block) for block in blocks),
+        ratio=ratio,
+        ratio_target=FIRST_TOKEN_RATIO_TARGET,
+        ratio_verdict=_verdict(ratio <= FIRST_TOKEN_RATIO_TARGET),
+        rate=at_rate.tokens_per_s,
+        share=at_rate.node_core,
+        share_target=CORE_SHARE_TARGET,
+        share_verdict=_verdict(at_rate.node_core < CORE_SHARE_TARGET),
+    )
+    (_ROOT / "docs" / "bench.md").write_text(page)
+    return page
+
+
+def _verdict(met: bool) -> str:
+    return "met" if met else "missed"
+
+
+def _row(block: Block) -> str:
+    return (
+        f"| {block.streams} | {block.max_tokens} | {block.path} "
+        f"| {block.first_token_ms_median:.1f} ms "
+        f"| {block.first_token_ms_p95:.1f} ms "
+        f"| {block.gap_ms_p95:.1f} ms | {block.tokens_per_s:.0f} "
+        f"| {block.refused} | {block.node_core:.1%} "
+        f"| {block.node_us_per_token:.1f} |"
+    )
+
+
+def _run_reactor(fleet: deployment.Deployment) -> list[Block]:
+    blocks: list[Block] = []
+
+    def begin() -> None:
+        done = defer.ensureDeferred(run(fleet))
+        done.addTimeout(TIME_LIMIT_S, reactor)
+        done.addCallback(blocks.extend)
+        done.addErrback(lambda failure: failure.printTraceback())
+        done.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    return blocks
+
+
+def main() -> None:
+    """Runs the bench; exits with 1 if the deployment does not come up."""
+    with deployment.Deployment() as fleet:
+        try:
+            start(fleet)
+        except deployment.StartError as e:
+            print(f"error: {e}", file=sys.stderr)
+            sys.exit(1)
+        blocks = _run_reactor(fleet)
+    if not blocks:
+        sys.exit(1)
+    print(write(blocks))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/deployment.py
@@ -0,0 +1,200 @@
+"""A whole deployment on the loopback network, as processes of one machine."""
+
+import contextlib
+import json
+import os
+import pathlib
+import selectors
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 5.0
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+class StartError(RuntimeError):
+    """Raised when a process does not come up."""
+
+
+class Deployment:
+    """Starts processes and ends all of them when it is left.
+
+    Each VM has a loopback address of its own, as VMs have.
+    """
+
+    def __init__(self, program: list[str] | None = None):
+        """Creates a deployment without processes.
+
+        Args:
+          program: the command that runs azureline; by default the package
+            beside this one, in the interpreter that runs now.
+        """
+        self.program = program or [sys.executable, "-m", "azureline"]
+        self.urls: dict[str, str] = {}
+        self._stack = contextlib.ExitStack()
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        pid = os.getpid()
+        self._network = f"127.{10 + pid % 200}.{pid // 200 % 250}"
+        self._seeds: list[str] = []
+
+    def __enter__(self) -> "Deployment":
+        folder = self._stack.enter_context(tempfile.TemporaryDirectory())
+        self.folder = pathlib.Path(folder)
+        return self
+
+    def __exit__(self, *exc_info: Any) -> None:
+        self._stack.close()
+
+    def standin(self, kind: str, name: str, **options: Any) -> str:
+        """Starts a stand-in and returns its URL.
+
+        Args:
+          kind: name of the module in `standins`.
+          name: name of the VM.
+          **options: options of the stand-in's command line; True and False
+            become switches, a list repeats its option.
+        """
+        host = self._next_host()
+        command = [sys.executable, "-m", f"standins.{kind}", "--host", host]
+        if kind != "platform":
+            platform = self.urls["platform"]
+            command += ["--name", name, "--platform", platform]
+        command += _arguments(options)
+        process = self._start(name, command, stdout=subprocess.PIPE)
+        port = _ready_port(name, process)
+        self.urls[name] = f"http://{host}:{port}"
+        return self.urls[name]
+
+    def node(self, name: str, domain: str, **settings: Any) -> str:
+        """Starts a node and returns the URL of its callers' interface."""
+        host = self._next_host()
+        port, link_port = free_port(host), free_port(host)
+        document = {
+            "name": name,
+            "host": host,
+            "port": port,
+            "link_port": link_port,
+            "domain": domain,
+            "platform": {"url": self.urls["platform"]},
+            "seeds": list(self._seeds),
+            **settings,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(document, indent=2))
+        command = [*self.program, "node", "--settings", str(path)]
+        self._start(name, command, stdout=subprocess.DEVNULL)
+        self._seeds.append(f"{host}:{link_port}")
+        self.urls[name] = f"http://{host}:{port}"
+        return self.urls[name]
+
+    def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Runs a command of azureline to its end."""
+        return subprocess.run(
+            [*self.program, *arguments],
+            cwd=_ROOT,
+            capture_output=True,
+            text=True,
+            timeout=START_TIMEOUT_S,
+        )
+
+    def pid(self, name: str) -> int:
+        """Returns the process id of a VM's process."""
+        return self._processes[name].pid
+
+    def kill(self, name: str) -> None:
+        """Ends a process without any notice."""
+        self._processes[name].kill()
+        self._processes[name].wait()
+
+    def log_tail(self, name: str, lines: int = 20) -> str:
+        """Returns the end of a process's log."""
+        path = self.folder / f"{name}.log"
+        text = path.read_text(errors="replace")
+        return "\n".join(text.splitlines()[-lines:])
+
+    def _start(
+        self, name: str, command: list[str], stdout: int
+    ) -> subprocess.Popen[bytes]:
+        with open(self.folder / f"{name}.log", "wb") as log:
+            process = subprocess.Popen(
+                command, cwd=_ROOT, stdout=stdout, stderr=log
+            )
+        self._stack.callback(_end, process)
+        self._processes[name] = process
+        return process
+
+    def _next_host(self) -> str:
+        return f"{self._network}.{len(self._processes) + 1}"
+
+
+def free_port(host: str) -> int:
+    """Returns a port that is free for TCP and UDP at an address."""
+    while True:
+        with (
+            socket.socket(type=socket.SOCK_STREAM) as tcp,
+            socket.socket(type=socket.SOCK_DGRAM) as udp,
+        ):
+            tcp.bind((host, 0))
+            port = tcp.getsockname()[1]
+            with contextlib.suppress(OSError):
+                udp.bind((host, port))
+                return port
+
+
+def _arguments(options: dict[str, Any]) -> list[str]:
+    arguments = []
+    for name, value in options.items():
+        flag = "--" + name.replace("_", "-")
+        match value:
+            case True:
+                arguments.append(flag)
+            case False:
+                arguments.append("--no-" + flag[2:])
+            case list():
+                for item in value:
+                    arguments += [flag, str(item)]
+            case _:
+                arguments += [flag, str(value)]
+    return arguments
+
+
+def _ready_port(name: str, process: subprocess.Popen[bytes]) -> int:
+    """Waits for the line that says on which port a stand-in listens."""
+    with selectors.DefaultSelector() as selector:
+        selector.register(process.stdout, selectors.EVENT_READ)
+        if not selector.select(START_TIMEOUT_S):
+            raise StartError(f"{name} is not ready in {START_TIMEOUT_S} s")
+    line = process.stdout.readline().decode().strip()
+    if not line.startswith("ready port="):
+        raise StartError(f"{name} ended at its start")
+    return int(line.removeprefix("ready port="))
+
+
+def _end(process: subprocess.Popen[bytes]) -> None:
+    """Ends a process by its id: politely first, then for good."""
+    if process.poll() is None:
+        process.terminate()
+        try:
+            process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+    if process.stdout is not None:
+        process.stdout.close()
+
+
+def wait_until(what: str, condition: Any, timeout_s: float) -> Any:
+    """Calls `condition` until it returns something true; returns that."""
+    give_up_at = time.monotonic() + timeout_s
+    while True:
+        result = condition()
+        if result:
+            return result
+        if time.monotonic() > give_up_at:
+            raise StartError(f"{what}: not within {timeout_s:g} s")
+        time.sleep(0.1)
