Derive the stand-ins' command lines from their options

Cause: each option stood four times: in a typed form, in the command line, in its default and in the call.

Ruled out: one module for all options and dispatch; the programs are started by their module names.

Change: options.py holds a NamedTuple per program and builds the typer command from it; batch and memory take the engine's options.

Conclusion: each option now stands once.

--- a/standins/batch.py
+++ b/standins/batch.py
@@ -6,28 +6,12 @@
 import itertools
 import json
 from typing import Any
-from typing import NamedTuple
 
 from twisted.internet import task
 
-KEEP_S = 10.0  # How long a stream outlives its connection or its end.
-
-
-class Speed(NamedTuple):
-    """How fast an engine generates.
+from standins import options
 
-    Attributes:
-      tokens_per_s: tokens per second of each running stream.
-      max_running: streams that run at once; more are queued.
-      first_token_ms: time to the first token of a stream.
-      prefix_slots: prompt prefixes in the cache; a hit takes a third of the
-        time to the first token.
-    """
-
-    tokens_per_s: float = 40.0
-    max_running: int = 64
-    first_token_ms: float = 60.0
-    prefix_slots: int = 256
+KEEP_S = 10.0  # How long a stream outlives its connection or its end.
 
 
 class Stream:
@@ -113,7 +97,10 @@
     """The streams of one engine."""
 
     def __init__(
-        self, reactor: Any, speed: Speed, on_released: Callable[[], None]
+        self,
+        reactor: Any,
+        speed: options.EngineOptions,
+        on_released: Callable[[], None],
     ):
         """Creates an empty batch.
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,59 +2,40 @@
 
 import json
 import os
-from typing import Annotated
 from typing import Any
-from typing import NamedTuple
 import uuid
 
 from twisted.internet import defer
 from twisted.internet import reactor as default_reactor
 from twisted.internet import task
 from twisted.web import server
-import typer
 
 from azureline.backends import interface
 from standins import answers
 from standins import batch
 from standins import common
 from standins import memory
+from standins import options
 
 SNAPSHOT_EVERY_S = 0.1
 _CHARS_PER_TOKEN = 4
 
 
-class Options(NamedTuple):
-    """What distinguishes one engine.
-
-    Attributes:
-      name: name of the engine.
-      rules: how it treats orders.
-      speed: how fast it generates.
-      platform: URL of the platform stand-in, or "" to load at once.
-      report_lag_s: age of the state that it reports.
-      adapter_ms: time to load one adapter.
-      cache_bytes_per_token: cache taken by a token of prompt or answer.
-    """
-
-    name: str
-    rules: memory.Rules
-    speed: batch.Speed = batch.Speed()
-    platform: str = ""
-    report_lag_s: float = 0.5
-    adapter_ms: float = 5.0
-    cache_bytes_per_token: int = 100_000
-
-
 class Engine(common.App):
     """Answers for one model engine."""
 
-    def __init__(self, options: Options, reactor: Any = default_reactor):
+    def __init__(
+        self, chosen: options.EngineOptions, reactor: Any = default_reactor
+    ):
         super().__init__(reactor)
-        self._options = options
-        self._poster = common.Poster(reactor, options.platform)
-        self.memory = memory.Memory(reactor, options.rules, self._load)
-        self._batch = batch.Batch(reactor, options.speed, self.memory.release)
+        self._options = chosen
+        self._poster = common.Poster(reactor, chosen.platform)
+        self.memory = memory.Memory(reactor, chosen, self._load)
+        self._batch = batch.Batch(reactor, chosen, self.memory.release)
         self.memory.batch = self._batch
+        for item in chosen.resident:
+            model, _, size = item.partition("=")
+            self.memory.add(*model.partition("@")[::2], int(size))
         self._incarnation = uuid.uuid4().hex
         self._sequence = 0
         self._snapshots: list[tuple[float, dict[str, Any]]] = []
@@ -181,7 +162,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             age_s=0.0,
-            capacity_bytes=rules.capacity_bytes,
+            capacity_bytes=rules.memory_bytes,
             cache_bytes=self._batch.cache_bytes,
             models=tuple(mem.models.values()),
             adapters=tuple(mem.adapters.values()),
@@ -206,43 +187,12 @@
         return common.json_reply({**report, "age_s": age_s})
 
 
-def main(
-    name: str = "engine-1",
-    domain: str = "d1",
-    host: str = "127.0.0.1",
-    port: int = 0,
-    platform: str = "",
-    memory_bytes: int = 80_000_000_000,
-    tokens_per_s: float = 40.0,
-    max_running: int = 64,
-    first_token_ms: float = 60.0,
-    prefix_slots: int = 256,
-    cache_bytes_per_token: int = 100_000,
-    report_lag_s: float = 0.5,
-    adapter_ms: float = 5.0,
-    fences: bool = True,
-    memory_check: bool = True,
-    resident: Annotated[list[str], typer.Option()] = (),
-) -> None:
-    """Runs an engine; each resident is NAME=BYTES or NAME@VERSION=BYTES."""
-    options = Options(
-        name=name,
-        rules=memory.Rules(memory_bytes, fences, memory_check),
-        speed=batch.Speed(
-            tokens_per_s, max_running, first_token_ms, prefix_slots
-        ),
-        platform=platform,
-        report_lag_s=report_lag_s,
-        adapter_ms=adapter_ms,
-        cache_bytes_per_token=cache_bytes_per_token,
-    )
-    engine = Engine(options)
-    for item in resident:
-        model, _, size = item.partition("=")
-        engine.memory.add(*model.partition("@")[::2], int(size))
-    vm = {"name": name, "role": "engine", "domain": domain}
-    common.serve(engine, host, port, platform, vm)
+def main(chosen: options.EngineOptions) -> None:
+    """Runs the stand-in for a model engine until SIGTERM."""
+    vm = {"name": chosen.name, "role": "engine", "domain": chosen.domain}
+    engine = Engine(chosen)
+    common.serve(engine, chosen.host, chosen.port, chosen.platform, vm)
 
 
 if __name__ == "__main__":
-    typer.run(main)
+    options.run(main, options.EngineOptions)
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -5,9 +5,9 @@
 
 from twisted.internet import reactor as default_reactor
 from twisted.web import server
-import typer
 
 from standins import common
+from standins import options
 
 
 class Ledger(common.App):
@@ -66,24 +66,11 @@
         return reply
 
 
-def run(
-    role: str, name: str, domain: str, host: str, port: int, platform: str
-) -> None:
-    """Runs a ledger or plain service until SIGTERM."""
-    vm = {"name": name, "role": role, "domain": domain}
-    common.serve(Ledger(), host, port, platform, vm)
-
-
-def main(
-    name: str = "ledger-1",
-    domain: str = "d1",
-    host: str = "127.0.0.1",
-    port: int = 0,
-    platform: str = "",
-) -> None:
+def main(chosen: options.ServerOptions, role: str = "ledger") -> None:
     """Runs the stand-in for a ledger engine until SIGTERM."""
-    run("ledger", name, domain, host, port, platform)
+    vm = {"name": chosen.name, "role": role, "domain": chosen.domain}
+    common.serve(Ledger(), chosen.host, chosen.port, chosen.platform, vm)
 
 
 if __name__ == "__main__":
-    typer.run(main)
+    options.run(main, options.ServerOptions)
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 from typing import Any
-from typing import NamedTuple
 
 from azureline.backends import interface
+from standins import options
 
 UNLOAD_S = 0.05
 _RESULTS_KEPT = 10_000
@@ -12,25 +12,15 @@
 Loader = Callable[[interface.OrderKind, int, Callable[[], None]], None]
 
 
-class Rules(NamedTuple):
-    """How an engine treats orders.
-
-    Attributes:
-      capacity_bytes: accelerator memory in bytes.
-      fences: whether it refuses an order with a lower fence.
-      checks_memory: whether it refuses what would not fit.
-    """
-
-    capacity_bytes: int
-    fences: bool = True
-    checks_memory: bool = True
-
-
 class Memory:
     """What is loaded, and the results of orders."""
 
     def __init__(
-        self, reactor: Any, rules: Rules, load: Loader, batch: Any = None
+        self,
+        reactor: Any,
+        rules: options.EngineOptions,
+        load: Loader,
+        batch: Any = None,
     ):
         """Creates an empty memory.
 
@@ -60,9 +50,9 @@
 
     def fits(self, size: int) -> bool:
         """Whether `size` more bytes may be taken; counts an overcommit."""
-        if self.used_bytes + size <= self.rules.capacity_bytes:
+        if self.used_bytes + size <= self.rules.memory_bytes:
             return True
-        if self.rules.checks_memory:
+        if self.rules.memory_check:
             return False
         self.overcommits += 1
         return True
--- /dev/null
+++ b/standins/options.py
@@ -0,0 +1,118 @@
+"""Options of the stand-ins; each field is an option of the command line."""
+
+from collections.abc import Callable
+import inspect
+from typing import Any
+from typing import NamedTuple
+
+import typer
+
+
+class PlatformOptions(NamedTuple):
+    """Rates, lags and speeds of the platform.
+
+    Attributes:
+      port: TCP port; 0 takes a free one.
+      host: address in 127.0.0.0/8.
+      seed: unused; the platform makes no random choice.
+      writes_per_s: writes of the key-value service, leases included.
+      reads_per_s: its reads, a waiting watch counting as one.
+      answer_ms: time that each of its answers takes.
+      vm_lag_s: age of the VM list.
+      store_rate: starts of model loads per second.
+      store_at_once: model loads that run at full speed together.
+      store_bytes_per_s: speed of one model load.
+      adapters_at_once: adapter loads that run at full speed together.
+    """
+
+    port: int = 0
+    host: str = "127.0.0.1"
+    seed: int = 0
+    writes_per_s: float = 300.0
+    reads_per_s: float = 2000.0
+    answer_ms: float = 3.0
+    vm_lag_s: float = 1.0
+    store_rate: float = 1.5
+    store_at_once: int = 5
+    store_bytes_per_s: float = 20e9
+    adapters_at_once: int = 40
+
+
+class ServerOptions(NamedTuple):
+    """Options of a ledger engine or a plain service.
+
+    Attributes:
+      name: name of the VM.
+      domain: its failure domain.
+      platform: URL of the platform stand-in, or "" to stay unregistered.
+      port: TCP port; 0 takes a free one.
+      host: address in 127.0.0.0/8.
+    """
+
+    name: str = "server-1"
+    domain: str = "d1"
+    platform: str = ""
+    port: int = 0
+    host: str = "127.0.0.1"
+
+
+class EngineOptions(NamedTuple):
+    """Options of a model engine.
+
+    Attributes:
+      name: name of the VM.
+      domain: its failure domain.
+      platform: URL of the platform stand-in; without it loads take no time.
+      port: TCP port; 0 takes a free one.
+      host: address in 127.0.0.0/8.
+      memory_bytes: accelerator memory.
+      tokens_per_s: tokens per second of each running stream.
+      max_running: streams that run at once; more are queued.
+      first_token_ms: time to the first token of a stream.
+      prefix_slots: prompt prefixes in the cache; a hit takes a third of the
+        time to the first token.
+      cache_bytes_per_token: cache taken by a token of prompt or answer.
+      report_lag_s: age of the state that it reports.
+      adapter_ms: time to load one adapter.
+      fences: whether it refuses an order with a lower fence.
+      memory_check: whether it refuses what would not fit.
+      resident: models that it starts with, as NAME@VERSION=BYTES.
+    """
+
+    name: str = "engine-1"
+    domain: str = "d1"
+    platform: str = ""
+    port: int = 0
+    host: str = "127.0.0.1"
+    memory_bytes: int = 80_000_000_000
+    tokens_per_s: float = 40.0
+    max_running: int = 64
+    first_token_ms: float = 60.0
+    prefix_slots: int = 256
+    cache_bytes_per_token: int = 100_000
+    report_lag_s: float = 0.5
+    adapter_ms: float = 5.0
+    fences: bool = True
+    memory_check: bool = True
+    resident: list[str] = []
+
+
+def run(main: Callable[[Any], None], kind: type) -> None:
+    """Reads options of a kind from the command line and calls `main`."""
+
+    def command(**values: Any) -> None:
+        main(kind(**values))
+
+    fields = [
+        inspect.Parameter(
+            name,
+            inspect.Parameter.KEYWORD_ONLY,
+            default=typer.Option(kind._field_defaults[name]),
+            annotation=annotation,
+        )
+        for name, annotation in kind.__annotations__.items()
+    ]
+    command.__signature__ = inspect.Signature(fields)
+    command.__annotations__ = dict(kind.__annotations__)
+    command.__doc__ = main.__doc__
+    typer.run(command)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,48 +2,25 @@
 
 import collections
 from typing import Any
-from typing import NamedTuple
 
 from twisted.internet import defer
 from twisted.internet import reactor as default_reactor
 from twisted.internet import task
 from twisted.web import server
-import typer
 
 from standins import common
+from standins import options
 from standins import store
 
 MAX_VALUE_BYTES = 1_000_000
 
 
-class Limits(NamedTuple):
-    """Rates, lags and speeds of the platform.
-
-    Attributes:
-      writes_per_s: writes of the key-value service, leases included.
-      reads_per_s: its reads, a waiting watch counting as one.
-      answer_ms: time that each of its answers takes.
-      vm_lag_s: age of the VM list.
-      store_rate: starts of model loads per second.
-      store_at_once: model loads that run at full speed together.
-      store_bytes_per_s: speed of one model load.
-      adapters_at_once: adapter loads that run at full speed together.
-    """
-
-    writes_per_s: float = 300.0
-    reads_per_s: float = 2000.0
-    answer_ms: float = 3.0
-    vm_lag_s: float = 1.0
-    store_rate: float = 1.5
-    store_at_once: int = 5
-    store_bytes_per_s: float = 20e9
-    adapters_at_once: int = 40
-
-
 class Platform(common.App):
     """Answers for the platform; all state is in memory."""
 
-    def __init__(self, limits: Limits, reactor: Any = default_reactor):
+    def __init__(
+        self, limits: options.PlatformOptions, reactor: Any = default_reactor
+    ):
         super().__init__(reactor)
         now = reactor.seconds()
         self._limits = limits
@@ -195,32 +172,10 @@
     return common.Reply(200 if value.version else 404, value.body, version)
 
 
-def main(
-    port: int = 0,
-    host: str = "127.0.0.1",
-    seed: int = 0,
-    writes_per_s: float = 300.0,
-    reads_per_s: float = 2000.0,
-    answer_ms: float = 3.0,
-    vm_lag_s: float = 1.0,
-    store_rate: float = 1.5,
-    store_at_once: int = 5,
-    store_bytes_per_s: float = 20e9,
-    adapters_at_once: int = 40,
-) -> None:
+def main(chosen: options.PlatformOptions) -> None:
     """Runs the stand-in for the platform until SIGTERM."""
-    limits = Limits(
-        writes_per_s=writes_per_s,
-        reads_per_s=reads_per_s,
-        answer_ms=answer_ms,
-        vm_lag_s=vm_lag_s,
-        store_rate=store_rate,
-        store_at_once=store_at_once,
-        store_bytes_per_s=store_bytes_per_s,
-        adapters_at_once=adapters_at_once,
-    )
-    common.serve(Platform(limits), host, port)
+    common.serve(Platform(chosen), chosen.host, chosen.port)
 
 
 if __name__ == "__main__":
-    typer.run(main)
+    options.run(main, options.PlatformOptions)
--- a/standins/service.py
+++ b/standins/service.py
@@ -1,20 +1,13 @@
 """A stand-in for a plain service, whose calls may be repeated."""
 
-import typer
-
 from standins import ledger
+from standins import options
 
 
-def main(
-    name: str = "service-1",
-    domain: str = "d1",
-    host: str = "127.0.0.1",
-    port: int = 0,
-    platform: str = "",
-) -> None:
+def main(chosen: options.ServerOptions) -> None:
     """Runs the stand-in for a plain service until SIGTERM."""
-    ledger.run("service", name, domain, host, port, platform)
+    ledger.main(chosen, "service")
 
 
 if __name__ == "__main__":
-    typer.run(main)
+    options.run(main, options.ServerOptions)
--- a/tests/builders_standins.py
+++ b/tests/builders_standins.py
@@ -10,10 +10,9 @@
 from twisted.web import client
 from twisted.web import http_headers
 
-from standins import batch
 from standins import common
 from standins import engine
-from standins import memory
+from standins import options
 from standins import platform
 
 GB = 10**9
@@ -75,30 +74,18 @@
     app.reactor.pump([0.02] * round(seconds * 50))
 
 
-def platform_app(clock: Any = None, **limits: Any) -> platform.Platform:
+def platform_app(clock: Any = None, **fields: Any) -> platform.Platform:
     """Returns a platform that answers at once and whose clock stands still."""
-    limits = {"answer_ms": 0.0, "vm_lag_s": 0.0, **limits}
-    return platform.Platform(platform.Limits(**limits), clock or task.Clock())
+    fields = {"answer_ms": 0.0, "vm_lag_s": 0.0, **fields}
+    chosen = options.PlatformOptions(**fields)
+    return platform.Platform(chosen, clock or task.Clock())
 
 
-def rules(**fields: Any) -> memory.Rules:
-    """Returns the rules of an engine of 80 GB."""
-    return memory.Rules(capacity_bytes=80 * GB, **fields)
-
-
-def engine_app(
-    options: Any = None, clock: Any = None, **speed: Any
-) -> engine.Engine:
+def engine_app(clock: Any = None, **fields: Any) -> engine.Engine:
     """Returns an engine with one model of 10 GB; its clock stands still."""
-    made = engine.Options(
-        name="engine-1",
-        rules=rules(),
-        speed=batch.Speed(**speed),
-        report_lag_s=0.0,
-    )
-    app = engine.Engine(made._replace(**(options or {})), clock or task.Clock())
-    app.memory.add("seam", "1", 10 * GB)
-    return app
+    fields = {"report_lag_s": 0.0, **fields}
+    chosen = options.EngineOptions(resident=[f"seam@1={10 * GB}"], **fields)
+    return engine.Engine(chosen, clock or task.Clock())
 
 
 def chat(request_id: str, **fields: Any) -> dict[str, Any]:
--- a/tests/test_standins_engine.py
+++ b/tests/test_standins_engine.py
@@ -134,8 +134,7 @@
         assert (report["overcommits"], report["last_order_id"]) == (0, "1")
 
     async def test_without_checks_overcommits_are_counted(self):
-        options = {"rules": builders.rules(fences=False, checks_memory=False)}
-        self._serve(options=options)
+        self._serve(fences=False, memory_check=False)
         size = 71 * builders.GB
         await self._order("1", "load_model", "b", fence=5, bytes_needed=size)
         await self._order("2", "load_adapter", "a", fence=1, bytes_needed=1)
@@ -168,7 +167,7 @@
         assert await builders.run_until(self.app, late) == "accepted"
 
     async def test_reports_lag_and_say_by_how_much(self):
-        self._serve(options={"report_lag_s": 2.0})
+        self._serve(report_lag_s=2.0)
         builders.advance(self.app, 3.0)
         await self._order("1", "load_model", "b")
         report = await self._report()
@@ -184,8 +183,7 @@
         platform = builders.listen(
             self, builders.platform_app(clock=reactor, store_rate=1000)
         )
-        options = {"platform": platform}
-        app = builders.engine_app(clock=reactor, options=options)
+        app = builders.engine_app(clock=reactor, platform=platform)
         url = builders.listen(self, app)
         body = builders.order("1", "load_model", "b", bytes_needed=builders.GB)
         await builders.call(url + "/orders", "POST", body)
