--- a/tools/bench.py
+++ b/tools/bench.py
@@ -56,7 +56,9 @@
 OVERLAY = """\
 {
   "site": "bench",
-  "engines": {"engine-1": {"domain": "d1", "memory_bytes": "80 GiB"}}
+  "engines": {
+    "$add": {"engine-1": {"domain": "d1", "memory_bytes": "80 GiB"}}
+  }
 }
 """
 _PAGE = """\
--- a/tools/caller.py
+++ b/tools/caller.py
@@ -55,8 +55,15 @@
 class Caller:
     """Calls one node with an API key."""
 
-    def __init__(self, url: str, key: str = ""):
-        """Creates a caller; each call uses a connection of its own."""
+    def __init__(self, url: str, key: str = "", timeout_s: float = _TIMEOUT_S):
+        """Creates a caller; each call uses a connection of its own.
+
+        Args:
+          url: root of the node's HTTP interface.
+          key: the API key, if one is needed.
+          timeout_s: longest silence in seconds.
+        """
+        self._timeout_s = timeout_s
         self._address = urllib.parse.urlsplit(url).netloc
         self._headers = {"Content-Type": "application/json"}
         if key:
@@ -85,25 +92,27 @@
     def chunks(
         self, model: str, messages: list[dict[str, str]], max_tokens: int
     ) -> Iterator[dict[str, Any]]:
-        """Yields the chunks of a streamed answer, then {"done": True}.
-
-        A refusal is yielded as {"problem": document, "status": code}; the
-        iterator ends early if the connection does.
-        """
+        """Yields the chunks of a streamed answer; see `events`."""
         body = {
             "model": model,
             "messages": messages,
             "max_tokens": max_tokens,
             "stream": True,
         }
+        yield from self.events("POST", "/v1/chat/completions", body)
+
+    def events(
+        self, method: str, path: str, value: Any = None
+    ) -> Iterator[dict[str, Any]]:
+        """Yields the events of a stream, then {"done": True}.
+
+        A refusal is yielded as {"problem": document, "status": code}; the
+        iterator ends early if the connection does.
+        """
+        body = None if value is None else json.dumps(value)
         with contextlib.closing(self._connect()) as conn:
             try:
-                conn.request(
-                    "POST",
-                    "/v1/chat/completions",
-                    json.dumps(body),
-                    self._headers,
-                )
+                conn.request(method, path, body, self._headers)
                 response = conn.getresponse()
                 if response.status != 200:
                     problem = json.loads(response.read() or b"{}")
@@ -126,7 +135,9 @@
         return StreamedText(status, "".join(text), whole, problem)
 
     def _connect(self) -> http.client.HTTPConnection:
-        return http.client.HTTPConnection(self._address, timeout=_TIMEOUT_S)
+        return http.client.HTTPConnection(
+            self._address, timeout=self._timeout_s
+        )
 
 
 def content(chunk: dict[str, Any]) -> str:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -58,9 +58,11 @@
 {
   "site": "demo",
   "engines": {
-    "engine-1": {"domain": "d1", "memory_bytes": "80 GiB", "fences": true},
-    "engine-2": {"domain": "d2", "memory_bytes": "80 GiB"},
-    "ledger-1": {"role": "ledger", "domain": "d3"}
+    "$add": {
+      "engine-1": {"domain": "d1", "memory_bytes": "80 GiB", "fences": true},
+      "engine-2": {"domain": "d2", "memory_bytes": "80 GiB"},
+      "ledger-1": {"role": "ledger", "domain": "d3"}
+    }
   }
 }
 """
@@ -120,9 +122,9 @@
         path.write_text(text)
     platform = ("--platform", fleet.urls["platform"])
     applied = fleet.command("config", "apply", *map(str, paths), *platform)
-    checks.check(
-        "base and overlay are applied", applied.returncode == 0, applied
-    )
+    if applied.returncode != 0:
+        raise deployment.StartError(f"config apply: {applied.stderr}")
+    checks.check("base and overlay are applied", True)
 
 
 def wait_until_served(
