Let the owner's refusal come before the entry node's own deadline

Cause: at a deadline the entry node can only say "unknown", while the owner can often say "not run"; claims waited up to 8 s after a takeover.

--- a/azureline/once/book.py
+++ b/azureline/once/book.py
@@ -74,7 +74,7 @@
             return [self._replies.refuse(claim, key)]
         self._records.see(wall, key)
         digest = key_lib.digest(claim.caller, key.text)
-        deadline = now + claim.budget_s
+        deadline = now + min(claim.budget_s, limits_lib.MAX_BUDGET_S)
         copy = claims_lib.Copy(claim.node, claim.request_id, deadline)
         live = self._claims.get(digest)
         if live is not None:
--- a/azureline/once/entry.py
+++ b/azureline/once/entry.py
@@ -14,8 +14,10 @@
 from azureline.once import messages
 
 CLAIM_RESEND_S = 0.3
+CLAIM_RESEND_MAX_S = 2.0
 OUTCOME_RESEND_S = 1.0
-RESEND_MAX_S = 8.0
+OUTCOME_RESEND_MAX_S = 8.0
+REPLY_MARGIN_S = 0.05
 OUTCOME_TTL_S = 120.0
 LINGER_S = 30.0
 DISPATCH_MARGIN_S = 0.02
@@ -160,6 +162,11 @@
                     self._reported(now, outcome)
         return []
 
+    def owner_changed(self, now: float) -> None:
+        """Has `tick` send again soon what the new owner has not seen."""
+        if isinstance(self._state, _Waiting | _Reporting):
+            self._hasten(now)
+
     def begin(self, now: float) -> bool:
         """Whether the request may be handed to a socket now.
 
@@ -222,7 +229,7 @@
             case _Reporting(_, until) | _GivenUp(until) if now >= until:
                 self._state = _Ended()
             case _Reporting(outcome) if now >= self._resend_at:
-                self._schedule(now, OUTCOME_RESEND_S)
+                self._schedule(now, OUTCOME_RESEND_S, OUTCOME_RESEND_MAX_S)
                 found.append(ToOwner(outcome))
         return found
 
@@ -267,8 +274,9 @@
         return [Finish(result)]
 
     def _send_claim(self, now: float) -> list[Effect]:
-        self._schedule(now, CLAIM_RESEND_S)
-        budget_s = self._deadline - now
+        self._schedule(now, CLAIM_RESEND_S, CLAIM_RESEND_MAX_S)
+        # The owner knows more than this node: its refusal should come first.
+        budget_s = self._deadline - REPLY_MARGIN_S - now
         return [ToOwner(self._claim._replace(budget_s=budget_s))]
 
     def _withdraw(self, now: float) -> list[Effect]:
@@ -303,7 +311,7 @@
         )
         self._state = _Reporting(outcome, now + OUTCOME_TTL_S)
         self._resends = 0
-        self._schedule(now, OUTCOME_RESEND_S)
+        self._schedule(now, OUTCOME_RESEND_S, OUTCOME_RESEND_MAX_S)
         return [ToOwner(outcome)]
 
     def _reported(self, now: float, outcome: messages.Outcome) -> None:
@@ -316,8 +324,8 @@
         delay = self._rng.uniform(0, NOT_OWNER_DELAY_S)
         self._resend_at = min(self._resend_at, now + delay)
 
-    def _schedule(self, now: float, base_s: float) -> None:
-        delay = min(RESEND_MAX_S, base_s * 2**self._resends)
+    def _schedule(self, now: float, base_s: float, max_s: float) -> None:
+        delay = min(max_s, base_s * 2**self._resends)
         self._resends += 1
         self._resend_at = now + delay * self._rng.uniform(0.75, 1.25)
 
--- a/azureline/once/limits.py
+++ b/azureline/once/limits.py
@@ -5,6 +5,7 @@
 from azureline.once import key as key_lib
 
 CLOCK_MARGIN_S = 5.0
+MAX_BUDGET_S = 300.0
 
 
 class Limits(NamedTuple):
--- a/tests/test_once_owner.py
+++ b/tests/test_once_owner.py
@@ -3,9 +3,11 @@
 import pytest
 
 from azureline.core import errors
+from azureline.once import key as key_lib
 from azureline.once import log
 from azureline.once import messages
 from azureline.once import owner
+from azureline.once import page
 from azureline.once import records
 from azureline.platform import interface
 from tests import builders_once
@@ -184,6 +186,31 @@
         assert _refused(replies) == (Kind.KEY_EXPIRED, Ran.UNKNOWN)
 
 
+def test_a_deposed_owners_late_chunk_brings_nothing_back():
+    layout = builders_once.LAYOUT._replace(page_entries=1)
+    bench = builders_once.Bench(layout)
+    first = claim(bench.key())
+    bench.request(first)
+    digest = key_lib.digest(first.caller, first.key)
+    issued_s = key_lib.decode(first.key).issued_s
+    old, new = (
+        page.Entry(digest, b"body", issued_s, state, attempt)
+        for state, attempt in [
+            (page.State.DID_NOT_RUN, 1),
+            (page.State.INTENT, 2),
+        ]
+    )
+    for number, entry in enumerate([new, old]):
+        stamp = page.Stamp(1, f"owner{number}", 1)
+        packed = page.pack_entry(entry)
+        chunk = page.Chunk(number, 0, stamp, 0, packed)
+        key = log.chunk_key(0, number)
+        bench.service.put(key, page.pack(chunk), 0)
+    bench.take_over()
+    replies = bench.request(first._replace(request_id="r2"))
+    assert _refused(replies) == (Kind.MAY_HAVE_RUN, Ran.UNKNOWN)
+
+
 def test_memory_is_bounded_by_refusals_as_not_run():
     bench = builders_once.Bench(entries=3)
     for number in range(3):
