--- a/standins/batch.py
+++ b/standins/batch.py
@@ -6,28 +6,12 @@
 import itertools
 import json
 from typing import Any
-from typing import NamedTuple
 
 from twisted.internet import task
 
-KEEP_S = 10.0  # How long a stream outlives its connection or its end.
-
-
-class Speed(NamedTuple):
-    """How fast an engine generates.
+from standins import options
 
-    Attributes:
-      tokens_per_s: tokens per second of each running stream.
-      max_running: streams that run at once; more are queued.
-      first_token_ms: time to the first token of a stream.
-      prefix_slots: prompt prefixes in the cache; a hit takes a third of the
-        time to the first token.
-    """
-
-    tokens_per_s: float = 40.0
-    max_running: int = 64
-    first_token_ms: float = 60.0
-    prefix_slots: int = 256
+KEEP_S = 10.0  # How long a stream outlives its connection or its end.
 
 
 class Stream:
@@ -72,7 +56,7 @@
         return self._sink is not None
 
     def attach(self, sink: Any, offset: int) -> None:
-        """Sends what follows `offset` to a request, now and from now on."""
+        """Sends events from `offset` on to a request, now and later."""
         self._sink = sink
         events = map(self._event, range(offset + 1, self.produced + 1))
         sink.write(b"".join(events))
@@ -97,10 +81,11 @@
             self._sink.write(self._event(self.produced))
             self._end_if_finished()
 
-    def _event(self, offset: int) -> bytes:
-        tail = self._last if offset == len(self._tokens) else self._tail
-        data = self._head + self._tokens[offset - 1] + tail
-        return f"id: {offset}\ndata: {data}\n\n".encode()
+    def _event(self, number: int) -> bytes:
+        """Returns the event of a token, counted from 1; offsets are from 0."""
+        tail = self._last if number == len(self._tokens) else self._tail
+        data = self._head + self._tokens[number - 1] + tail
+        return f"id: {number - 1}\ndata: {data}\n\n".encode()
 
     def _end_if_finished(self) -> None:
         if self.finished and self._sink is not None:
@@ -113,7 +98,10 @@
     """The streams of one engine."""
 
     def __init__(
-        self, reactor: Any, speed: Speed, on_released: Callable[[], None]
+        self,
+        reactor: Any,
+        speed: options.EngineOptions,
+        on_released: Callable[[], None],
     ):
         """Creates an empty batch.
 
