Keep the trace of a damaged log until its floor is durable

Cause: a seal could overwrite a malformed page, the only sign that entries were lost; if that owner died before its first page, the next one took the lost keys for new. Found by reading; the test failed first. Change: the seal carries the raised floor when pages are damaged, and a floor raised for chunks or gaps is written before anything is folded.

--- a/azureline/once/owner.py
+++ b/azureline/once/owner.py
@@ -66,7 +66,13 @@
         self._layout = layout
         self._table = table_lib.Table()
         self._takeover = takeover_lib.Takeover(
-            slot, epoch, self._writer, rng, self._table, layout
+            slot,
+            epoch,
+            self._writer,
+            rng,
+            self._table,
+            self._wall_offset,
+            layout,
         )
         self._early: dict[str, tuple[float, messages.Claim]] = {}
         self._log: log_lib.Log | None = None
@@ -241,8 +247,7 @@
         ]
 
     def _activate(self, now: float) -> list[effects.Effect]:
-        wall = now + self._wall_offset
-        recovered = self._takeover.finish(wall)
+        recovered = self._takeover.finish(now)
         self._log = log_lib.Log(
             self._slot,
             self._epoch,
@@ -256,6 +261,9 @@
         )
         self._book = book_lib.Book(self._records, self._replies, self._limits)
         found: list[effects.Effect] = []
+        if recovered.floor_s > recovered.head.floor_s:
+            # A raised floor must be durable before a fold hides its cause.
+            found += self._log.append(now, [], recovered.floor_s)
         early = self._early
         self._early = {}
         for deadline, claim in early.values():
--- a/azureline/once/takeover.py
+++ b/azureline/once/takeover.py
@@ -40,6 +40,7 @@
         writer: str,
         rng: random.Random,
         table: table_lib.Table,
+        wall_offset: float,
         layout: log.Layout = log.LAYOUT,
     ):
         """Creates a takeover that has read nothing yet.
@@ -50,9 +51,11 @@
           writer: identity of the new owner.
           rng: source of jitter.
           table: receives the entries that have not expired.
+          wall_offset: wall time less monotonic time, in seconds.
           layout: sizes of the log.
         """
         self._table = table
+        self._wall_offset = wall_offset
         self._layout = layout
         self._slot = slot
         self._epoch = epoch
@@ -130,14 +133,11 @@
                 return self._seal(now)
         return []
 
-    def finish(self, wall: float) -> log.Recovered:
+    def finish(self, now: float) -> log.Recovered:
         """Fills the table with the newest pages and returns the log.
 
         A gap in the log means that it is not known what ran.  The floor then
         rises above every key that can exist, so that none is taken for new.
-
-        Args:
-          wall: seconds since the Unix epoch.
         """
         pages = self._pages()
         chunks, stale = self._chunks()
@@ -147,7 +147,7 @@
         needed = range(folded + 1, head.sequence + 1)
         whole = all(sequence in pages for sequence in needed)
         if self._damaged or not whole or not self._contiguous(chunks, stale):
-            floor_s = int(wall + key_lib.MAX_FUTURE_S)
+            floor_s = max(floor_s, self._floor_above_all(now))
             self._table.clear()
         unfolded = [pages[s] for s in needed if s in pages]
         for value in unfolded:
@@ -202,11 +202,18 @@
             head = page.Page(0, False, stamp, 0, ())
         elif head.closed:
             head = page.Page(head.sequence + 1, False, stamp, head.floor_s, ())
+        if self._damaged:
+            # The seal may overwrite the only trace of the damage.
+            floor_s = max(head.floor_s, self._floor_above_all(now))
+            head = head._replace(floor_s=floor_s)
         self._sealed = head._replace(stamp=stamp)
         key = self._page_keys[head.sequence % self._layout.pages]
         version = self._versions.get(key, 0)
         return [self._cell.start(now, key, self._sealed, version)]
 
+    def _floor_above_all(self, now: float) -> int:
+        return int(now + self._wall_offset + key_lib.MAX_FUTURE_S)
+
     def _load(self, now: float) -> list[effects.Effect]:
         self._phase = _Phase.LOAD
         head = self._sealed.sequence
--- a/tests/test_once_owner.py
+++ b/tests/test_once_owner.py
@@ -272,3 +272,22 @@
     bench.take_over()
     replies = bench.request(claim(bench.key(), "r3"))
     assert replies == [messages.Granted(0, "r3", 1)]
+
+
+def test_damage_is_not_forgotten_by_a_seal_that_overwrites_it():
+    layout = builders_once.LAYOUT._replace(page_entries=1)
+    bench = builders_once.Bench(layout)
+    first = claim(bench.key())
+    bench.request(claim(bench.key(), "r0"))
+    bench.request(first)
+    newest = log.page_key(0, 1)
+    version = bench.service.get(newest).version
+    bench.service.put(newest, b"\xc1", version)
+    bench.hold_writes = True
+    bench.take_over()
+    (seal,) = bench.held
+    bench.service.put(seal.key, seal.value, seal.version)
+    bench.hold_writes = False
+    bench.take_over()
+    replies = bench.request(first._replace(request_id="r2"))
+    assert _refused(replies) == (Kind.KEY_EXPIRED, Ran.UNKNOWN)
