Let a suspect claim one engine without queueing

Cause: a suspect must run on one engine; passing all others as engines to avoid is a preference only, and the call may come back from another engine.

Change: Admission.claim sends to one engine now or says that it has no room. StreamRelay.counters returns the counts by name, as published.

--- a/azureline/routing/admission.py
+++ b/azureline/routing/admission.py
@@ -148,7 +148,7 @@
         """
         pool = self._pool(call.model)
         if not pool.ahead_of(call):
-            admitted = self._try(now, pool, call, avoid)
+            admitted = self._try(now, pool.candidates, call, avoid)
             if admitted is not None:
                 return self._send(now, pool, admitted)
         if not self._picker.usable(now, pool.candidates):
@@ -163,6 +163,20 @@
         pool.add(call, tuple(avoid))
         return Queued(call, wait_s)
 
+    def claim(
+        self, now: float, call: requests.ModelCall, engine: str
+    ) -> Admitted | None:
+        """Admits a call to one engine, past the queue, for a suspect.
+
+        Returns:
+          `Admitted`, or None if the engine has no room now; the call does
+          not wait here, since it would hold back those behind it.
+        """
+        pool = self._pool(call.model)
+        own = [c for c in pool.candidates if c.engine == engine]
+        admitted = self._try(now, own, call, ())
+        return self._send(now, pool, admitted) if admitted else None
+
     def next(self, now: float) -> list[Admitted | Dropped]:
         """Returns the calls to send now and those to give up."""
         results: list[Admitted | Dropped] = list(self._crowded_out)
@@ -174,7 +188,9 @@
         while (best := self._best_pool(blocked)) is not None:
             model, rank, waiting = best
             pool = self._pools[model]
-            admitted = self._try(now, pool, waiting.call, waiting.avoid)
+            admitted = self._try(
+                now, pool.candidates, waiting.call, waiting.avoid
+            )
             if admitted is None:
                 blocked[model] = rank
                 continue
@@ -254,16 +270,14 @@
     def _try(
         self,
         now: float,
-        pool: pool_lib.Pool,
+        candidates: Sequence[picker_lib.Candidate],
         call: requests.ModelCall,
         avoid: Sequence[str],
     ) -> Admitted | None:
         """Returns where a call can be sent now, or None."""
         reserve = call.priority is requests.Priority.URGENT
         roomy = [
-            c
-            for c in pool.candidates
-            if self._limits.room(now, c.engine, reserve)
+            c for c in candidates if self._limits.room(now, c.engine, reserve)
         ]
         choice = self._picker.choose(now, call, roomy, avoid)
         if not choice:
--- a/azureline/routing/stream.py
+++ b/azureline/routing/stream.py
@@ -191,6 +191,10 @@
         """Counts of what was dropped and replaced."""
         return self._counts
 
+    def counters(self) -> dict[str, int]:
+        """Returns `counts` by name."""
+        return self._counts._asdict()
+
     @property
     def ended(self) -> bool:
         """Whether nothing more will come out."""
--- a/tests/test_routing_admission.py
+++ b/tests/test_routing_admission.py
@@ -95,6 +95,14 @@
     assert isinstance(adm.offer(0.0, another), admission.Queued)
 
 
+def test_a_claim_on_one_engine_holds_nobody_back():
+    adm = _admission(engines=3)
+    assert adm.claim(0.0, build.call(), "e1").engine == "e1"
+    assert adm.claim(0.0, build.call(), "e1") is None
+    assert adm.claim(0.0, build.call(), "e9") is None
+    assert isinstance(adm.offer(0.0, build.call()), admission.Admitted)
+
+
 def test_an_unreachable_deadline_is_refused_at_once_with_when_to_return():
     adm = _trained()
     adm.offer(0.0, build.call())
