Document settings, command line and configuration

Cause: an operator needs every option, exit code and message on a page, and a maintainer the ways that were weighed.

Ruled out: a hand-written list of options, which falls behind the shipped file.

Change: reference of settings written from defaults.json by tools/settings_page and compared by a test, reference of the command line, design note and operators' page. The bench measures a start without the platform's service too.

--- a/tests/test_config_schema.py
+++ b/tests/test_config_schema.py
@@ -12,6 +12,7 @@
 from azureline.config import schema
 from azureline.config import structure
 from tests import builders_config
+from tools import settings_page
 
 
 def _options(cls, default):
@@ -141,3 +142,9 @@
     assert source.value == {"a": [1, 2], "b": {}}
     assert source.lines[("a", 1)] == 3
     assert source.lines[("b",)] == 4
+
+
+def test_the_reference_lists_every_option():
+    page = settings_page.PAGE.read_text("utf-8")
+    assert settings_page.render(page) == page
+    assert "| `models.NAME.min_replicas` | `1` |" in page
--- a/tools/config_bench.py
+++ b/tools/config_bench.py
@@ -18,12 +18,16 @@
 from azureline.config import ledger as ledger_lib
 from azureline.config import messages
 from azureline.config import version
+from azureline.core import wire
 
 SIZES = ((20, 6, 80), (70, 100, 400), (140, 300, 1200), (210, 900, 2100))
 HEADER = (
     "models engines adapters plain_b stored_b delta_b check_ms delta_ms full_ms"
 )
+START_HEADER = "nodes seconds questions bytes"
+FLEETS = (8, 90, 360)
 _GIB = 2**30
+_CODEC = wire.Codec({1: messages.Ask, 2: messages.State})
 
 
 def document(models: int, engines: int, adapters: int) -> dict[str, Any]:
@@ -86,6 +90,30 @@
     return (models, engines, adapters, *sizes, check_ms, delta_ms, full_ms)
 
 
+def measure_start(nodes: int) -> tuple[int, ...]:
+    """Returns the figures of one start, in the order of `START_HEADER`.
+
+    Every other node answers at once and has the same version in force.
+    """
+    peer = _serving(version.successor(None, document(20, 6, 80), "a", "1"))
+    node = ledger_lib.ConfigLedger(random.Random(2))
+    node.known(0.0, frozenset(f"node-{i}" for i in range(1, nodes)))
+    questions = size = seconds = 0
+    while node.in_force is None:
+        sends = node.tick(float(seconds))
+        for name, question in sends:
+            [answer] = peer.received(float(seconds), "new", question)
+            for _, pull in node.received(seconds, name, answer.message):
+                [full] = peer.received(float(seconds), "new", pull)
+                node.received(float(seconds), name, full.message)
+            if isinstance(question, messages.Ask):
+                questions += 1
+                size += len(_CODEC.pack(question))
+                size += len(_CODEC.pack(answer.message))
+        seconds += 1
+    return nodes, seconds, questions, size
+
+
 def _serving(accepted: version.Accepted) -> ledger_lib.ConfigLedger:
     node = ledger_lib.ConfigLedger(random.Random(1))
     node.confirmed(0.0, accepted)
@@ -103,6 +131,9 @@
     print(HEADER)
     for size in SIZES:
         print(*measure(*size))
+    print(START_HEADER)
+    for nodes in FLEETS:
+        print(*measure_start(nodes))
 
 
 if __name__ == "__main__":
