--- a/azureline/config/version.py
+++ b/azureline/config/version.py
@@ -17,13 +17,14 @@
       version: number of the version.
       identity: unique id of the apply that made it.
       author: who applied it.
-      undo: edits that turn the next version's document into this one's.
+      undo: edits that turn the next version's document into this one's; None
+        if they were left out to keep the value small.
     """
 
     version: int
     identity: str
     author: str
-    undo: delta.Edits
+    undo: delta.Edits | None
 
 
 class Accepted(NamedTuple):
@@ -53,6 +54,8 @@
         if version == self.version:
             return document
         for past in self.history:
+            if past.undo is None:
+                return None
             document = delta.apply(document, past.undo)
             if isinstance(document, delta.Mismatch):
                 return None
@@ -117,16 +120,19 @@
 
 
 def encode(accepted: Accepted) -> bytes | TooLarge:
-    """Returns the stored form, with as much history as the bound allows."""
-    history = accepted.history
+    """Returns the stored form, with as many undo edits as the bound allows."""
+    kept = len(accepted.history)
     while True:
-        trimmed = accepted._replace(history=history)
-        data = delta.pack(_to_plain(trimmed))
+        history = tuple(
+            past if index < kept else past._replace(undo=None)
+            for index, past in enumerate(accepted.history)
+        )
+        data = delta.pack(_to_plain(accepted._replace(history=history)))
         if len(data) <= MAX_VALUE_BYTES:
             return data
-        if not history:
+        if not kept:
             return TooLarge(len(data))
-        history = history[: len(history) // 2]
+        kept //= 2
 
 
 def decode(data: bytes) -> Accepted:
@@ -152,7 +158,8 @@
 
 
 def _past(version: int, identity: str, author: str, undo: Any) -> Past:
-    return Past(version, identity, author, delta.edits_from_plain(undo))
+    edits = None if undo is None else delta.edits_from_plain(undo)
+    return Past(version, identity, author, edits)
 
 
 def _to_plain(accepted: Accepted) -> dict[str, Any]:
@@ -161,7 +168,7 @@
             past.version,
             past.identity,
             past.author,
-            delta.edits_to_plain(past.undo),
+            None if past.undo is None else delta.edits_to_plain(past.undo),
         ]
         for past in accepted.history
     ]
