--- a/tests/test_ui.py
+++ b/tests/test_ui.py
@@ -70,40 +70,43 @@
     )
     assert _run("config", "check", *files)[0] == 0
     assert "accepted as version 1" in _apply(files, "--author", "ann")[1]
-    _write(files, '{"site": "s", "limits": {"store_loads_at_once": 8}}')
+    _write(files, '{"site": "s", "limits": {"adapters_in_transit": 8}}')
     code, output = _run("config", "diff", *files, *_PLATFORM)
     assert code == 0
-    assert "~ limits.store_loads_at_once: 4 -> 8" in output
+    assert "~ limits.adapters_in_transit: 30 -> 8" in output
     assert "version 1 by ann" in output and "--expect 1" in output
     assert "accepted as version 2, 1 changes" in _apply(files)[1]
     shown = _run("config", "show", *_PLATFORM, "--version", "1")[1]
-    assert '"store_loads_at_once": 4' in shown
+    assert '"adapters_in_transit": 30' in shown
     assert "ann" in _run("config", "show", *_PLATFORM, "--history")[1]
     assert _run("config", "show", *_PLATFORM, "--version", "9")[0] == 1
 
 
 def test_invalid_files_change_nothing(service, files):
-    _write(files, '{"site": "s",\n"limits": {"once_slot": 8}}')
+    _write(files, '{"site": "s",\n"limits": {"adapter_in_transit": 8}}')
     code, output = _apply(files)
     assert code == 1
-    assert f"{files[1]}:2: limits.once_slot: the base has no such" in output
+    assert (
+        f"{files[1]}:2: limits.adapter_in_transit: the base has no such"
+        in output
+    )
     assert service.calls == 0
 
 
 def test_the_second_of_two_operators_is_told_what_changed(service, files):
     _apply(files)
-    _write(files, '{"site": "s", "limits": {"store_loads_at_once": 8}}')
+    _write(files, '{"site": "s", "limits": {"adapters_in_transit": 8}}')
     _apply(files, "--author", "ann")
     _write(files, '{"site": "s", "limits": {"retry_budget_ratio": 0.2}}')
     for options in ([], ["--expect", "1"]):
         code, output = _apply(files, *options)
         assert code == 3
         assert "version 2 by ann" in output
-        assert "~ limits.store_loads_at_once: 4 -> 8" in output
+        assert "~ limits.adapters_in_transit: 30 -> 8" in output
     assert _apply(files, "--rebase")[0] == 2
     assert _apply(files, "--expect", "1", "--rebase")[0] == 0
     limits = version.decode(service.entry.value).document["limits"]
-    assert (limits["store_loads_at_once"], limits["retry_budget_ratio"]) == (
+    assert (limits["adapters_in_transit"], limits["retry_budget_ratio"]) == (
         8,
         0.2,
     )
