Plan moves from a node, lend adapter loads, and pass the demo

Cause: engines started empty and nobody loaded their models. The first demo runs failed in three ways: (1) "serves seam-advice: not within 60 s", no planner; (2) keepers and the planner failed on each answered move, since a method of theirs had the name of a field of the task class; (3) a stream of more than 30 s was ended with "the caller took nothing", since the relay counts what it forwards as not taken until it is told otherwise.

Ruled out for (3): the transport (it never paused).

Demand codes take a byte for each model.

--- a/azureline/callers/answer.py
+++ b/azureline/callers/answer.py
@@ -18,9 +18,6 @@
 class Watcher(Protocol):
     """Told of what the caller's connection does."""
 
-    def caller_took(self, unsent: int) -> None:
-        """Learns how many bytes wait for the caller."""
-
     def caller_left(self) -> None:
         """Learns that the caller closed the connection."""
 
@@ -49,6 +46,11 @@
         """Names the one who is told of the caller's connection."""
         self._watcher = watcher
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that wait since the caller stopped taking them."""
+        return self._unsent
+
     def write(self, data: bytes) -> None:
         """Passes on whole events."""
         if self._ended:
@@ -58,7 +60,6 @@
         self._request.write(data)
         if self._paused:
             self._unsent += len(data)
-            self._tell()
 
     def finish(self) -> None:
         """Ends an answer that is whole."""
@@ -85,7 +86,6 @@
         """Notes that the caller has taken what was sent."""
         self._paused = False
         self._unsent = 0
-        self._tell()
 
     def stopProducing(self):  # noqa: N802
         """Does nothing; the end of the request says the same."""
@@ -107,14 +107,12 @@
         if self._watcher is not None:
             self._watcher.caller_left()
 
-    def _tell(self) -> None:
-        if self._watcher is not None:
-            self._watcher.caller_took(self._unsent)
-
 
 class WholeAnswer:
     """Collects the events and answers with one JSON document at the end."""
 
+    unsent = 0
+
     def __init__(self, request: Any, request_id: str, model: str):
         """Creates the answer.
 
--- a/azureline/fleet/collection.py
+++ b/azureline/fleet/collection.py
@@ -8,12 +8,15 @@
 """
 
 import hashlib
+import math
 from typing import NamedTuple
 
 PERIOD_S = 15.0
 FAN_IN = 16
 KEPT_PERIODS = 2.5
-RATE_UNIT = 0.01
+LOWEST_RATE = 0.5
+STEP = 1.07
+MAX_CODE = 255
 
 
 class DemandReport(NamedTuple):
@@ -24,14 +27,14 @@
       nodes: number of nodes whose demand is in it.
       config_version: the configuration whose sorted model names the indices
         refer to.
-      rates: pairs of a model's index and its requests per second, the latter
-        as a whole number of `RATE_UNIT`.
+      rates: a byte for each model, in the order of the sorted names, that
+        codes its tokens per second on a logarithmic scale; see `encode`.
     """
 
     sender: str
     nodes: int
     config_version: int
-    rates: tuple[tuple[int, int], ...]
+    rates: bytes
 
 
 class Node(NamedTuple):
@@ -49,6 +52,23 @@
 MESSAGES: dict[int, type] = {54: DemandReport}
 
 
+def encode(rate: float) -> int:
+    """Returns the code of a rate; it is off by at most 3.5%.
+
+    Args:
+      rate: tokens per second; below `LOWEST_RATE` it counts as none.
+    """
+    if rate < LOWEST_RATE:
+        return 0
+    code = 1 + round(math.log(rate / LOWEST_RATE, STEP))
+    return min(code, MAX_CODE)
+
+
+def decode(code: int) -> float:
+    """Returns the tokens per second that a code stands for."""
+    return LOWEST_RATE * STEP ** (code - 1) if code else 0.0
+
+
 def parent(name: str, nodes: list[Node], planner: str) -> str:
     """Returns the node that a node sends its report to.
 
@@ -86,7 +106,7 @@
           name: name of this node.
         """
         self._name = name
-        self._counts: dict[int, int] = {}
+        self._counts: dict[int, float] = {}
         self._since = 0.0
         self._own: dict[int, float] = {}
         self._heard: dict[str, tuple[float, DemandReport]] = {}
@@ -100,9 +120,9 @@
         self._heard.clear()
         self._since = now
 
-    def count(self, model: int) -> None:
-        """Counts a request for the model with this index."""
-        self._counts[model] = self._counts.get(model, 0) + 1
+    def count(self, model: int, tokens: float) -> None:
+        """Counts work that was asked of the model with this index."""
+        self._counts[model] = self._counts.get(model, 0.0) + tokens
 
     def heard(self, now: float, report: DemandReport) -> bool:
         """Takes another node's report.
@@ -121,21 +141,20 @@
         self._own = {m: n / elapsed for m, n in self._counts.items()}
         self._counts.clear()
         self._since = now
-        rates = tuple(
-            (model, round(rate / RATE_UNIT))
-            for model, rate in sorted(self.rates(now).items())
-            if rate >= RATE_UNIT / 2
-        )
+        total = self.rates(now)
+        models = max(total, default=-1) + 1
+        rates = bytes(encode(total.get(m, 0.0)) for m in range(models))
         nodes = 1 + sum(r.nodes for _, r in self._heard.values())
         return DemandReport(self._name, nodes, self._config_version, rates)
 
     def rates(self, now: float) -> dict[int, float]:
-        """Returns requests per second by model index, own ones included."""
+        """Returns tokens per second by model index, own ones included."""
         self._drop_old(now)
         total = dict(self._own)
         for _, report in self._heard.values():
-            for model, rate in report.rates:
-                total[model] = total.get(model, 0.0) + rate * RATE_UNIT
+            for model, code in enumerate(report.rates):
+                if code:
+                    total[model] = total.get(model, 0.0) + decode(code)
         return total
 
     def _drop_old(self, now: float) -> None:
--- a/azureline/fleet/directory.py
+++ b/azureline/fleet/directory.py
@@ -23,11 +23,15 @@
       name: name of the model.
       version: version of its weights.
       state: "loading", "ready" or "unloading".
+      bytes_used: memory that it takes.
+      sure: whether no order that may still act can take it away.
     """
 
     name: str
     version: str
     state: str
+    bytes_used: int = 0
+    sure: bool = True
 
 
 class EngineView(NamedTuple):
@@ -39,6 +43,7 @@
       models: the models it holds.
       memory_used: accelerator memory in use, in bytes.
       memory_bytes: accelerator memory in bytes.
+      free_bytes: memory that the owner's book allows a load to take.
       running: requests being generated.
       draining: whether it has been told to leave.
       down: whether the owner has lost it.
@@ -49,6 +54,7 @@
     models: tuple[Held, ...]
     memory_used: int
     memory_bytes: int
+    free_bytes: int
     running: int
     draining: bool
     down: bool
--- a/azureline/fleet/engine_messages.py
+++ b/azureline/fleet/engine_messages.py
@@ -10,6 +10,7 @@
 
     Attributes:
       move_id: identity of the step; a repeated request is carried out once.
+      epoch: term of the planner; requests of an earlier one are refused.
       engine: name of the engine.
       kind: value of an `interface.OrderKind`.
       target: name of the model.
@@ -18,6 +19,7 @@
     """
 
     move_id: str
+    epoch: int
     engine: str
     kind: str
     target: str
--- a/azureline/fleet/keeper.py
+++ b/azureline/fleet/keeper.py
@@ -29,6 +29,7 @@
 ORDER_EXPIRES_S = 3.0
 VIEW_REFRESH_S = 30.0
 MOVES_REMEMBERED = 256
+FREE_STEPS = 512
 PREFIX = "engine/"
 _CODEC = wire.Codec({1: directories.EngineView, 2: directories.Held})
 
@@ -87,6 +88,7 @@
       tell: spreads a rumour: key, epoch, sequence, time to live, value.
       reply: sends a message to a node.
       may_act: returns whether an order sent now arrives within the lease.
+      planner_epoch: returns the latest known term of the planner.
       borrow: takes one of the fleet's adapter loads under way; False if none
         is free.
       give_back: returns what `borrow` took.
@@ -97,6 +99,7 @@
     tell: Tell
     reply: Reply
     may_act: Callable[[float], bool]
+    planner_epoch: Callable[[], int]
     borrow: Callable[[], bool]
     give_back: Callable[[], None]
 
@@ -125,7 +128,7 @@
         node: str,
         slot: str,
         epoch: int,
-        lease_s: float,
+        settles_at: float,
         clock: clocks.Clock,
         peers: Peers,
         counters: metrics.Counters,
@@ -137,7 +140,8 @@
           node: name of this node.
           slot: name of the slot.
           epoch: fencing number of the term.
-          lease_s: seconds for which a former owner may still act, at most.
+          settles_at: monotonic time in seconds from which no order of a former
+            owner can be started any more.
           clock: source of time.
           peers: how others are reached.
           counters: counts orders by result.
@@ -148,7 +152,7 @@
         self._clock = clock
         self._peers = peers
         self._counters = counters
-        self._settles_at = book_lib.takeover_settles_at(clock.now(), lease_s)
+        self._settles_at = settles_at
         self._config: schema.Configuration | None = None
         self._engines: dict[str, _Engine] = {}
         self._sequence = 0
@@ -237,7 +241,8 @@
         if view is None:
             return
         now = self._clock.now()
-        quiet = dict(running=0, memory_used=0)
+        # These change all the time; they ride along with other news.
+        quiet = {"running": 0, "memory_used": 0}
         same = engine.told is not None and view._replace(
             **quiet
         ) == engine.told._replace(**quiet)
@@ -255,7 +260,13 @@
         if report is None:
             return None
         held = tuple(
-            directories.Held(r.name, r.version, self._state(engine, r))
+            directories.Held(
+                r.name,
+                r.version,
+                self._state(engine, r),
+                r.bytes_used,
+                engine.book.ready(r.name, r.version),
+            )
             for r in report.models
         )
         used = report.cache_bytes + sum(
@@ -267,11 +278,17 @@
             models=held,
             memory_used=used,
             memory_bytes=report.capacity_bytes,
+            free_bytes=self._free_bytes(engine),
             running=report.running,
             draining=report.draining,
             down=engine.missed >= MISSED_REPORTS,
         )
 
+    def _free_bytes(self, engine: _Engine) -> int:
+        """Returns the room for loads, in coarse steps to save rumours."""
+        step = max(1, engine.config.memory_bytes // FREE_STEPS)
+        return engine.book.free_bytes(self._clock.now()) // step * step
+
     def _state(self, engine: _Engine, resident: interface.Resident) -> str:
         """Returns a model's state; an ordered unload counts as begun."""
         if resident.state != "ready":
@@ -283,10 +300,13 @@
         engine = self._engines.get(move.engine)
         kind = engine_messages.order_kind(move)
         if engine is None or kind is None:
-            self._done(sender, move, "unknown_engine")
+            self._tell_done(sender, move, "unknown_engine")
+            return
+        if move.epoch < self._peers.planner_epoch():
+            self._tell_done(sender, move, "old_planner")
             return
         if move.move_id in engine.moves:
-            self._done(sender, move, engine.moves[move.move_id])
+            self._tell_done(sender, move, engine.moves[move.move_id])
             return
         order = self._order(kind, move.target, move.version, move.bytes_needed)
         reason = self._send(engine, move.engine, order)
@@ -302,9 +322,9 @@
             move.version,
             result,
         )
-        self._done(sender, move, result)
+        self._tell_done(sender, move, result)
 
-    def _done(
+    def _tell_done(
         self, sender: str, move: engine_messages.MoveRequest, result: str
     ) -> None:
         self._counters.count(f"moves.{move.kind}.{result}")
--- a/azureline/fleet/moves.py
+++ b/azureline/fleet/moves.py
@@ -48,6 +48,10 @@
         """The last load and unload by engine and model."""
         return self._touched
 
+    def set_params(self, params: layout.Params) -> None:
+        """Takes other weights and bounds; moves under way stay."""
+        self._params = params
+
     def adopt(self, now: float, moves: Iterable[layout.Move]) -> None:
         """Adds moves of a plan that are not under way already.
 
--- a/azureline/fleet/owning.py
+++ b/azureline/fleet/owning.py
@@ -135,6 +135,11 @@
         record = self._ownership.holder(name)
         return record.holder if record else ""
 
+    def hinted_epoch(self, name: str) -> int:
+        """Returns the latest known epoch of a slot, or 0."""
+        record = self._ownership.holder(name)
+        return record.epoch if record else 0
+
     def epoch(self, name: str) -> int:
         """Returns the epoch under which this node owns a slot, or 0."""
         return self._ownership.epoch(name)
--- /dev/null
+++ b/azureline/fleet/planner.py
@@ -0,0 +1,330 @@
+"""Plans for the whole fleet while this node holds the planner's slot.
+
+What the plan rests on is soft state: the views that the engines' owners
+spread and the demand that nodes report.  A new planner needs no memory of the
+former one, but waits until no request of it can still be under way.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import itertools
+from typing import Any
+from typing import NamedTuple
+import uuid
+
+from absl import logging
+from twisted.internet import task as twisted_task
+
+from azureline.backends import interface
+from azureline.config import schema
+from azureline.core import clock as clocks
+from azureline.core import task
+from azureline.fleet import demand as demand_lib
+from azureline.fleet import directory as directories
+from azureline.fleet import draft
+from azureline.fleet import engine_messages
+from azureline.fleet import layout
+from azureline.fleet import limits
+from azureline.fleet import moves
+from azureline.fleet import placement
+from azureline.metrics import counters as metrics
+
+STEP_S = 1.0
+REQUEST_TRAVEL_S = 2.0
+VIEW_AGE_S = 5.0
+MOVE_COST_S = 20.0
+_KINDS = {
+    layout.MoveKind.LOAD: interface.OrderKind.LOAD_MODEL,
+    layout.MoveKind.UNLOAD: interface.OrderKind.UNLOAD_MODEL,
+    layout.MoveKind.SET_ROLE: interface.OrderKind.SET_ROLE,
+}
+
+
+class Configure(NamedTuple):
+    """Takes the configuration in force."""
+
+    config: schema.Configuration
+
+
+class Done(NamedTuple):
+    """Takes an owner's answer."""
+
+    message: engine_messages.MoveDone
+
+
+class Lend(NamedTuple):
+    """Takes a node's wish for a share of the adapter loads."""
+
+    sender: str
+    request: limits.Request
+
+
+class _Step(NamedTuple):
+    """Time to order what has become possible, and to plan anew."""
+
+
+class Peers(NamedTuple):
+    """What a planner uses to see and to reach others.
+
+    Attributes:
+      directory: the engines, as their owners and the platform tell.
+      rates: returns the demand by model, in tokens per second.
+      owner_of: returns the node that owns an engine's orders, or "".
+      send: sends a message to a node; False if the node is not known.
+      may_act: returns whether a request sent now arrives within the lease.
+      reachable: returns whether a failure domain can be reached.
+    """
+
+    directory: directories.Directory
+    rates: Callable[[], Mapping[str, float]]
+    owner_of: Callable[[str], str]
+    send: Callable[[str, Any], bool]
+    may_act: Callable[[float], bool]
+    reachable: Callable[[str], bool]
+
+
+class Planner(task.Task[Any]):
+    """Decides on moves and on shares for one term of ownership."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        epoch: int,
+        settled_at: float,
+        clock: clocks.Clock,
+        peers: Peers,
+        counters: metrics.Counters,
+    ):
+        """Creates the planner for one term.
+
+        Args:
+          reactor: the Twisted reactor.
+          epoch: number of the term.
+          settled_at: monotonic time in seconds from which no request of a
+            former planner can be carried out any more.
+          clock: source of time.
+          peers: how others are seen and reached.
+          counters: counts moves by cause.
+        """
+        super().__init__("planner")
+        self._epoch = epoch
+        self._settled_at = settled_at
+        self._clock = clock
+        self._peers = peers
+        self._counters = counters
+        self._config: schema.Configuration | None = None
+        self._params = layout.Params()
+        self._demand = demand_lib.Demand()
+        self._executor = moves.Executor(self._params)
+        self._store: limits.StoreLimit | None = None
+        self._lender: limits.Lender | None = None
+        self._sent: dict[str, layout.Move] = {}
+        self._next_plan = 0.0
+        self._numbers = itertools.count()
+        self._loop = twisted_task.LoopingCall(self.post, _Step())
+        self._loop.clock = reactor
+        self.stack.callback(self._stop_loop)
+
+    def start(self) -> None:
+        """Starts to plan."""
+        super().start()
+        self._loop.start(STEP_S)
+
+    async def handle(self, message: Any) -> None:
+        """Acts on one message."""
+        match message:
+            case Configure(config):
+                self._configure(config)
+            case _Step():
+                self._step(self._clock.now())
+            case Done(done):
+                self._take_result(done)
+            case Lend(sender, request):
+                self._lend(sender, request)
+
+    def _configure(self, config: schema.Configuration) -> None:
+        before = self._config.limits if self._config else None
+        self._config = config
+        self._params = params_of(config.policy)
+        self._executor.set_params(self._params)
+        settled_at = self._settled_at
+        if before is not None:
+            # Loads and shares under the former limits end before the new
+            # ones count in full.
+            settled_at = self._clock.now() + limits.LEND_S
+        cap = config.limits
+        if before is None or (
+            before.adapters_in_transit != cap.adapters_in_transit
+        ):
+            self._lender = limits.Lender(cap.adapters_in_transit, settled_at)
+        if before is None or (
+            (before.store_loads_per_s, before.store_loads_at_once)
+            != (cap.store_loads_per_s, cap.store_loads_at_once)
+        ):
+            self._store = limits.StoreLimit(
+                cap.store_loads_per_s, cap.store_loads_at_once, settled_at
+            )
+
+    def _step(self, now: float) -> None:
+        if self._config is None or now < self._settled_at:
+            return
+        engines = self._engines()
+        models = self._models()
+        if now >= self._next_plan:
+            self._next_plan = now + self._config.policy.plan_interval_s
+            self._demand.observe(now, self._peers.rates())
+            fleet = draft.Fleet(
+                models,
+                engines,
+                self._executor.pending,
+                self._executor.touched,
+            )
+            proposed = placement.plan(
+                fleet, self._demand.rates, self._params, now
+            )
+            self._executor.adopt(now, proposed)
+        self._settle_loads(now, engines)
+        names = [engine.name for engine in engines]
+        permits = self._store.free(now, names)
+        for move in self._executor.steps(now, models, engines, permits):
+            self._order(now, move, names)
+
+    def _settle_loads(
+        self, now: float, engines: tuple[layout.Engine, ...]
+    ) -> None:
+        """Frees the permits of loads that are over, and counts inherited."""
+        pending = {p.move for p in self._executor.pending}
+        for move_id, move in list(self._sent.items()):
+            if move not in pending:
+                self._store.ended(move_id)
+                del self._sent[move_id]
+        own = {(m.engine, m.target) for m in self._sent.values()}
+        for engine in engines:
+            loading = sum(
+                1
+                for r in engine.replicas
+                if r.state is layout.State.LOADING
+                and (engine.name, r.model) not in own
+            )
+            self._store.seen(engine.name, now - VIEW_AGE_S, loading)
+
+    def _order(self, now: float, move: layout.Move, names: list[str]) -> None:
+        owner = self._peers.owner_of(move.engine)
+        if not owner or not self._peers.may_act(REQUEST_TRAVEL_S):
+            self._executor.failed(move)
+            return
+        move_id = f"{self._epoch}.{next(self._numbers)}.{uuid.uuid4().hex[:8]}"
+        if move.kind is layout.MoveKind.LOAD:
+            permit = self._store.ask(now, move_id, move.engine, names)
+            if not permit:
+                self._executor.failed(move)
+                return
+        self._sent[move_id] = move
+        self._counters.count(move.counter)
+        logging.info(
+            "event=move_ordered id=%s kind=%s engine=%s target=%s cause=%s",
+            move_id,
+            move.kind.value,
+            move.engine,
+            move.target,
+            move.cause.value,
+        )
+        self._peers.send(
+            owner,
+            engine_messages.MoveRequest(
+                move_id=move_id,
+                epoch=self._epoch,
+                engine=move.engine,
+                kind=_KINDS[move.kind].value,
+                target=move.target,
+                version=move.version,
+                bytes_needed=move.bytes,
+            ),
+        )
+
+    def _take_result(self, done: engine_messages.MoveDone) -> None:
+        move = self._sent.get(done.move_id)
+        if move is None or done.result == interface.OrderResult.ACCEPTED.value:
+            return
+        logging.info(
+            "event=move_refused id=%s engine=%s reason=%s",
+            done.move_id,
+            done.engine,
+            done.result,
+        )
+        self._counters.count(f"moves.refused.{done.result}")
+        self._executor.failed(move)
+
+    def _lend(self, sender: str, request: limits.Request) -> None:
+        if self._lender is None or not self._peers.may_act(limits.LEND_S):
+            return
+        share = self._lender.handle(self._clock.now(), request)
+        self._peers.send(sender, share)
+
+    def _models(self) -> tuple[layout.Model, ...]:
+        return tuple(
+            layout.Model(
+                name=name,
+                version=model.version,
+                bytes=model.memory_bytes,
+                min_replicas=model.min_replicas,
+                rate=model.tokens_per_s,
+            )
+            for name, model in sorted(self._config.models.items())
+        )
+
+    def _engines(self) -> tuple[layout.Engine, ...]:
+        """Returns the engines that are alive, as their owners see them."""
+        vms = self._peers.directory.vms
+        views = self._peers.directory.views
+        engines = []
+        for name, entry in sorted(self._config.model_engines.items()):
+            view, vm = views.get(name), vms.get(name)
+            if view is None or vm is None or view.down:
+                continue
+            if self._peers.reachable(vm.domain):
+                leaving = vm.leaving or view.draining
+                engines.append(self._engine(name, entry, view, leaving))
+        return tuple(engines)
+
+    def _engine(
+        self,
+        name: str,
+        entry: schema.Engine,
+        view: directories.EngineView,
+        leaving: bool,
+    ) -> layout.Engine:
+        reserve = self._config.limits.cache_reserve_ratio
+        replicas = tuple(
+            layout.Replica(
+                held.name,
+                held.version,
+                held.bytes_used,
+                layout.State(held.state),
+                held.sure,
+            )
+            for held in view.models
+        )
+        return layout.Engine(
+            name=name,
+            domain=entry.domain,
+            capacity=int(entry.memory_bytes * (1 - reserve)),
+            free=view.free_bytes,
+            replicas=replicas,
+            draining=leaving,
+            role=entry.role,
+            wanted_role=entry.role,
+        )
+
+    def _stop_loop(self) -> None:
+        if self._loop.running:
+            self._loop.stop()
+
+
+def params_of(policy: schema.Policy) -> layout.Params:
+    """Returns the planner's parameters for a configured policy."""
+    return layout.Params(
+        attainment_weight=policy.attainment_weight,
+        move_weight=policy.move_weight,
+        no_undo_s=policy.min_stay_s,
+    )
--- a/azureline/node.py
+++ b/azureline/node.py
@@ -9,7 +9,6 @@
 from twisted.internet import defer
 from twisted.internet import reactor as default_reactor
 from twisted.internet import task
-from twisted.python import log as twisted_log
 
 from azureline import requests
 from azureline.backends import http as backend_http
@@ -39,6 +38,7 @@
 from azureline.serving import generations as generations_lib
 from azureline.serving import once_calls
 from azureline.serving import once_owners
+from azureline.serving import planning
 from azureline.serving import services as services_lib
 from azureline.serving import suspicion
 
@@ -101,6 +101,14 @@
             self._directory,
             self._counters,
         )
+        self._planning = planning.Planning(
+            reactor,
+            self._clock,
+            self._neighbours,
+            self._directory,
+            self._room,
+            self._counters,
+        )
         self._make_routing()
         self._once_owners = once_owners.OnceOwners(
             reactor,
@@ -139,6 +147,8 @@
         self._room.on_views(self._views_changed)
         self._room.on_crash(self._generations.engine_restarted)
         self._room.add_slot_owner("once/", self._once_owners)
+        self._room.add_slot_owner("planner/", self._planning)
+        self._generations.on_answered(self._planning.answered)
         await self._neighbours.start()
         self._poller.start()
         self._generations.start()
@@ -234,7 +244,7 @@
         to: Any,
     ) -> None:
         """Starts a generation that answers to `to`."""
-        self._room.count_demand(call.model)
+        self._planning.count(call)
         self._generations.begin(call, messages, to)
 
     def is_idempotent(
@@ -350,6 +360,7 @@
             }
         )
         self._directory.configure(config)
+        self._planning.configure(version, config)
         self._room.configure(config)
         self._generations.refresh(list(config.models))
         self._neighbours.announce(config_version=version)
@@ -389,6 +400,7 @@
         self._suspicion.close()
         self._generations.close()
         await self._once_owners.close()
+        await self._planning.close()
         await self._room.close()
         self._neighbours.close()
         await self._backends.close()
@@ -433,8 +445,6 @@
         signal.signal(signal.SIGINT, on_signal)
         defer.ensureDeferred(node.start()).addErrback(failed)
 
-    # Failures that nothing handles reach the logs through the same door.
-    twisted_log.PythonLoggingObserver().start()
     default_reactor.callWhenRunning(begin)
     default_reactor.run(installSignalHandlers=False)
 
--- a/azureline/nodes/messages.py
+++ b/azureline/nodes/messages.py
@@ -6,6 +6,7 @@
 from azureline.core import wire
 from azureline.fleet import collection
 from azureline.fleet import engine_messages
+from azureline.fleet import limits
 from azureline.fleet import messages as fleet_messages
 from azureline.once import messages as once_messages
 
@@ -38,6 +39,8 @@
     **fleet_messages.MESSAGES,
     **engine_messages.MESSAGES,
     **collection.MESSAGES,
+    55: limits.Request,
+    56: limits.Share,
     40: config_messages.Offer,
     41: config_messages.Ask,
     42: config_messages.State,
--- a/azureline/serving/engine_room.py
+++ b/azureline/serving/engine_room.py
@@ -1,6 +1,7 @@
 """What this node owns, and what it knows of engines through their owners."""
 
 from collections.abc import Callable
+import functools
 import hashlib
 import random
 from typing import Any
@@ -8,14 +9,17 @@
 
 from absl import logging
 from twisted.internet import defer
+from twisted.internet import task
 
 from azureline.backends import http
 from azureline.config import schema
 from azureline.core import clock as clocks
 from azureline.core import wire
+from azureline.fleet import book
 from azureline.fleet import directory as directories
 from azureline.fleet import engine_messages
 from azureline.fleet import keeper as keeper_lib
+from azureline.fleet import limits
 from azureline.fleet import messages as fleet_messages
 from azureline.fleet import ownership
 from azureline.fleet import owning as owning_lib
@@ -27,6 +31,11 @@
 ENGINE_SLOTS = 256
 ENGINES = "engines/"
 OWNERS = "own/"
+PLANNER = "planner/0"
+ORDER_LIFE_S = (
+    book.ORDER_TRAVEL_MAX_S + book.ORDER_EXPIRY_MAX_S + book.CLOCK_MARGIN_S
+)
+BORROW_S = 0.25
 _RECORDS = wire.Codec({1: ownership.Record})
 
 
@@ -94,6 +103,10 @@
         self._owning: owning_lib.Owning | None = None
         self._keepers: dict[str, keeper_lib.Keeper] = {}
         self._slot_owners: dict[str, SlotOwner] = {ENGINES: self}
+        self._borrower = limits.Borrower(neighbours.membership.name)
+        self._short = 0
+        self._loop = task.LoopingCall(self._borrow_more)
+        self._loop.clock = reactor
         self._on_views: Callable[[set[str]], None] = lambda models: None
         self._on_crash: Callable[[str, str], None] = lambda e, i: None
         neighbours.on_rumour(keeper_lib.PREFIX, self._view_heard)
@@ -104,6 +117,7 @@
             engine_messages.AdapterWanted,
         ):
             neighbours.on_message(cls, self._on_asked)
+        neighbours.on_message(limits.Share, self._on_share)
 
     def on_views(self, handler: Callable[[set[str]], None]) -> None:
         """Has the models whose replicas changed handed over."""
@@ -124,6 +138,7 @@
         if self._owning is None:
             self._owning = self._make_owning(names)
             self._owning.start()
+            self._loop.start(BORROW_S, now=False)
             self._tell_live()
         else:
             self._owning.add_names(names)
@@ -138,9 +153,21 @@
         """Returns the node that owns an engine's orders, or ""."""
         return self.holder(slot_of(engine))
 
-    def count_demand(self, model: str) -> None:
-        """Counts a request for a model."""
-        self._counters.count(f"demand.{model}")
+    def may_act(self, name: str, travel_s: float) -> bool:
+        """Returns whether what is sent now arrives within a slot's lease."""
+        return self._owning is not None and self._owning.may_act(name, travel_s)
+
+    def settled_at(self, name: str, epoch: int, travel_s: float) -> float:
+        """Returns when nothing of a slot's former holder can arrive any more.
+
+        Args:
+          name: name of the slot, which this node holds.
+          epoch: the term that has begun.
+          travel_s: the longest time that what the holder sends may travel.
+        """
+        if epoch == 1:
+            return self._clock.now()
+        return self._owning.successor_ready(name, travel_s)
 
     def release(self) -> defer.Deferred[None]:
         """Gives up all slots; see `Owning.release`."""
@@ -150,6 +177,8 @@
 
     async def close(self) -> None:
         """Stops the keepers and the ownership."""
+        if self._loop.running:
+            self._loop.stop()
         for keeper in list(self._keepers.values()):
             await keeper.stop()
         self._keepers.clear()
@@ -164,7 +193,7 @@
             self._neighbours.membership.name,
             name,
             epoch,
-            ownership.LEASE_S,
+            self.settled_at(name, epoch, ORDER_LIFE_S),
             self._clock,
             self._peers(name),
             self._counters,
@@ -206,21 +235,40 @@
         return self._slot_owners[prefix + slash]
 
     def _peers(self, slot: str) -> keeper_lib.Peers:
-        def may_act(travel_s: float) -> bool:
-            return self._owning is not None and self._owning.may_act(
-                slot, travel_s
-            )
-
         return keeper_lib.Peers(
             backends=self._backends,
             url=self._directory.url,
             tell=self._neighbours.tell,
             reply=self._neighbours.send,
-            may_act=may_act,
-            borrow=lambda: True,
-            give_back=lambda: None,
+            may_act=functools.partial(self.may_act, slot),
+            planner_epoch=self._planner_epoch,
+            borrow=self._borrow,
+            give_back=self._borrower.ended,
         )
 
+    def _planner_epoch(self) -> int:
+        return self._owning.hinted_epoch(PLANNER) if self._owning else 0
+
+    def _borrow(self) -> bool:
+        if self._borrower.start(self._clock.now()):
+            return True
+        self._short += 1
+        self._borrow_more()
+        return False
+
+    def _borrow_more(self) -> None:
+        """Asks the planner for a share of the adapter loads if one is due."""
+        wish = self._borrower.ask(self._clock.now(), self._short)
+        if wish is None:
+            return
+        self._short = 0
+        planner = self.holder(PLANNER)
+        if planner:
+            self._neighbours.send(planner, wish)
+
+    def _on_share(self, sender: str, share: limits.Share) -> None:
+        self._borrower.granted(self._clock.now(), share)
+
     def _configuration_of(self, slot: str) -> keeper_lib.Configure:
         engines = {
             name: engine
@@ -283,4 +331,4 @@
 def _slot_names(config: schema.Configuration) -> tuple[str, ...]:
     names = {slot_of(engine) for engine in config.model_engines}
     names |= {f"once/{i}" for i in range(key_lib.SLOTS)}
-    return tuple(sorted(names))
+    return (PLANNER, *sorted(names))
--- a/azureline/serving/generation.py
+++ b/azureline/serving/generation.py
@@ -25,6 +25,8 @@
 class Answer(Protocol):
     """Where the bytes for the caller go."""
 
+    unsent: int
+
     def watch(self, watcher: Any) -> None:
         """Names the one who is told of the caller's connection."""
 
@@ -144,6 +146,9 @@
             self._act(self._relay.caller_left(now))
             self._end(None, _deadline_passed(self._tokens))
             return
+        self._act(self._relay.caller_took(now, self.answer.unsent))
+        if self._relay is None:
+            return
         wake_at = self._relay.wake_at()
         if wake_at is not None and now >= wake_at:
             self._act(self._relay.tick(now))
@@ -153,11 +158,6 @@
         if self._relay is not None:
             self._act(self._relay.engine_lost(self._clock.now()))
 
-    def caller_took(self, unsent: int) -> None:
-        """Learns how many bytes wait for the caller."""
-        if self._relay is not None:
-            self._act(self._relay.caller_took(self._clock.now(), unsent))
-
     def caller_left(self) -> None:
         """Learns that the caller closed the connection."""
         if self._relay is None:
--- a/azureline/serving/generations.py
+++ b/azureline/serving/generations.py
@@ -69,6 +69,7 @@
         self._active: dict[str, generation.Generation] = {}
         self._ended_runs: dict[str, str] = {}
         self._on_suspects: Callable[[], None] = lambda: None
+        self._on_answered: Callable[[str, int], None] = lambda m, n: None
         self._ticker = task.LoopingCall(self._on_tick)
         self._ticker.clock = reactor
 
@@ -81,6 +82,10 @@
         """Has `handler` called when there are new suspects."""
         self._on_suspects = handler
 
+    def on_answered(self, handler: Callable[[str, int], None]) -> None:
+        """Has the model and tokens of each whole answer handed over."""
+        self._on_answered = handler
+
     def start(self) -> None:
         """Starts the timer."""
         self._ticker.start(TICK_S, now=False)
@@ -262,6 +267,7 @@
         self._active.pop(gen.call.request_id, None)
         self._counters.count("answered.model")
         self._counters.count("tokens", sample.tokens)
+        self._on_answered(gen.call.model, sample.tokens)
         if sample.first_token_s is not None:
             self._counters.timing("first_token", sample.first_token_s)
         if sample.token_gap_s is not None:
--- /dev/null
+++ b/azureline/serving/planning.py
@@ -0,0 +1,168 @@
+"""Demand reports of every node, and the planner where its slot is held."""
+
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from azureline import requests
+from azureline.config import schema
+from azureline.core import clock as clocks
+from azureline.fleet import collection
+from azureline.fleet import directory as directories
+from azureline.fleet import engine_messages
+from azureline.fleet import limits
+from azureline.fleet import membership as membership_lib
+from azureline.fleet import planner as planner_lib
+from azureline.metrics import counters as metrics
+from azureline.nodes import neighbours as neighbours_lib
+from azureline.serving import engine_room
+
+FIRST_GUESS_TOKENS = 128.0
+LEARN_SHARE = 0.05
+
+
+class Planning:
+    """Reports this node's demand, and plans while it holds the slot."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clocks.Clock,
+        neighbours: neighbours_lib.Neighbours,
+        directory: directories.Directory,
+        room: engine_room.EngineRoom,
+        counters: metrics.Counters,
+    ):
+        """Creates the part and subscribes to the messages it needs.
+
+        Args:
+          reactor: the Twisted reactor.
+          clock: source of time.
+          neighbours: carries reports and requests.
+          directory: the engines.
+          room: knows who owns what.
+          counters: counts moves.
+        """
+        self._reactor = reactor
+        self._clock = clock
+        self._neighbours = neighbours
+        self._directory = directory
+        self._room = room
+        self._counters = counters
+        self._collector = collection.Collector(neighbours.membership.name)
+        self._config: schema.Configuration | None = None
+        self._names: list[str] = []
+        self._indices: dict[str, int] = {}
+        self._answer_tokens: dict[str, float] = {}
+        self._planner: planner_lib.Planner | None = None
+        self._loop = task.LoopingCall(self._report)
+        self._loop.clock = reactor
+        neighbours.on_message(collection.DemandReport, self._on_report)
+        neighbours.on_message(engine_messages.MoveDone, self._on_done)
+        neighbours.on_message(limits.Request, self._on_wish)
+
+    def configure(self, version: int, config: schema.Configuration) -> None:
+        """Takes the configuration in force."""
+        self._config = config
+        self._names = sorted(config.models)
+        self._indices = {name: i for i, name in enumerate(self._names)}
+        self._collector.configure(self._clock.now(), version)
+        if self._planner is not None:
+            self._planner.post(planner_lib.Configure(config))
+        if not self._loop.running:
+            self._loop.start(collection.PERIOD_S, now=False)
+
+    def count(self, call: requests.ModelCall) -> None:
+        """Counts a call as demand, whether or not it will be served."""
+        index = self._indices.get(call.model)
+        if index is not None:
+            guess = self._answer_tokens.get(call.model, FIRST_GUESS_TOKENS)
+            self._collector.count(index, min(guess, call.max_tokens))
+
+    def answered(self, model: str, tokens: int) -> None:
+        """Learns how long the answers of a model are."""
+        known = self._answer_tokens.get(model, FIRST_GUESS_TOKENS)
+        self._answer_tokens[model] = known + LEARN_SHARE * (tokens - known)
+
+    def acquired(self, name: str, epoch: int) -> None:
+        """Starts to plan."""
+        self.lost(name)
+        travel_s = planner_lib.REQUEST_TRAVEL_S + engine_room.ORDER_LIFE_S
+        self._planner = planner_lib.Planner(
+            self._reactor,
+            epoch,
+            self._room.settled_at(name, epoch, travel_s),
+            self._clock,
+            self._peers(name),
+            self._counters,
+        )
+        self._planner.start()
+        self._planner.post(planner_lib.Configure(self._config))
+
+    def renewed(self, name: str, until: float) -> None:
+        """Does nothing: the planner asks before each request."""
+
+    def lost(self, name: str) -> None:
+        """Stops planning."""
+        planner, self._planner = self._planner, None
+        if planner is not None:
+            planner.stop()
+
+    def close(self) -> defer.Deferred[None]:
+        """Stops reporting and planning."""
+        if self._loop.running:
+            self._loop.stop()
+        planner, self._planner = self._planner, None
+        return planner.stop() if planner else defer.succeed(None)
+
+    def _peers(self, slot: str) -> planner_lib.Peers:
+        membership = self._neighbours.membership
+        return planner_lib.Peers(
+            directory=self._directory,
+            rates=self._rates,
+            owner_of=self._room.owner_of,
+            send=self._neighbours.send,
+            may_act=lambda travel_s: self._room.may_act(slot, travel_s),
+            reachable=lambda d: d not in membership.unreachable_domains,
+        )
+
+    def _rates(self) -> dict[str, float]:
+        rates = self._collector.rates(self._clock.now())
+        return {
+            self._names[i]: rate
+            for i, rate in rates.items()
+            if i < len(self._names)
+        }
+
+    def _report(self) -> None:
+        """Ends a period and sends its sum on."""
+        report = self._collector.report(self._clock.now())
+        planner = self._room.holder(engine_room.PLANNER)
+        own = self._neighbours.membership.name
+        if not planner or planner == own:
+            return
+        target = collection.parent(own, self._nodes(), planner)
+        self._neighbours.send(target, report)
+
+    def _nodes(self) -> list[collection.Node]:
+        membership = self._neighbours.membership
+        nodes = [
+            collection.Node(m.name, m.info.domain)
+            for m in membership.members
+            if m.state is not membership_lib.State.DEAD
+        ]
+        nodes.append(collection.Node(membership.name, membership.info.domain))
+        return nodes
+
+    def _on_report(self, sender: str, report: collection.DemandReport) -> None:
+        if not self._collector.heard(self._clock.now(), report):
+            self._counters.count("demand.other_configuration")
+
+    def _on_done(self, sender: str, done: engine_messages.MoveDone) -> None:
+        if self._planner is not None:
+            self._planner.post(planner_lib.Done(done))
+
+    def _on_wish(self, sender: str, wish: limits.Request) -> None:
+        if self._planner is not None:
+            self._planner.post(planner_lib.Lend(sender, wish))
--- a/azureline/util/log.py
+++ b/azureline/util/log.py
@@ -30,4 +30,11 @@
     logging.use_absl_handler()
     logging.get_absl_handler().setFormatter(_OneLine())
     logging.set_verbosity(logging.converter.string_to_standard(level))
-    twisted_log.PythonLoggingObserver().start()
+    observer = twisted_log.PythonLoggingObserver()
+
+    def errors_only(event: dict) -> None:
+        # Twisted also reports each connection that it opens.
+        if event.get("isError"):
+            observer.emit(event)
+
+    twisted_log.addObserver(errors_only)
