Tell copies apart by node and request id

Cause: two nodes could use the same request id; a withdrawal by one would have been taken for the other's word that it will not dispatch. Change: the owner compares both; the test failed first.

--- a/azureline/once/book.py
+++ b/azureline/once/book.py
@@ -126,10 +126,8 @@
         live = self._claims.get(digest)
         if live is None:
             return []
-        if live.holder.request_id != message.request_id:
-            live.waiters = [
-                c for c in live.waiters if c.request_id != message.request_id
-            ]
+        if not live.holder.sent(message):
+            live.waiters = [c for c in live.waiters if not c.sent(message)]
             return []
         if live.phase is _Phase.GRANTED:
             entry = self._records.get(digest, live.key.issued_s)
@@ -231,9 +229,9 @@
             return [self._replies.refuse(claim, replies_lib.key_reused())]
         if live.phase is _Phase.WITHDRAWN:
             return self._claim_withdrawn(now, live, claim, copy, blocked)
-        if live.holder.request_id == claim.request_id:
+        if live.holder.sent(claim):
             return self._granted(live)
-        if all(c.request_id != claim.request_id for c in live.waiters):
+        if not any(c.sent(claim) for c in live.waiters):
             if len(live.waiters) >= self._limits.waiters:
                 return [
                     self._replies.refuse(claim, self._replies.may_have_run())
@@ -374,5 +372,5 @@
     return (
         live.phase is _Phase.GRANTED
         and live.attempt == outcome.attempt
-        and live.holder.request_id == outcome.request_id
+        and live.holder.sent(outcome)
     )
--- a/azureline/once/claims.py
+++ b/azureline/once/claims.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from azureline.once import key as key_lib
+from azureline.once import messages
 
 
 class Phase(enum.Enum):
@@ -31,6 +32,11 @@
     request_id: str
     deadline: float
 
+    def sent(self, message: messages.Request) -> bool:
+        """Whether a message speaks of this copy."""
+        identity = message.node, message.request_id
+        return identity == (self.node, self.request_id)
+
 
 @dataclasses.dataclass
 class Live:
--- a/tests/test_once_owner.py
+++ b/tests/test_once_owner.py
@@ -38,6 +38,17 @@
     assert granted == messages.Granted(0, "r1", 1)
 
 
+def test_a_request_id_of_another_node_is_another_copy(bench):
+    first = claim(bench.key())
+    bench.request(first)
+    twin = first._replace(node="e1")
+    assert bench.request(twin) == [messages.InProgress(0, "r1")]
+    gone = messages.Withdraw(0, twin.caller, twin.key, "e1", "r1")
+    bench.request(gone)
+    third = first._replace(request_id="r3")
+    assert bench.request(third) == [messages.InProgress(0, "r3")]
+
+
 def test_a_resend_gets_the_first_answer_or_that_it_ran(bench):
     first = claim(bench.key())
     bench.request(first)
