--- a/tests/test_routing_admission.py
+++ b/tests/test_routing_admission.py
@@ -21,7 +21,7 @@
 URGENT, NORMAL, BATCH = requests.Priority
 
 
-def _admission(slots=1.0, engines=1, reserve=0.0, **settings):
+def new_admission(slots=1.0, engines=1, reserve=0.0, **settings):
     """Returns an admission of one model with a fixed number of slots."""
     fixed = limits.Settings(
         initial=slots, minimum=slots, maximum=slots, reserve=reserve
@@ -36,16 +36,16 @@
     return built
 
 
-def _finish(adm, now, request_id):
+def finish(adm, now, request_id):
     adm.done(now, request_id, _WHOLE)
     return adm.next(now)
 
 
 def _trained(now=0.0, **fields):
     """Returns an admission that has seen one answer of a second."""
-    adm = _admission(**fields)
+    adm = new_admission(**fields)
     first = adm.offer(now, build.call())
-    _finish(adm, now, first.call.request_id)
+    finish(adm, now, first.call.request_id)
     return adm
 
 
@@ -53,26 +53,26 @@
     """Ends the running call and what follows it; returns what was sent."""
     sent = []
     for _ in range(count):
-        results = _finish(adm, now, running.request_id)
+        results = finish(adm, now, running.request_id)
         (running,) = [r.call for r in results]
         sent.append(running)
     return sent
 
 
 def test_a_call_is_sent_at_once_while_there_is_room_and_waits_after():
-    adm = _admission(slots=2.0)
+    adm = new_admission(slots=2.0)
     results = [adm.offer(0.0, build.call()) for _ in range(3)]
     assert [type(r) for r in results] == [
         admission.Admitted,
         admission.Admitted,
         admission.Queued,
     ]
-    (sent,) = _finish(adm, 1.0, results[0].call.request_id)
+    (sent,) = finish(adm, 1.0, results[0].call.request_id)
     assert sent.call is results[2].call
 
 
 def test_the_earliest_deadline_of_the_highest_class_goes_first():
-    adm = _admission()
+    adm = new_admission()
     running = adm.offer(0.0, build.call()).call
     waiting = [
         build.call(priority=priority, deadline=deadline)
@@ -86,7 +86,7 @@
 
 
 def test_only_the_highest_class_may_use_the_reserve():
-    adm = _admission(reserve=1.0)
+    adm = new_admission(reserve=1.0)
     adm.offer(0.0, build.call())
     assert isinstance(adm.offer(0.0, build.call()), admission.Queued)
     urgent = build.call(priority=URGENT)
@@ -96,7 +96,7 @@
 
 
 def test_a_claim_on_one_engine_holds_nobody_back():
-    adm = _admission(engines=3)
+    adm = new_admission(engines=3)
     assert adm.claim(0.0, build.call(), "e1").engine == "e1"
     assert adm.claim(0.0, build.call(), "e1") is None
     assert adm.claim(0.0, build.call(), "e9") is None
@@ -122,7 +122,7 @@
 
 
 def test_a_deadline_that_has_passed_is_refused_as_not_run():
-    adm = _admission()
+    adm = new_admission()
     adm.offer(0.0, build.call())
     refusal = adm.offer(5.0, build.call(deadline=5.0))
     assert refusal.kind is errors.ErrorKind.DEADLINE_EXCEEDED
@@ -141,7 +141,7 @@
 
 
 def test_a_caller_that_leaves_frees_its_place_at_once():
-    adm = _admission()
+    adm = new_admission()
     running = adm.offer(0.0, build.call()).call
     left, stays = build.call(deadline=50.0), build.call(deadline=60.0)
     adm.offer(0.0, left)
@@ -152,7 +152,7 @@
 
 
 def test_without_replicas_new_calls_are_refused_and_waiting_ones_soon_after():
-    adm = _admission()
+    adm = new_admission()
     adm.offer(0.0, build.call())
     adm.offer(0.0, build.call())
     adm.set_candidates("seam", [])
@@ -164,7 +164,7 @@
 
 
 def test_a_model_without_room_does_not_hold_back_another():
-    adm = _admission()
+    adm = new_admission()
     adm.set_candidates("other", [build.candidate("e9")])
     adm.offer(0.0, build.call())
     adm.offer(0.0, build.call())
@@ -174,7 +174,7 @@
 
 
 def test_on_a_shared_engine_the_higher_class_of_another_model_goes_first():
-    adm = _admission()
+    adm = new_admission()
     adm.set_candidates("other", build.candidates(1))
     running = adm.offer(0.0, build.call()).call
     low, high = build.call(priority=BATCH), build.call(model="other")
@@ -183,29 +183,29 @@
     assert _drain(adm, running, 2) == [high, low]
 
 
-def _class_shares(**settings):
-    """Returns each class's part of 400 sends while all classes wait."""
-    adm = _admission(**settings)
+def class_shares(count=400, **settings):
+    """Returns each class's part of some sends while all classes wait."""
+    adm = new_admission(**settings)
     running = adm.offer(0.0, build.call()).call
     counts = collections.Counter()
-    for _ in range(400):
+    for _ in range(count):
         for priority in requests.Priority:
             while len(adm._pool("seam").queue(priority)) < 8:
                 adm.offer(0.0, build.call(priority=priority))
         (running,) = _drain(adm, running, 1)
         counts[running.priority] += 1
-    return [counts[p] / 400 for p in requests.Priority]
+    return [counts[p] / count for p in requests.Priority]
 
 
 def test_low_classes_get_their_share_and_the_highest_the_rest():
-    urgent, normal, batch = _class_shares()
+    urgent, normal, batch = class_shares()
     assert normal == pytest.approx(0.10, abs=0.01)
     assert batch == pytest.approx(0.05, abs=0.01)
     assert urgent == pytest.approx(0.85, abs=0.01)
 
 
 def test_the_share_check_catches_strict_priority():
-    assert _class_shares(shares=(0.0, 0.0, 0.0)) == [1.0, 0.0, 0.0]
+    assert class_shares(shares=(0.0, 0.0, 0.0)) == [1.0, 0.0, 0.0]
 
 
 def _served_to_light_caller(**settings):
@@ -213,7 +213,7 @@
 
     A heavy caller has filled the queue with earlier deadlines before.
     """
-    adm = _admission(**settings)
+    adm = new_admission(**settings)
     running = adm.offer(0.0, build.call(caller="heavy")).call
     for _ in range(200):
         adm.offer(0.0, build.call(caller="heavy", deadline=500.0))
@@ -233,7 +233,7 @@
 
 
 def test_a_full_queue_makes_place_at_the_cost_of_the_crowding_caller():
-    adm = _admission()
+    adm = new_admission()
     adm.offer(0.0, build.call(caller="heavy"))
     for i in range(128):
         adm.offer(0.0, build.call(caller="heavy", deadline=100.0 + i))
@@ -255,7 +255,7 @@
     def __init__(self):
         super().__init__()
         self.now = 0.0
-        self.adm = _admission(engines=2, reserve=1.0, queue_bounds=(3, 4, 5))
+        self.adm = new_admission(engines=2, reserve=1.0, queue_bounds=(3, 4, 5))
         self.waiting = {}
         self.running = {}
 
--- a/tests/test_routing_picker.py
+++ b/tests/test_routing_picker.py
@@ -169,7 +169,7 @@
         return [min(pool, key=lambda c: self._loads._load(c.engine).others)]
 
 
-def _herd(cls, seed):
+def herd(cls, seed):
     """Returns the largest load of an engine relative to the mean.
 
     Eight nodes send to six engines at 60% of what these hold; load is told
@@ -216,10 +216,10 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_lagging_reports_cause_no_herd(seed):
-    assert _herd(picker.Picker, seed) < 1.5
+def test_lagging_reports_cause_noherd(seed):
+    assert herd(picker.Picker, seed) < 1.5
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_the_herd_check_catches_following_the_reports(seed):
-    assert _herd(_FollowsReports, seed) > 1.5
+    assert herd(_FollowsReports, seed) > 1.5
--- a/tests/test_routing_stream.py
+++ b/tests/test_routing_stream.py
@@ -30,7 +30,7 @@
     return stream.StreamRelay(now, _NAME, stream.Settings(**settings))
 
 
-def _bytes(outputs):
+def forwarded(outputs):
     return b"".join(o.data for o in outputs if isinstance(o, stream.Forward))
 
 
@@ -41,7 +41,7 @@
         seen = []
         for start in range(0, len(whole), step):
             seen += relay.received(0.0, 1, whole[start : start + step])
-        assert _bytes(seen) == whole
+        assert forwarded(seen) == whole
         assert seen[-1] == stream.Finished(2)
 
 
@@ -70,7 +70,7 @@
     relay = _relay()
     relay.received(0.0, 1, event(0))
     seen = relay.received(0.0, 1, event(0) + event(1))
-    assert _bytes(seen) == event(1)
+    assert forwarded(seen) == event(1)
     assert relay.counts.repeats == 1
 
 
