Never claim that a call did not run after an earlier send

Cause: a call whose server crashed may have run; refusing it as a suspect, or after further attempts that could not connect, said that it had not.

Ruled out: keeping the history of sends in admission, which sees each try as a new call; the node knows, and passes the refusal through retry.may_have_run.

Change: crash_suspect takes its kind's default (unknown); a refused retry says not run only after a single send that cannot have been started.

--- a/azureline/routing/retry.py
+++ b/azureline/routing/retry.py
@@ -150,7 +150,7 @@
         rule = self._forbidden(at, deadline, attempt, reason, idempotent)
         if rule:
             self._counts[f"retry_refused.{rule}"] += 1
-            return _refusal(reason, rule)
+            return _refusal(reason, rule, attempt)
         counter = f"retry.{reason.value}"
         self._counts[counter] += 1
         return RetryAt(at, counter)
@@ -177,8 +177,24 @@
         return "" if self._budget.spend() else "budget"
 
 
-def _refusal(reason: Reason, rule: str) -> errors.Refusal:
-    ran = errors.Ran.NO if reason in NOT_STARTED else errors.Ran.UNKNOWN
+def may_have_run(refusal: errors.Refusal) -> errors.Refusal:
+    """Returns a refusal for a call of which an earlier send may have run.
+
+    Admission refuses a call that comes back for a retry as any other, and
+    does not know that it was sent before.
+
+    Args:
+      refusal: the refusal of the latest try.
+    """
+    if refusal.answer.ran is errors.Ran.YES:
+        return refusal
+    return refusal._replace(ran=errors.Ran.UNKNOWN)
+
+
+def _refusal(reason: Reason, rule: str, attempt: int) -> errors.Refusal:
+    # Earlier sends may have ended otherwise than the last one.
+    not_run = attempt == 1 and reason in NOT_STARTED
+    ran = errors.Ran.NO if not_run else errors.Ran.UNKNOWN
     kind = _KINDS[reason]
     if rule == "not_idempotent":
         kind = errors.ErrorKind.MAY_HAVE_RUN
--- a/azureline/routing/suspects.py
+++ b/azureline/routing/suspects.py
@@ -223,7 +223,6 @@
             errors.ErrorKind.CRASH_SUSPECT,
             f"{crashes} backend servers crashed while running this content",
             seconds,
-            errors.Ran.NO,
         )
 
     def _refusal_s(self, crashes: int) -> float:
