--- a/tests/test_routing_suspects.py
+++ b/tests/test_routing_suspects.py
@@ -125,13 +125,13 @@
 
 
 class _Fleet:
-    """Eight nodes and six engines, innocents and one killer.
+    """Nodes before six engines, 400 innocents and one killer.
 
     A caller sends again, through a random node, whatever was refused or
     lost.  The killer's caller does not wait as told.
     """
 
-    def __init__(self, seed, copies, watch_class, max_delay_s=1.5):
+    def __init__(self, seed, copies, watch_class, nodes, max_delay_s):
         self.loop = engine_model.Loop()
         self.rng = random.Random(seed)
         self.max_delay_s = max_delay_s
@@ -140,9 +140,9 @@
             for name in _ENGINES
         }
         self.up = set(_ENGINES)
-        self.watches = [watch_class() for _ in range(8)]
+        self.watches = [watch_class() for _ in range(nodes)]
         self.pickers = [
-            build.new_picker(seed + i, node=f"n{i}") for i in range(8)
+            build.new_picker(seed + i, node=f"n{i}") for i in range(nodes)
         ]
         self.killer = build.call(caller="killer", content=b"k%d" % seed)
         self.copies = itertools.count()
@@ -165,13 +165,14 @@
     def send_killer(self):
         name = f"killer-{next(self.copies)}"
         self.submit(
-            self.rng.randrange(8), self.killer._replace(request_id=name)
+            self.rng.randrange(len(self.watches)),
+            self.killer._replace(request_id=name),
         )
 
     def send_innocent(self, content):
         call = build.call(content=content)
         self.waiting[call.request_id] = self.loop.now
-        self.submit(self.rng.randrange(8), call)
+        self.submit(self.rng.randrange(len(self.watches)), call)
 
     def later(self, seconds, node, call):
         self.loop.at(self.loop.now + seconds, lambda: self.submit(node, call))
@@ -195,7 +196,7 @@
             case _:
                 wait_s = getattr(check, "retry_after", 1.0)
                 wait_s = 0.5 if call.caller == "killer" else wait_s
-                self.later(wait_s, self.rng.randrange(8), call)
+                self.later(wait_s, self.rng.randrange(len(self.watches)), call)
 
     def run(self, node, server, call):
         self.watches[node].started(server, call)
@@ -243,13 +244,18 @@
                 self.loop.now + delay_s, lambda w=watch: w.heard(changes)
             )
 
-    def result(self, seconds=500.0):
-        self.loop.run(seconds)
-        return Result(self.down, len(self.waiting), self.slowest)
 
-
-def run_fleet(seed, copies=1, watch_class=suspects.Suspects):
-    return _Fleet(seed, copies, watch_class).result()
+def run_fleet(
+    seed,
+    copies=1,
+    watch_class=suspects.Suspects,
+    nodes=8,
+    max_delay_s=1.5,
+    seconds=500.0,
+):
+    fleet = _Fleet(seed, copies, watch_class, nodes, max_delay_s)
+    fleet.loop.run(seconds)
+    return Result(fleet.down, len(fleet.waiting), fleet.slowest)
 
 
 @pytest.mark.parametrize("seed", range(6))
