Let the bench run a built program and name the kinds of refusals

Cause: refused calls in a trial could not be told apart.

Ruled out: reading the node's log from the bench; the caller is told the kind.

Conclusion: the bench can say why a node refuses.

--- a/tools/bench.py
+++ b/tools/bench.py
@@ -14,6 +14,7 @@
 import statistics
 import sys
 import time
+from typing import Annotated
 from typing import Any
 from typing import NamedTuple
 import urllib.parse
@@ -23,6 +24,7 @@
 from twisted.internet import protocol
 from twisted.internet import reactor
 from twisted.internet import task
+import typer
 
 from tools import demo
 from tools import deployment
@@ -100,7 +102,8 @@
       gap_ms_p95: mean time between tokens of an answer, for 95 in 100.
       tokens_per_s: tokens received per second by all callers.
       answers: answers that were received whole.
-      refused: answers other than 200.
+      refused: answers other than 200, and answers that are not whole.
+      refusals: the answers other than 200 by their kind.
       node_core: share of a core that the node used.
       engine_core: share of a core that the engine stand-in used.
       caller_core: share of a core that the callers used.
@@ -116,6 +119,7 @@
     tokens_per_s: float
     answers: int
     refused: int
+    refusals: dict[str, int]
     node_core: float
     engine_core: float
     caller_core: float
@@ -163,6 +167,7 @@
         self._calls = 0
         self._timer: Any = None
         self._rest = b""
+        self._refused = False
 
     def connectionMade(self) -> None:  # noqa: N802 - a name of twisted
         """Begins at a random moment."""
@@ -181,6 +186,11 @@
         now = time.perf_counter()
         for line in lines:
             self._take(line, now)
+        if self._refused and b"}" in self._rest:
+            kind = json.loads(self._rest).get("kind", "other")
+            self._tally.count("refused")
+            self._tally.count(f"refused.{kind}")
+            self.transport.loseConnection()
 
     def _take(self, line: bytes, now: float) -> None:
         if line.startswith(b"data: {"):
@@ -194,8 +204,7 @@
         elif line == b"0\r":
             self._finish()
         elif line.startswith(b"HTTP/1.1 ") and b" 200 " not in line:
-            self._tally.count("refused")
-            self.transport.loseConnection()
+            self._refused = True
 
     def _later(self, delay: float) -> None:
         self._timer = reactor.callLater(delay, self._call)
@@ -333,6 +342,11 @@
         tokens_per_s=tally.counts["tokens"] / lasted_s,
         answers=tally.counts["answers"],
         refused=tally.counts["refused"] + tally.counts["broken"],
+        refusals={
+            name.removeprefix("refused."): count
+            for name, count in tally.counts.items()
+            if name.startswith("refused.")
+        },
         node_core=used[0] / lasted_s,
         engine_core=used[1] / lasted_s,
         caller_core=used[2] / lasted_s,
@@ -379,7 +393,7 @@
     for load in loads:
         for path in ("direct", "node"):
             blocks.append(await run_block(fleet, path, load))
-            print(_row(blocks[-1]), flush=True)
+            print(_row(blocks[-1]), blocks[-1].refusals or "", flush=True)
     return blocks
 
 
@@ -453,9 +467,13 @@
     return blocks
 
 
-def main() -> None:
+def main(
+    program: Annotated[
+        str, typer.Option(help="The built azureline to run.")
+    ] = "",
+) -> None:
     """Runs the bench; exits with 1 if the deployment does not come up."""
-    with deployment.Deployment() as fleet:
+    with deployment.Deployment([program] if program else None) as fleet:
         try:
             start(fleet)
         except deployment.StartError as e:
@@ -468,4 +486,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    typer.run(main)
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -14,6 +14,7 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 5.0
+POLL_S = 0.3
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -197,4 +198,4 @@
             return result
         if time.monotonic() > give_up_at:
             raise StartError(f"{what}: not within {timeout_s:g} s")
-        time.sleep(0.1)
+        time.sleep(POLL_S)
