Say when no configuration is in force, and ship a node's settings

Cause: on four nodes without a configuration, config status said that version 0 was in force everywhere and ended with 0.

Change: config status says that nothing is in force and ends with 1. The types of options with their limits have a module of their own. A sample of a node's settings stands in deployments/.

--- a/azureline/config/rollout.py
+++ b/azureline/config/rollout.py
@@ -44,7 +44,7 @@
     live = {n: v for n, v in versions.items() if n not in gone}
     return Rollout(
         newest=newest,
-        in_force=tuple(n for n, v in live.items() if v == newest),
+        in_force=tuple(n for n, v in live.items() if v == newest > 0),
         behind={n: v for n, v in live.items() if v != newest},
         gone=gone,
     )
--- a/azureline/config/schema.py
+++ b/azureline/config/schema.py
@@ -13,53 +13,7 @@
 from typing import NamedTuple
 
 from azureline import requests
-
-
-class Bounds(NamedTuple):
-    """Limits of a number, checked when a document is read.
-
-    Attributes:
-      low: the lowest valid value.
-      high: the highest valid value.
-      above: whether `low` itself is invalid.
-    """
-
-    low: float
-    high: float = float("inf")
-    above: bool = False
-
-
-class Pattern(NamedTuple):
-    """A regular expression that a whole string must match.
-
-    Attributes:
-      regex: the expression.
-      meaning: what a valid string is, for error messages.
-    """
-
-    regex: str
-    meaning: str
-
-
-class Size(NamedTuple):
-    """Lets a number of bytes be written as "14 GiB" too."""
-
-
-Bytes = Annotated[int, Size(), Bounds(0)]
-PositiveBytes = Annotated[int, Size(), Bounds(1)]
-Count = Annotated[int, Bounds(0)]
-Positive = Annotated[int, Bounds(1)]
-Seconds = Annotated[float, Bounds(0, above=True)]
-Rate = Annotated[float, Bounds(0, above=True)]
-Weight = Annotated[float, Bounds(0)]
-Ratio = Annotated[float, Bounds(0, 1)]
-Port = Annotated[int, Bounds(1, 65535)]
-Host = Annotated[str, Pattern(r"[0-9a-fA-F.:]+", "an IP address")]
-Address = Annotated[str, Pattern(r"\[?[0-9a-fA-F.:]+\]?:\d+", "IP:PORT")]
-Digest = Annotated[str, Pattern(r"[0-9a-f]{64}", "a SHA-256 in hexadecimal")]
-Name = Annotated[str, Pattern(r"[A-Za-z0-9][\w.-]*", "a plain name")]
-EntryName = Annotated[str, Pattern(r"[A-Za-z0-9][\w./:-]*", "a plain name")]
-Servers = Annotated[str, Pattern(r"[A-Za-z0-9][\w.-]*\*?", "NAME or PREFIX*")]
+from azureline.config import bounds
 
 
 class Platform(NamedTuple):
@@ -70,8 +24,8 @@
       timeout_s: seconds after which a call counts as unanswered.
     """
 
-    url: Annotated[str, Pattern(r"https?://\S+", "an http URL")]
-    timeout_s: Seconds
+    url: Annotated[str, bounds.Pattern(r"https?://\S+", "an http URL")]
+    timeout_s: bounds.Seconds
 
 
 class Statsd(NamedTuple):
@@ -83,8 +37,8 @@
       prefix: put in front of each metric's name.
     """
 
-    host: Host
-    port: Port
+    host: bounds.Host
+    port: bounds.Port
     prefix: str
 
 
@@ -115,16 +69,16 @@
       drain_s: that requests in progress may take after a stop was asked for.
     """
 
-    connect_s: Seconds
-    heartbeat_s: Seconds
-    link_silence_s: Seconds
-    stream_silence_s: Seconds
-    probe_s: Seconds
-    vm_list_s: Seconds
-    watch_s: Seconds
-    request_s: Seconds
-    drain_notice_s: Seconds
-    drain_s: Seconds
+    connect_s: bounds.Seconds
+    heartbeat_s: bounds.Seconds
+    link_silence_s: bounds.Seconds
+    stream_silence_s: bounds.Seconds
+    probe_s: bounds.Seconds
+    vm_list_s: bounds.Seconds
+    watch_s: bounds.Seconds
+    request_s: bounds.Seconds
+    drain_notice_s: bounds.Seconds
+    drain_s: bounds.Seconds
 
 
 class Buffers(NamedTuple):
@@ -135,8 +89,8 @@
       stream_bytes: answer kept for a caller that reads slowly.
     """
 
-    body_bytes: Bytes
-    stream_bytes: Bytes
+    body_bytes: bounds.Bytes
+    stream_bytes: bounds.Bytes
 
 
 class NodeSettings(NamedTuple):
@@ -157,14 +111,14 @@
       buffers: bounds on memory for one request.
     """
 
-    name: Name
-    host: Host
-    port: Port
-    link_port: Port
-    domain: Name
-    region: Name
+    name: bounds.Name
+    host: bounds.Host
+    port: bounds.Port
+    link_port: bounds.Port
+    domain: bounds.Name
+    region: bounds.Name
     platform: Platform
-    seeds: list[Address]
+    seeds: list[bounds.Address]
     statsd: Statsd
     log: Log
     timeouts: Timeouts
@@ -183,12 +137,12 @@
       max_running: requests that a replica generates at once.
     """
 
-    memory_bytes: PositiveBytes
+    memory_bytes: bounds.PositiveBytes
     version: str
-    min_replicas: Positive
-    tokens_per_s: Rate
-    first_token_ms: Rate
-    max_running: Positive
+    min_replicas: bounds.Positive
+    tokens_per_s: bounds.Rate
+    first_token_ms: bounds.Rate
+    max_running: bounds.Positive
 
 
 class Adapter(NamedTuple):
@@ -200,8 +154,8 @@
       version: version that is to be served.
     """
 
-    model: EntryName
-    memory_bytes: PositiveBytes
+    model: bounds.EntryName
+    memory_bytes: bounds.PositiveBytes
     version: str
 
 
@@ -220,10 +174,10 @@
     """
 
     role: Literal["model", "prefill", "decode", "ledger"]
-    domain: Name
-    region: Name
-    memory_bytes: Bytes
-    accelerators: Count
+    domain: bounds.Name
+    region: bounds.Name
+    memory_bytes: bounds.Bytes
+    accelerators: bounds.Count
     fences: bool
 
 
@@ -237,7 +191,7 @@
     """
 
     method: Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "*"]
-    prefix: Annotated[str, Pattern(r"/\S*", "a path that starts with /")]
+    prefix: Annotated[str, bounds.Pattern(r"/\S*", "a path that starts with /")]
     idempotent: bool
 
 
@@ -252,7 +206,7 @@
     """
 
     role: Literal["ledger", "service"]
-    servers: list[Servers]
+    servers: list[bounds.Servers]
     idempotent: bool
     routes: list[Route]
 
@@ -291,7 +245,7 @@
       max_priority: the most urgent class that the caller may ask for.
     """
 
-    key_sha256: Digest
+    key_sha256: bounds.Digest
     max_priority: Literal["urgent", "normal", "batch"]
 
     @property
@@ -309,9 +263,9 @@
       batch: of the batch class.
     """
 
-    urgent: Positive
-    normal: Positive
-    batch: Positive
+    urgent: bounds.Positive
+    normal: bounds.Positive
+    batch: bounds.Positive
 
 
 class Limits(NamedTuple):
@@ -327,12 +281,12 @@
       retry_budget_ratio: retries sent per request offered, in one node.
     """
 
-    store_loads_per_s: Rate
-    store_loads_at_once: Positive
-    adapters_in_transit: Positive
-    cache_reserve_ratio: Ratio
+    store_loads_per_s: bounds.Rate
+    store_loads_at_once: bounds.Positive
+    adapters_in_transit: bounds.Positive
+    cache_reserve_ratio: bounds.Ratio
     queue: Queue
-    retry_budget_ratio: Ratio
+    retry_budget_ratio: bounds.Ratio
 
 
 class Policy(NamedTuple):
@@ -351,14 +305,14 @@
       token_gap_target_ms: time between tokens that attains, in ms.
     """
 
-    attainment_weight: Weight
-    move_weight: Weight
-    plan_interval_s: Seconds
-    demand_half_life_s: Seconds
-    min_stay_s: Seconds
-    min_gain_ratio: Ratio
-    first_token_target_ms: Rate
-    token_gap_target_ms: Rate
+    attainment_weight: bounds.Weight
+    move_weight: bounds.Weight
+    plan_interval_s: bounds.Seconds
+    demand_half_life_s: bounds.Seconds
+    min_stay_s: bounds.Seconds
+    min_gain_ratio: bounds.Ratio
+    first_token_target_ms: bounds.Rate
+    token_gap_target_ms: bounds.Rate
 
 
 class Configuration(NamedTuple):
@@ -375,12 +329,12 @@
       policy: how placement weighs its aims.
     """
 
-    site: Name
-    models: dict[EntryName, Model]
-    adapters: dict[EntryName, Adapter]
-    engines: dict[EntryName, Engine]
-    services: dict[EntryName, Service]
-    callers: dict[EntryName, Caller]
+    site: bounds.Name
+    models: dict[bounds.EntryName, Model]
+    adapters: dict[bounds.EntryName, Adapter]
+    engines: dict[bounds.EntryName, Engine]
+    services: dict[bounds.EntryName, Service]
+    callers: dict[bounds.EntryName, Caller]
     limits: Limits
     policy: Policy
 
--- a/azureline/config/structure.py
+++ b/azureline/config/structure.py
@@ -12,8 +12,8 @@
 import cattrs
 from cattrs import cols
 
+from azureline.config import bounds
 from azureline.config import problems
-from azureline.config import schema
 
 T = TypeVar("T")
 
@@ -113,7 +113,7 @@
     base, *constraints = get_args(cls)
 
     def hook(value: Any, _: Any) -> Any:
-        if schema.Size() in constraints and isinstance(value, str):
+        if bounds.Size() in constraints and isinstance(value, str):
             value = parse_size(value)
         value = converter.structure(value, base)
         for constraint in constraints:
@@ -125,14 +125,14 @@
 
 def _check(constraint: Any, value: Any) -> None:
     match constraint:
-        case schema.Bounds(low, high, above):
+        case bounds.Bounds(low, high, above):
             if value < low or (above and value == low):
                 raise ValueError(
                     f"must be {'above' if above else 'at least'} {low:g}"
                 )
             if value > high:
                 raise ValueError(f"must be at most {high:g}")
-        case schema.Pattern(regex, meaning):
+        case bounds.Pattern(regex, meaning):
             if re.fullmatch(regex, value) is None:
                 raise ValueError(f"{value!r} is not {meaning}")
 
--- a/azureline/ui/render.py
+++ b/azureline/ui/render.py
@@ -109,11 +109,13 @@
         for node in nodes
         if node["name"] in found.gone
     ]
+    vms = table(("VM", "DOMAIN", "STATE", "VERSION", ""), rows)
+    if not found.newest:
+        return f"{vms}\nno configuration is in force on any VM"
     live = len(found.in_force) + len(found.behind)
     return (
-        table(("VM", "DOMAIN", "STATE", "VERSION", ""), rows)
-        + f"\nversion {found.newest} is in force on {len(found.in_force)} "
-        + f"of {live} live VMs"
+        f"{vms}\nversion {found.newest} is in force on "
+        f"{len(found.in_force)} of {live} live VMs"
     )
 
 
--- a/tests/test_config_files.py
+++ b/tests/test_config_files.py
@@ -175,6 +175,11 @@
     assert accelerators < len(configuration.models)
 
 
+def test_the_shipped_settings_of_a_node_are_valid():
+    settings = check.read_settings("deployments/node.json")
+    assert (settings.name, settings.statsd.port) == ("node-1", 8125)
+
+
 @pytest.mark.parametrize("site", ["tuul", "igla"])
 def test_a_shrunken_deployment_is_refused_with_the_reason(tmp_path, site):
     text = pathlib.Path(f"deployments/{site}.json").read_text("utf-8")
--- a/tests/test_ui.py
+++ b/tests/test_ui.py
@@ -148,6 +148,13 @@
     assert _run("config", "status", *_NODE, "--wait", "5")[0] == 0
 
 
+def test_status_without_a_configuration_is_no_success(service, monkeypatch):
+    _answer(monkeypatch, builders_config.status(n1=0, n2=0))
+    code, output = _run("config", "status", *_NODE)
+    assert code == 1
+    assert "no configuration is in force on any VM" in output
+
+
 def test_status_counts_the_accepted_version_as_the_newest(service, monkeypatch):
     service.hold(builders_config.accepted(3))
     _answer(monkeypatch, builders_config.status(n1=2, n2=2))
