Start a node as a process while the platform is down

Cause: the start by majority was shown on fakes only.

Change: three nodes take up a version, the platform's stand-in ends, a fourth node starts and a killed one is started again; all four must have the version in force.

--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import json
+import socket
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -34,6 +36,67 @@
     )
 
 
+def _node(stack, folder, number, ports, url):
+    """Starts a node that knows two others and returns its process."""
+    settings = {
+        "name": f"node-{number}",
+        "host": "127.0.0.1",
+        "port": ports[2 * number],
+        "link_port": ports[2 * number + 1],
+        "domain": "abc"[number % 3],
+        "platform": {"url": url},
+        "seeds": [f"127.0.0.1:{ports[1]}", f"127.0.0.1:{ports[3]}"],
+    }
+    path = folder / f"node-{number}.json"
+    path.write_text(json.dumps(settings))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "azureline", "node", "--settings", str(path)],
+        stderr=subprocess.DEVNULL,
+    )
+    stack.callback(process.wait)
+    stack.callback(process.kill)
+    return process
+
+
+def _free_ports(count):
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+def _in_force_on(nodes, port):
+    """Waits until version 1 is in force on a number of live VMs."""
+    wanted = f"version 1 is in force on {nodes} of {nodes} live VMs"
+    shown = ""
+    give_up_at = time.monotonic() + 60
+    while wanted not in shown and time.monotonic() < give_up_at:
+        status = _start("status", "--node", f"127.0.0.1:{port}")
+        shown = status.communicate(timeout=60)[0]
+    return wanted in shown, shown
+
+
+@pytest.mark.processes
+def test_a_node_starts_during_an_outage_with_what_the_others_have(tmp_path):
+    base = tmp_path / "base.json"
+    base.write_text(json.dumps(builders_config.document()))
+    (tmp_path / "site.json").write_text("{}")
+    ports = _free_ports(8)
+    with contextlib.ExitStack() as stack:
+        with _platform() as url:
+            nodes = [_node(stack, tmp_path, i, ports, url) for i in range(3)]
+            files = (str(base), str(tmp_path / "site.json"))
+            assert _start("apply", *files, "--platform", url).wait(60) == 0
+            assert _in_force_on(3, ports[0])[0]
+        _node(stack, tmp_path, 3, ports, url)
+        assert _in_force_on(4, ports[0])[0]
+        nodes[0].kill()
+        nodes[0].wait()
+        _node(stack, tmp_path, 0, ports, url)
+        assert _in_force_on(4, ports[0])[0]
+
+
 @pytest.mark.processes
 def test_operators_at_once_lose_nothing(tmp_path):
     base = tmp_path / "base.json"
