Refuse adapters that no engine has room for

Cause: an adapter larger than the share that models leave on every engine passed the check and could never be loaded. Engines of the roles prefill and decode were counted as places where a model is reachable. A node that knew of eight peers with a newer version overlooked a ninth with a still newer one.

Change: both are refused at check time; the ledger keeps the peers with the highest versions.

Conclusion: feasibility now agrees with placement on which engines serve.

--- a/azureline/config/check.py
+++ b/azureline/config/check.py
@@ -138,10 +138,14 @@
 def _unservable(configuration: schema.Configuration) -> list[problems.Problem]:
     capacities = feasibility.capacities_of(configuration)
     packing = feasibility.pack(configuration.models, capacities)
-    if not isinstance(packing, feasibility.Infeasible):
-        return []
-    message = f"this configuration cannot be served: {packing.reason}"
-    return [problems.Problem(message, ("engines",))]
+    if isinstance(packing, feasibility.Infeasible):
+        message = f"this configuration cannot be served: {packing.reason}"
+        return [problems.Problem(message, ("engines",))]
+    oversized = feasibility.oversized_adapters(configuration)
+    return [
+        problems.Problem(reason, ("adapters", name, "memory_bytes"))
+        for name, reason in oversized.items()
+    ]
 
 
 def _blame(
--- a/azureline/config/feasibility.py
+++ b/azureline/config/feasibility.py
@@ -92,7 +92,7 @@
     Considers the loss of one engine, the largest first, and of one failure
     domain.
     """
-    engines = configuration.model_engines
+    engines = _serving(configuration)
     groups = {
         f"engine {name}": {name} for name in _one_of_each_size(engines.items())
     }
@@ -115,11 +115,40 @@
     """Returns the bytes that models may take on each engine, by name."""
     return {
         name: usable_bytes(engine, configuration.limits)
-        for name, engine in configuration.model_engines.items()
+        for name, engine in _serving(configuration).items()
         if name not in without
     }
 
 
+def oversized_adapters(configuration: schema.Configuration) -> dict[str, str]:
+    """Returns why an adapter can never be loaded, by its name.
+
+    Adapters take their memory from the share that models leave.
+    """
+    reserves = [
+        engine.memory_bytes - usable_bytes(engine, configuration.limits)
+        for engine in _serving(configuration).values()
+    ]
+    largest = max(reserves, default=0)
+    return {
+        name: f"needs {_gib(adapter.memory_bytes)}, more than the "
+        f"{_gib(largest)} that models leave on any engine"
+        for name, adapter in configuration.adapters.items()
+        if adapter.memory_bytes > largest
+    }
+
+
+def _serving(
+    configuration: schema.Configuration,
+) -> dict[str, schema.Engine]:
+    """Returns the engines on which a model is reachable, by name."""
+    return {
+        name: engine
+        for name, engine in configuration.engines.items()
+        if engine.role == "model"
+    }
+
+
 def _items(models: dict[str, schema.Model]) -> list[_Item]:
     """Returns the replicas and the room for moving, the largest first."""
     items = [_Item(SPARE, max(m.memory_bytes for m in models.values()))]
--- a/azureline/config/ledger.py
+++ b/azureline/config/ledger.py
@@ -130,8 +130,9 @@
         """Pulls what a peer offers if it is newer than what is held."""
         if not self._is_newer(number, digest):
             return []
-        if peer in self._sources or len(self._sources) < MAX_SOURCES:
-            self._sources[peer] = number
+        self._sources[peer] = number
+        if len(self._sources) > MAX_SOURCES:
+            del self._sources[min(self._sources, key=self._sources.get)]
         return self._pull(now)
 
     def answered(self, now: float, peer: str, state: messages.State) -> Sends:
--- a/azureline/ui/config_apply.py
+++ b/azureline/ui/config_apply.py
@@ -125,7 +125,7 @@
     if not change.paths:
         typer.echo(f"no difference; accepted is {render.heading(current)}")
         return
-    typer.echo(f"accepted as version {number}, {len(change.paths)} changes")
+    typer.echo(f"accepted as version {number}; changed: {len(change.paths)}")
     if current.version > number:
         typer.echo(f"since then accepted: {render.heading(current)}")
 
--- a/tests/test_config_files.py
+++ b/tests/test_config_files.py
@@ -216,6 +216,22 @@
     assert f"this configuration cannot be served: {reason}" in message
 
 
+def test_an_adapter_that_no_engine_has_room_for_is_refused(tmp_path):
+    site = """{"site": "s",
+      "adapters": {"adapter-0": {"memory_bytes": "4.1 GiB"}}}"""
+    assert _check(tmp_path, site) == (
+        "site.json:2: adapters.adapter-0.memory_bytes: needs 4.1 GiB, more "
+        "than the 4.0 GiB that models leave on any engine"
+    )
+
+
+def test_an_engine_of_another_role_makes_no_model_reachable(tmp_path):
+    roles = {f"engine-{i}": {"role": "prefill"} for i in range(3)}
+    site = json.dumps({"site": "s", "engines": roles})
+    message = _check(tmp_path, site)
+    assert "there is no engine that can hold models" in message
+
+
 def test_a_loss_that_leaves_too_little_memory_is_a_warning(tmp_path):
     checked = _check(tmp_path, '{"site": "s"}', models=6)
     assert [str(w).split(": ")[2] for w in checked.warnings] == [
--- a/tests/test_ui.py
+++ b/tests/test_ui.py
@@ -75,7 +75,7 @@
     assert code == 0
     assert "~ limits.adapters_in_transit: 30 -> 8" in output
     assert "version 1 by ann" in output and "--expect 1" in output
-    assert "accepted as version 2, 1 changes" in _apply(files)[1]
+    assert "accepted as version 2; changed: 1" in _apply(files)[1]
     shown = _run("config", "show", *_PLATFORM, "--version", "1")[1]
     assert '"adapters_in_transit": 30' in shown
     assert "ann" in _run("config", "show", *_PLATFORM, "--history")[1]
