--- a/tests/builders_http.py
+++ b/tests/builders_http.py
@@ -26,6 +26,8 @@
     """One caller's connection to a site."""
 
     def __init__(self, site: server.Site):
+        # Without this each connection would leave a timer in the reactor.
+        site.timeOut = None
         peer = address.IPv4Address("TCP", "127.0.0.1", 1)
         self._protocol = site.buildProtocol(peer)
         self._transport = testing.StringTransport()
