Bound what clocks, slow engines and unknown models can do to routing

Cause: read-through against the node that uses routing. wake_at was always a poll ahead of the time it was asked, so a node that compares it with its clock never polled; a rumour from a node whose clock was ahead held its content back until then; an engine silent for 8 s lost all its streams; each unknown model made a pool.

Ruled out: more resumes at the same 2 s, which multiply connections to an engine that is slow already.

Change: wake_at counts from the last look; times in rumours are clamped to the hearer's clock; silence doubles with each fruitless connection; a model without replicas gets no pool; old crash times are dropped.

--- a/azureline/routing/admission.py
+++ b/azureline/routing/admission.py
@@ -116,6 +116,7 @@
         self._pools: dict[str, pool_lib.Pool] = {}
         self._sent: dict[str, Admitted] = {}
         self._crowded_out: list[Dropped] = []
+        self._polled_at = float("-inf")
 
     @property
     def waiting(self) -> int:
@@ -146,7 +147,9 @@
           refusal (`NO_REPLICA`, `OVERLOADED`, `DEADLINE_UNREACHABLE`) with
           the estimated time after which it would be accepted.
         """
-        pool = self._pool(call.model)
+        pool = self._pools.get(call.model)
+        if pool is None:
+            return self._picker.choose(now, call, ())
         if not pool.ahead_of(call):
             admitted = self._try(now, pool.candidates, call, avoid)
             if admitted is not None:
@@ -179,6 +182,7 @@
 
     def next(self, now: float) -> list[Admitted | Dropped]:
         """Returns the calls to send now and those to give up."""
+        self._polled_at = now
         results: list[Admitted | Dropped] = list(self._crowded_out)
         self._crowded_out.clear()
         for pool in self._pools.values():
@@ -207,7 +211,8 @@
             return None
         overdue = (p.next_overdue() for p in waiting)
         # Pauses of limits and breakers end without any event.
-        return min([now + _POLL_S, *(t for t in overdue if t is not None)])
+        poll_at = self._polled_at + _POLL_S
+        return min([poll_at, *(t for t in overdue if t is not None)])
 
     def cancel(self, request_id: str) -> bool:
         """Removes a waiting call whose caller has left.
--- a/azureline/routing/picker.py
+++ b/azureline/routing/picker.py
@@ -269,14 +269,14 @@
     def _ratio(self, now: float, candidate: Candidate, mean: float) -> float:
         """Returns an engine's load relative to what it runs at once."""
         load = self._loads.estimate(now, candidate.engine, mean)
-        return load / candidate.max_running
+        return load / max(1, candidate.max_running)
 
     def _affinity_bound(
         self, subset: list[Candidate], loads: dict[str, float]
     ) -> float:
         """Returns the load below which an engine may be preferred."""
         mean = sum(loads[c.engine] for c in subset) / len(subset)
-        slots = sum(c.max_running for c in subset) / len(subset)
+        slots = sum(max(1, c.max_running) for c in subset) / len(subset)
         # One call more than the mean is always allowed; otherwise nothing
         # would be preferred on idle engines.
         return min(1.0, self._settings.affinity_factor * mean + 1.0 / slots)
--- a/azureline/routing/stream.py
+++ b/azureline/routing/stream.py
@@ -24,7 +24,7 @@
       first_token_timeout_s: seconds of silence before the first event after
         which a connection is replaced.
       progress_timeout_s: seconds of silence between events after which a
-        connection is replaced.
+        connection is replaced; doubled after each that brought nothing new.
       resumes: connections in a row without a new event after which the
         stream is given up.
       buffer_bytes: unsent bytes for a slow caller above which the engine's
@@ -307,9 +307,12 @@
 
     def _silent_at(self) -> float:
         settings = self._settings
+        patience_s = settings.progress_timeout_s
         if self._next == 0:
-            return self._heard_at + settings.first_token_timeout_s
-        return self._heard_at + settings.progress_timeout_s
+            patience_s = settings.first_token_timeout_s
+        # An engine that is slow rather than cut off needs more time each
+        # time, or its stream would be given up within seconds.
+        return self._heard_at + patience_s * 2.0**self._fruitless
 
     def _slow_at(self) -> float:
         return self._took_at + self._settings.slow_caller_s
--- a/azureline/routing/suspects.py
+++ b/azureline/routing/suspects.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+import math
 from typing import NamedTuple
 
 from azureline import requests
@@ -186,11 +187,24 @@
             self._merge(seen)
         return calls
 
-    def heard(self, rumours: Iterable[SuspectSeen]) -> None:
-        """Merges what other nodes know."""
+    def heard(
+        self, rumours: Iterable[SuspectSeen], wall: float = math.inf
+    ) -> None:
+        """Merges what other nodes know.
+
+        Args:
+          rumours: what they know.
+          wall: Unix time in seconds; no time in a rumour counts as later, so
+            that a node whose clock is ahead holds nothing back.
+        """
         for rumour in rumours:
-            self._merge(rumour)
-            for server, _, at in rumour.crashes:
+            crashes = tuple(
+                crash._replace(at=min(crash.at, wall))
+                for crash in rumour.crashes
+            )
+            cleared = min(rumour.cleared, wall)
+            self._merge(rumour._replace(crashes=crashes, cleared=cleared))
+            for server, _, at in crashes:
                 known = self._crashed_at.get(server, 0.0)
                 self._crashed_at[server] = max(known, at)
 
@@ -217,6 +231,12 @@
             keep_s = self._settings.suspect_s + self._refusal_s(count)
             if wall - last > keep_s:
                 self._forget(content)
+        oldest = wall - self._settings.settle_s
+        self._crashed_at = {
+            server: at
+            for server, at in self._crashed_at.items()
+            if at >= oldest
+        }
 
     def _refuse(self, crashes: int, seconds: float) -> errors.Refusal:
         return errors.Refusal(
--- a/tests/test_routing_admission.py
+++ b/tests/test_routing_admission.py
@@ -140,6 +140,15 @@
     assert adm.waiting == 0
 
 
+def test_waiting_calls_are_looked_at_again_without_any_event():
+    adm = new_admission()
+    adm.offer(0.0, build.call())
+    assert adm.wake_at(0.0) is None
+    adm.offer(0.0, build.call())
+    adm.next(1.0)
+    assert adm.wake_at(1.2) == pytest.approx(1.25)
+
+
 def test_a_caller_that_leaves_frees_its_place_at_once():
     adm = new_admission()
     running = adm.offer(0.0, build.call()).call
--- a/tests/test_routing_stream.py
+++ b/tests/test_routing_stream.py
@@ -102,6 +102,17 @@
     assert relay.tick(11.9) == [stream.ResumeAt(1, 2)]
 
 
+def test_a_slow_engine_gets_more_time_with_each_connection():
+    relay = _relay()
+    relay.received(0.0, 1, event(0))
+    replaced_at = []
+    for _ in range(3):
+        replaced_at.append(relay.wake_at())
+        relay.tick(replaced_at[-1])
+    assert replaced_at == [2.0, 6.0, 14.0]
+    assert relay.wake_at() == 30.0
+
+
 def test_fruitless_connections_end_the_stream_and_say_what_was_sent():
     relay = _relay()
     relay.received(0.0, 1, event(0))
--- a/tests/test_routing_suspects.py
+++ b/tests/test_routing_suspects.py
@@ -107,6 +107,16 @@
     assert not watch.check(WALL + 60.0, killer, _ENGINES, _ENGINES)
 
 
+def test_a_node_whose_clock_is_ahead_holds_nothing_back():
+    watch = suspects.Suspects()
+    call = build.call()
+    crash = suspects.Crash("e0", "i1", WALL + 3600.0)
+    rumour = suspects.SuspectSeen(call.content, "seam", (crash,), 0.0)
+    watch.heard([rumour], WALL)
+    check = watch.check(WALL + 2.0, call, _ENGINES, _ENGINES)
+    assert isinstance(check, suspects.Quarantine)
+
+
 def test_suspects_are_forgotten_in_time():
     watch = suspects.Suspects()
     _crash(watch, build.call(), "e0", WALL)
