Part the reader of events from the relay of a stream

Cause: stream.py held the form of events and the life of a stream in 416 lines.

Ruled out: one reader per connection, which would lose the offset and the counts between connections.

Change: events.py splits and judges events, stream.py decides about connections and callers; the faulty readers of the tests replace the reader.

--- /dev/null
+++ b/azureline/routing/events.py
@@ -0,0 +1,173 @@
+r"""Reader of the server-sent events of one stream.
+
+Events are `id: OFFSET\ndata: {...}\n\n`, in which the first has offset 0 and
+every data object begins with the request's id: `{"id":"REQUEST_ID"`.  The end
+is an explicit `data: [DONE]`, with the next offset as its id or without one.
+"""
+
+import enum
+from typing import NamedTuple
+
+_END = b"\n\n"
+_ID = b"id: "
+_DATA = b"\ndata: "
+_DONE = b"[DONE]"
+
+
+class Counts(NamedTuple):
+    """Events of one stream, for counters under `stream.`.
+
+    Attributes:
+      repeats: events that had been forwarded before.
+      gaps: events that came ahead of their turn.
+      mismatches: answers or events of another request.
+      resumes: connections that were replaced.
+      malformed: events that could not be read.
+    """
+
+    repeats: int = 0
+    gaps: int = 0
+    mismatches: int = 0
+    resumes: int = 0
+    malformed: int = 0
+
+
+class Read(NamedTuple):
+    """What a chunk of bytes came to.
+
+    Attributes:
+      pieces: whole events for the caller, in order.
+      ended: whether the last of them is the explicit end.
+      faulty: whether the connection must not be read any more.
+    """
+
+    pieces: list[bytes]
+    ended: bool
+    faulty: bool
+
+
+class Verdict(enum.Enum):
+    """What to do with one event."""
+
+    FORWARD = enum.auto()
+    FINISH = enum.auto()
+    DROP = enum.auto()
+    FAULT = enum.auto()
+
+
+# Members read as globals: attribute access on an enum costs more per token.
+_FORWARD = Verdict.FORWARD
+_FINISH = Verdict.FINISH
+_DROP = Verdict.DROP
+_FAULT = Verdict.FAULT
+
+
+class EventReader:
+    """Splits bytes into events and lets the next ones through."""
+
+    def __init__(self, request_id: str, event_bytes: int):
+        """Creates a reader that expects offset 0.
+
+        Args:
+          request_id: identity that every event must carry.
+          event_bytes: largest event that is accepted.
+        """
+        name = request_id.encode()
+        self.next_offset = 0
+        self.counts = Counts()
+        self._request_id = request_id
+        self._heads = (b'{"id":"%b"' % name, b'{"id": "%b"' % name)
+        self._event_bytes = event_bytes
+        self._buffer = b""
+        self._known = False
+
+    def restart(self) -> None:
+        """Begins to read another connection of the same stream."""
+        self._buffer = b""
+        self._known = False
+
+    def confirm(self, request_id: str) -> bool:
+        """Takes the id that a connection's head echoes, or "".
+
+        Returns:
+          False if it is another request's.
+        """
+        if request_id and request_id != self._request_id:
+            self.count(mismatches=1)
+            return False
+        self._known = bool(request_id)
+        return True
+
+    def feed(self, data: bytes) -> Read:
+        """Reads bytes of the present connection."""
+        buffer = self._buffer + data if self._buffer else data
+        start = 0
+        pieces: list[bytes] = []
+        verdict = _DROP
+        while (end := buffer.find(_END, start)) >= 0:
+            event = buffer[start : end + 2]
+            start = end + 2
+            verdict = self._judge(event)
+            if verdict is _FORWARD:
+                pieces.append(event)
+            elif verdict is _FINISH:
+                pieces.append(event)
+                break
+            elif verdict is _FAULT:
+                break
+        self._buffer = buffer[start:]
+        if len(self._buffer) > self._event_bytes and verdict is not _FINISH:
+            verdict = self._malformed()
+        return Read(pieces, verdict is _FINISH, verdict is _FAULT)
+
+    def count(self, **more: int) -> None:
+        """Adds to the counts by name."""
+        old = self.counts
+        self.counts = old._replace(
+            **{name: getattr(old, name) + n for name, n in more.items()}
+        )
+
+    def _judge(self, event: bytes) -> Verdict:
+        """Judges one event and moves the offset if it is the next."""
+        colon = event.find(_DATA)
+        if colon < 0 or not event.startswith(_ID):
+            return self._judge_unnumbered(event)
+        text = event[4:colon]
+        if not text.isdigit():
+            return self._malformed()
+        offset = int(text)
+        body = colon + len(_DATA)
+        done = event.startswith(_DONE, body)
+        if not done and not event.startswith(self._heads, body):
+            return self._mismatch()
+        if offset != self.next_offset:
+            return self._out_of_turn(offset, done)
+        if done:
+            return _FINISH if self._known else self._mismatch()
+        self._known = True
+        self.next_offset = offset + 1
+        return _FORWARD
+
+    def _judge_unnumbered(self, event: bytes) -> Verdict:
+        if event.startswith(b":"):
+            return _DROP
+        if event.startswith(b"data: [DONE]"):
+            # An end counts only on a connection known to be this request's.
+            return _FINISH if self._known else self._mismatch()
+        return self._malformed()
+
+    def _out_of_turn(self, offset: int, done: bool) -> Verdict:
+        if offset < self.next_offset and not done:
+            self.count(repeats=1)
+            self._known = True
+            return _DROP
+        self.count(gaps=1)
+        return _FAULT
+
+    def _mismatch(self) -> Verdict:
+        self.count(mismatches=1)
+        return _FAULT
+
+    def _malformed(self) -> Verdict:
+        self.count(malformed=1)
+        return _FAULT
--- a/azureline/routing/stream.py
+++ b/azureline/routing/stream.py
@@ -1,20 +1,14 @@
-r"""Relay of one token stream from an engine to its caller.
+"""Relay of one token stream from an engine to its caller.
 
-The engine's stream is server-sent events `id: OFFSET\ndata: {...}\n\n`, in
-which the first event has offset 0 and every data object begins with the
-request's id: `{"id":"REQUEST_ID"`.  The end is an explicit `data: [DONE]`,
-with the next offset as its id or without an id.
+The relay is a state machine: bytes, closings, timeouts and the caller's
+progress come in as calls, and what to do comes back as messages.  The form of
+the engine's events is described in `events`.
 """
 
-import enum
 from typing import NamedTuple
 
 from azureline.core import errors
-
-_END = b"\n\n"
-_ID = b"id: "
-_DATA = b"\ndata: "
-_DONE = b"[DONE]"
+from azureline.routing import events
 
 
 class Settings(NamedTuple):
@@ -114,39 +108,6 @@
 )
 
 
-class Counts(NamedTuple):
-    """Events of one stream, for counters under `stream.`.
-
-    Attributes:
-      repeats: events that had been forwarded before.
-      gaps: events that came ahead of their turn.
-      mismatches: answers or events of another request.
-      resumes: connections that were replaced.
-      malformed: events that could not be read.
-    """
-
-    repeats: int = 0
-    gaps: int = 0
-    mismatches: int = 0
-    resumes: int = 0
-    malformed: int = 0
-
-
-class _Verdict(enum.Enum):
-    """What to do with one event."""
-
-    FORWARD = enum.auto()
-    FINISH = enum.auto()
-    DROP = enum.auto()
-    FAULT = enum.auto()
-
-
-_FORWARD = _Verdict.FORWARD
-_FINISH = _Verdict.FINISH
-_DROP = _Verdict.DROP
-_FAULT = _Verdict.FAULT
-
-
 class StreamRelay:
     """State of one stream; inputs come in as calls, outputs are returned."""
 
@@ -161,15 +122,9 @@
           settings: the settings.
         """
         self._settings = settings
-        self._request_id = request_id
-        name = request_id.encode()
-        self._heads = (b'{"id":"%b"' % name, b'{"id": "%b"' % name)
+        self._reader = events.EventReader(request_id, settings.event_bytes)
         self._attempt = 1
-        self._next = 0
-        self._buffer = b""
-        self._known = False
         self._fruitless = 0
-        self._counts = Counts()
         self._ended = False
         self._paused = False
         self._heard_at = now
@@ -179,7 +134,7 @@
     @property
     def next_offset(self) -> int:
         """Offset of the next event to forward."""
-        return self._next
+        return self._reader.next_offset
 
     @property
     def attempt(self) -> int:
@@ -187,13 +142,13 @@
         return self._attempt
 
     @property
-    def counts(self) -> Counts:
+    def counts(self) -> events.Counts:
         """Counts of what was dropped and replaced."""
-        return self._counts
+        return self._reader.counts
 
     def counters(self) -> dict[str, int]:
         """Returns `counts` by name."""
-        return self._counts._asdict()
+        return self._reader.counts._asdict()
 
     @property
     def ended(self) -> bool:
@@ -205,46 +160,20 @@
         if self._ended or attempt != self._attempt:
             return []
         self._heard_at = now
-        if request_id and request_id != self._request_id:
-            self._count(mismatches=1)
+        if not self._reader.confirm(request_id):
             return self._replace(now)
-        self._known = bool(request_id)
         return []
 
     def received(self, now: float, attempt: int, data: bytes) -> list[Output]:
         """Takes bytes of the body of a connection."""
         if self._ended or attempt != self._attempt:
             return []
-        buffer = self._buffer + data if self._buffer else data
-        start = 0
-        forwarded = self._next
-        fault = done = False
-        pieces = []
-        while (end := buffer.find(_END, start)) >= 0:
-            event = buffer[start : end + 2]
-            start = end + 2
-            verdict = self._read(event)
-            if verdict is _FORWARD:
-                pieces.append(event)
-            elif verdict is _FINISH:
-                pieces.append(event)
-                done = True
-                break
-            elif verdict is _FAULT:
-                fault = True
-                break
-        self._buffer = buffer[start:]
-        if self._next > forwarded:
-            self._heard_at = now
-            self._fruitless = 0
-        outputs: list[Output] = self._forward(now, pieces)
-        if done:
+        read = self._reader.feed(data)
+        outputs = self._forward(now, read.pieces) if read.pieces else []
+        if read.ended:
             self._ended = True
-            return [*outputs, Finished(self._next)]
-        if len(self._buffer) > self._settings.event_bytes:
-            self._count(malformed=1)
-            fault = True
-        return outputs + (self._replace(now) if fault else [])
+            return [*outputs, Finished(self._reader.next_offset)]
+        return outputs + self._replace(now) if read.faulty else outputs
 
     def closed(self, now: float, attempt: int) -> list[Output]:
         """Learns that a connection ended or could not be opened."""
@@ -258,7 +187,7 @@
         if self._ended:
             return []
         self._ended = True
-        if self._next == 0:
+        if self._reader.next_offset == 0:
             return [RetryElsewhere()]
         return [Failed(self._lost("its engine lost it"))]
 
@@ -308,7 +237,7 @@
     def _silent_at(self) -> float:
         settings = self._settings
         patience_s = settings.progress_timeout_s
-        if self._next == 0:
+        if self._reader.next_offset == 0:
             patience_s = settings.first_token_timeout_s
         # An engine that is slow rather than cut off needs more time each
         # time, or its stream would be given up within seconds.
@@ -317,53 +246,9 @@
     def _slow_at(self) -> float:
         return self._took_at + self._settings.slow_caller_s
 
-    def _read(self, event: bytes) -> _Verdict:
-        """Judges one event and moves the offset if it is the next."""
-        colon = event.find(_DATA)
-        if colon < 0 or not event.startswith(_ID):
-            return self._read_unnumbered(event)
-        text = event[4:colon]
-        if not text.isdigit():
-            self._count(malformed=1)
-            return _FAULT
-        offset = int(text)
-        body = colon + len(_DATA)
-        done = event.startswith(_DONE, body)
-        if not done and not event.startswith(self._heads, body):
-            self._count(mismatches=1)
-            return _FAULT
-        if offset != self._next:
-            return self._out_of_turn(offset, done)
-        if done:
-            return _FINISH if self._known else self._stray()
-        self._known = True
-        self._next = offset + 1
-        return _FORWARD
-
-    def _read_unnumbered(self, event: bytes) -> _Verdict:
-        if event.startswith(b":"):
-            return _DROP
-        if event.startswith(b"data: [DONE]"):
-            return _FINISH if self._known else self._stray()
-        self._count(malformed=1)
-        return _FAULT
-
-    def _out_of_turn(self, offset: int, done: bool) -> _Verdict:
-        if offset < self._next and not done:
-            self._count(repeats=1)
-            self._known = True
-            return _DROP
-        self._count(gaps=1)
-        return _FAULT
-
-    def _stray(self) -> _Verdict:
-        """An end counts only on a connection known to be this request's."""
-        self._count(mismatches=1)
-        return _FAULT
-
     def _forward(self, now: float, pieces: list[bytes]) -> list[Output]:
-        if not pieces:
-            return []
+        self._heard_at = now
+        self._fruitless = 0
         data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
         if not self._unsent:
             self._took_at = now
@@ -379,18 +264,18 @@
         self._fruitless += 1
         if self._fruitless > self._settings.resumes:
             return self._give_up()
-        self._count(resumes=1)
+        self._reader.count(resumes=1)
+        self._reader.restart()
         self._attempt += 1
-        self._buffer = b""
-        self._known = False
         self._heard_at = now
-        outputs: list[Output] = [ResumeAt(self._next, self._attempt)]
+        wanted = ResumeAt(self._reader.next_offset, self._attempt)
+        outputs: list[Output] = [wanted]
         # A new connection starts out reading.
         return [*outputs, Pause()] if self._paused else outputs
 
     def _give_up(self) -> list[Output]:
         self._ended = True
-        if self._next == 0:
+        if self._reader.next_offset == 0:
             return [Cancel(), RetryElsewhere()]
         attempts = self._settings.resumes
         return [
@@ -407,13 +292,7 @@
     def _lost(self, reason: str) -> errors.Refusal:
         return errors.Refusal(
             errors.ErrorKind.STREAM_LOST,
-            f"the stream ended after {self._next} events: {reason};"
+            f"the stream ended after {self.next_offset} events: {reason};"
             " what was sent is a true part of one answer, not the whole;"
             " send the request again for a whole one",
         )
-
-    def _count(self, **more: int) -> None:
-        old = self._counts
-        self._counts = old._replace(
-            **{name: getattr(old, name) + n for name, n in more.items()}
-        )
--- a/tests/test_routing_stream.py
+++ b/tests/test_routing_stream.py
@@ -6,6 +6,7 @@
 import pytest
 
 from azureline.core import errors
+from azureline.routing import events
 from azureline.routing import stream
 
 _NAME = "r1"
@@ -156,13 +157,12 @@
 class _Machine(stateful.RuleBasedStateMachine):
     """What the caller has is a prefix of the answer, whole iff finished."""
 
-    relay_class = stream.StreamRelay
     tokens = 5
 
     def __init__(self):
         super().__init__()
         self.now = 0.0
-        self.relay = self.relay_class(
+        self.relay = stream.StreamRelay(
             0.0, _NAME, stream.Settings(resumes=100, buffer_bytes=150)
         )
         self.parts = [event(i, f"t{i}") for i in range(self.tokens)]
@@ -211,20 +211,20 @@
         self.now += seconds
         self._take(self.relay.tick(self.now))
 
-    @stateful.precondition(lambda self: not self.relay._buffer)
+    @stateful.precondition(lambda self: not self.relay._reader._buffer)
     @stateful.rule(back=st.integers(1, 3))
     def engine_repeats(self, back):
         attempt = self.relay.attempt
         offset = max(0, self.relay.next_offset - back)
         self.pending[attempt] = b"".join(self.parts[offset:])
 
-    @stateful.precondition(lambda self: not self.relay._buffer)
+    @stateful.precondition(lambda self: not self.relay._reader._buffer)
     @stateful.rule(ahead=st.integers(1, 3))
     def engine_skips(self, ahead):
         offset = self.relay.next_offset + ahead
         self.pending[self.relay.attempt] = b"".join(self.parts[offset:])
 
-    @stateful.precondition(lambda self: not self.relay._buffer)
+    @stateful.precondition(lambda self: not self.relay._reader._buffer)
     @stateful.rule(whole=st.booleans())
     def answer_of_another_request(self, whole):
         offset = self.relay.next_offset
@@ -248,20 +248,20 @@
 TestStream = _Machine.TestCase
 
 
-class _TakesAnyOffset(stream.StreamRelay):
+class _ReadsAnyOffset(events.EventReader):
     """Deliberate fault: repeats and gaps are forwarded."""
 
     def _out_of_turn(self, offset, done):
         del done
-        self._next = offset + 1
-        return stream._FORWARD
+        self.next_offset = offset + 1
+        return events.Verdict.FORWARD
 
 
-class _TakesAnyRequest(stream.StreamRelay):
+class _ReadsAnyRequest(events.EventReader):
     """Deliberate fault: the identity of events is not checked."""
 
-    def __init__(self, now, request_id, settings):
-        super().__init__(now, request_id, settings)
+    def __init__(self, request_id, event_bytes):
+        super().__init__(request_id, event_bytes)
         self._heads = (b"{",)
 
 
@@ -283,21 +283,19 @@
 
 
 @pytest.mark.parametrize(
-    "faulty",
+    ("module", "name", "faulty"),
     [
-        _TakesAnyOffset,
-        _TakesAnyRequest,
-        _TakesCloseForEnd,
-        _TakesOldConnections,
+        (events, "EventReader", _ReadsAnyOffset),
+        (events, "EventReader", _ReadsAnyRequest),
+        (stream, "StreamRelay", _TakesCloseForEnd),
+        (stream, "StreamRelay", _TakesOldConnections),
     ],
 )
-def test_the_machine_catches_faulty_relays(faulty):
-    class Machine(_Machine):
-        relay_class = faulty
-
+def test_the_machine_catches_faulty_relays(monkeypatch, module, name, faulty):
+    monkeypatch.setattr(module, name, faulty)
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(
-            Machine,
+            _Machine,
             settings=hypothesis.settings(
                 max_examples=300,
                 stateful_step_count=40,
