--- a/azureline/fleet/demand.py
+++ b/azureline/fleet/demand.py
@@ -1,27 +1,39 @@
-"""Demand per model, smoothed to rise fast and fall slowly."""
+"""Demand per model, smoothed without the bias of a plain fast rise.
+
+A rate that rises quickly and falls slowly follows every upward swing of the
+noise; over many models the sum then lies far above the work that is offered.
+The estimate here is a slow average, which jumps to a fast one only when that
+has left the range of the usual deviation, as a retransmission timer weighs
+its mean deviation (Jacobson, 1988).
+"""
 
 from collections.abc import Mapping
 import math
 from typing import NamedTuple
 
-RISE_S = 15.0
-"""Time constant in seconds with which an estimate follows a higher rate."""
+FAST_S = 20.0
+"""Time constant in seconds of the average that detects a rise."""
+
+SLOW_S = 150.0
+"""Time constant in seconds of the estimate between rises."""
 
-FALL_S = 180.0
-"""Time constant in seconds with which an estimate follows a lower rate."""
+DEVIATIONS = 1.5
+"""Mean deviations by which the fast average must exceed the estimate."""
 
 
 class _Estimate(NamedTuple):
     rate: float
+    fast: float
+    deviation: float
     at: float
 
 
 class Demand:
-    """Exponentially weighted rates with separate constants up and down."""
+    """Smoothed rates that jump up on a significant rise."""
 
-    def __init__(self, rise_s: float = RISE_S, fall_s: float = FALL_S):
-        self._rise_s = rise_s
-        self._fall_s = fall_s
+    def __init__(self, fast_s: float = FAST_S, slow_s: float = SLOW_S):
+        self._fast_s = fast_s
+        self._slow_s = slow_s
         self._estimates: dict[str, _Estimate] = {}
 
     @property
@@ -43,8 +55,19 @@
     def _observe_one(self, now: float, name: str, rate: float) -> None:
         last = self._estimates.get(name)
         if last is None:
-            self._estimates[name] = _Estimate(rate, now)
+            self._estimates[name] = _Estimate(rate, rate, rate / 2, now)
             return
-        constant = self._rise_s if rate > last.rate else self._fall_s
-        keep = math.exp(-max(0.0, now - last.at) / constant)
-        self._estimates[name] = _Estimate(rate + keep * (last.rate - rate), now)
+        elapsed = max(0.0, now - last.at)
+        slow = _blend(last.rate, rate, elapsed / self._slow_s)
+        fast = _blend(last.fast, rate, elapsed / self._fast_s)
+        deviation = _blend(
+            last.deviation, abs(rate - last.rate), elapsed / self._slow_s
+        )
+        if fast > slow + DEVIATIONS * last.deviation:
+            slow = fast
+        self._estimates[name] = _Estimate(slow, fast, deviation, now)
+
+
+def _blend(old: float, new: float, part: float) -> float:
+    keep = math.exp(-part)
+    return keep * old + (1.0 - keep) * new
--- a/azureline/fleet/layout.py
+++ b/azureline/fleet/layout.py
@@ -87,8 +87,11 @@
       attainment_weight: worth of an engine second of work done in time.
       move_weight: worth of an avoided move.
       move_cost_s: engine seconds that a move is set equal to.
+      eviction_moves: part of a move that is set against each eviction, for
+        the load that may follow from it later.
       horizon_s: seconds over which a move must pay back.
-      target_load: load of an engine up to which requests are in time.
+      slots: requests that an engine generates at once in time.
+      target_load: load of an engine at which most requests are in time.
       no_undo_s: seconds for which a move is not undone for its gain.
       spread_cost_s: engine seconds set against taking a model's only replica
         in a second failure domain.
@@ -99,10 +102,12 @@
     attainment_weight: float = 0.8
     move_weight: float = 0.2
     move_cost_s: float = 20.0
-    horizon_s: float = 300.0
+    eviction_moves: float = 0.3
+    horizon_s: float = 600.0
+    slots: int = 9
     target_load: float = 0.8
     no_undo_s: float = 600.0
-    spread_cost_s: float = 5.0
+    spread_cost_s: float = 20.0
     moves_per_plan: int = 4
     loads_pending: int = 8
 
--- a/azureline/fleet/placement.py
+++ b/azureline/fleet/placement.py
@@ -7,14 +7,16 @@
 """
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from azureline.fleet import balance
 from azureline.fleet import draft as drafts
+from azureline.fleet import gain
 from azureline.fleet import layout
 
-_CANDIDATES = 12
-"""Engines tried as the target of one load."""
+_CANDIDATES = 8
+"""Models, and engines for each, that are tried for one load."""
 
 _FAR_PAST_S = 0.0
 """Age below which a repair respects a load: it respects none."""
@@ -28,7 +30,8 @@
 class _Offer(NamedTuple):
     model: str
     option: _Option
-    gain: float
+    shift: gain.Shift
+    worth: float
 
 
 def plan(
@@ -274,88 +277,70 @@
             if offer is None:
                 return
             self._apply(offer.model, offer.option, layout.Cause.DEMAND)
-            self._shift(offer)
+            gain.apply(self._draft, offer.shift)
 
     def _best_offer(self) -> _Offer | None:
-        relief = self._relief()
-        ranked = sorted(relief, key=lambda n: (-relief[n], n))
-        best: _Offer | None = None
-        for name in ranked[:_CANDIDATES]:
-            if best is not None and relief[name] <= best.gain:
-                break
-            offer = self._offer(name, relief[name])
-            if offer and (best is None or offer.gain > best.gain):
-                best = offer
-        return best
-
-    def _relief(self) -> dict[str, float]:
-        """Returns the overload in engine units that each model causes."""
-        draft, target = self._draft, self._params.target_load
-        excess = {
-            name: (load - target) * draft.engines[name].speed
-            for name, load in draft.split.load.items()
-            if load > target
-        }
-        relief: dict[str, float] = {}
-        for engine, over in excess.items():
-            for name in draft.held(engine):
-                share = draft.split.shares.get(name, {}).get(engine, 0.0)
-                if share > 0.0:
-                    gain = min(share, over)
-                    relief[name] = relief.get(name, 0.0) + gain
-        return relief
-
-    def _offer(self, name: str, relief: float) -> _Offer | None:
-        draft, params = self._draft, self._params
-        loads = draft.split.load
+        pressure = self._pressure()
+        ranked = sorted(pressure, key=lambda n: (-pressure[n], n))
+        loads = self._draft.split.load
         coldest = sorted(loads, key=lambda e: (loads[e], e))
+        offers = [
+            offer
+            for name in ranked[:_CANDIDATES]
+            if (offer := self._offer(name, coldest)) is not None
+        ]
+        return max(offers, key=lambda o: o.worth) if offers else None
+
+    def _pressure(self) -> dict[str, float]:
+        """Returns the missed work of the models that miss any."""
+        split, slots = self._draft.split, self._params.slots
+        pressure = {
+            name: gain.missed(per, split.load, slots)
+            for name, per in split.shares.items()
+            if self._draft.work[name] > 0.0
+        }
+        floor = self._least_gain()
+        return {n: work for n, work in pressure.items() if work > floor}
+
+    def _least_gain(self) -> float:
+        params = self._params
+        cost = params.move_weight * params.move_cost_s
+        return cost / (params.attainment_weight * params.horizon_s)
+
+    def _offer(self, name: str, coldest: Sequence[str]) -> _Offer | None:
+        draft = self._draft
         tried = 0
         best: _Offer | None = None
         for engine in coldest:
-            slack = (params.target_load - loads[engine]) * draft.engines[
-                engine
-            ].speed
-            if slack <= 0 or tried >= _CANDIDATES:
-                break
             if engine in draft.serving(name):
                 continue
             if self._just_unloaded(engine, name):
                 continue
             tried += 1
-            offer = self._weigh(name, engine, min(relief, slack))
-            if offer and (best is None or offer.gain > best.gain):
+            if tried > _CANDIDATES:
+                break
+            offer = self._weigh(name, engine)
+            if offer and (best is None or offer.worth > best.worth):
                 best = offer
         return best
 
-    def _weigh(self, name: str, engine: str, gain: float) -> _Offer | None:
+    def _weigh(self, name: str, engine: str) -> _Offer | None:
         """Returns the offer if its worth over the horizon pays the move."""
         draft, params = self._draft, self._params
         spares = draft.surplus(engine, self._now, params.no_undo_s)
         evicted = draft.room(engine, draft.models[name].bytes, spares)
         if evicted is None:
             return None
-        extra = 0.0
-        for spare in evicted:
-            share = draft.share(spare.model, engine)
-            slack = self._slack_elsewhere(spare.model, engine)
-            gain -= max(0.0, share - slack)
-            extra += self._spread_cost(spare.model, engine)
-        worth = params.attainment_weight * (gain * params.horizon_s - extra)
-        cost = params.move_weight * params.move_cost_s * (1 + len(evicted))
-        if worth <= cost:
-            return None
-        return _Offer(name, _Option(engine, tuple(evicted)), gain)
-
-    def _slack_elsewhere(self, name: str, engine: str) -> float:
-        if name not in self._draft.models:
-            return 0.0
-        draft, target = self._draft, self._params.target_load
-        return sum(
-            max(0.0, target - draft.split.load[other])
-            * draft.engines[other].speed
-            for other in draft.serving(name)
-            if other != engine
+        shift = gain.of_replica(draft, name, engine, evicted, params)
+        extra = sum(self._spread_cost(s.model, engine) for s in evicted)
+        moves = 1 + params.eviction_moves * len(evicted)
+        worth = params.attainment_weight * (
+            shift.gain * params.horizon_s - extra
         )
+        worth -= params.move_weight * params.move_cost_s * moves
+        if worth <= 0.0:
+            return None
+        return _Offer(name, _Option(engine, tuple(evicted)), shift, worth)
 
     def _spread_cost(self, name: str, engine: str) -> float:
         draft = self._draft
@@ -366,35 +351,6 @@
         narrows = len(left) < 2 <= len(before)
         return self._params.spread_cost_s if narrows else 0.0
 
-    def _shift(self, offer: _Offer) -> None:
-        """Moves the predicted work of a new replica off the hot engines."""
-        draft, target = self._draft, self._params.target_load
-        shares = draft.split.shares
-        for spare in offer.option.evicted:
-            self._hand_over(spare.model, offer.option.engine)
-        per = shares.setdefault(offer.model, {})
-        left = offer.gain
-        for engine in sorted(per, key=lambda e: -draft.split.load[e]):
-            speed = draft.engines[engine].speed
-            over = (draft.split.load[engine] - target) * speed
-            taken = max(0.0, min(left, over, per[engine]))
-            per[engine] -= taken
-            draft.split.load[engine] -= taken / speed
-            left -= taken
-        new = offer.option.engine
-        per[new] = per.get(new, 0.0) + offer.gain - left
-        draft.split.load[new] += (offer.gain - left) / draft.engines[new].speed
-
-    def _hand_over(self, name: str, engine: str) -> None:
-        draft = self._draft
-        per = draft.split.shares.get(name, {})
-        share = per.pop(engine, 0.0)
-        draft.split.load[engine] -= share / draft.engines[engine].speed
-        for other in per:
-            per[other] += share / len(per)
-            speed = draft.engines[other].speed
-            draft.split.load[other] += share / len(per) / speed
-
 
 def _set_role(engine: layout.Engine) -> layout.Move:
     return layout.Move(
