--- /dev/null
+++ b/azureline/nodes/messages.py
@@ -0,0 +1,58 @@
+"""The messages of the streams and datagrams between nodes, and their codec."""
+
+from typing import NamedTuple
+
+from azureline.config import messages as config_messages
+from azureline.core import wire
+from azureline.fleet import collection
+from azureline.fleet import engine_messages
+from azureline.fleet import limits
+from azureline.fleet import messages as fleet_messages
+from azureline.once import messages as once_messages
+
+PROTOCOL_VERSION = 1
+
+
+class Hello(NamedTuple):
+    """Opens a stream; a node with another version is turned away.
+
+    Attributes:
+      version: `PROTOCOL_VERSION` of the sender.
+      name: name of the sender's VM.
+      host: IP address at which the sender accepts streams.
+      port: port at which the sender accepts streams.
+    """
+
+    version: int
+    name: str
+    host: str
+    port: int
+
+
+class Heartbeat(NamedTuple):
+    """Shows that a stream is alive while nothing else is sent."""
+
+
+MESSAGES: dict[int, type] = {
+    60: Hello,
+    61: Heartbeat,
+    **fleet_messages.MESSAGES,
+    **engine_messages.MESSAGES,
+    **collection.MESSAGES,
+    55: limits.Request,
+    56: limits.Share,
+    40: config_messages.Offer,
+    41: config_messages.Ask,
+    42: config_messages.State,
+    43: config_messages.Pull,
+    44: config_messages.Delta,
+    45: config_messages.DeltaBatch,
+    46: config_messages.Full,
+    47: config_messages.NothingNewer,
+    **once_messages.MESSAGES,
+}
+
+
+def codec() -> wire.Codec:
+    """Returns the codec of all messages between nodes."""
+    return wire.Codec(MESSAGES)
--- /dev/null
+++ b/tests/test_config_processes.py
@@ -0,0 +1,125 @@
+"""Operators as processes against the platform's stand-in."""
+
+import contextlib
+import json
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from tests import builders_config
+
+_OPTIONS = ("store_loads_per_s", "store_loads_at_once", "adapters_in_transit")
+
+
+@contextlib.contextmanager
+def _platform():
+    command = [sys.executable, "-m", "standins.platform", "--port", "0"]
+    with subprocess.Popen(
+        command, stdout=subprocess.PIPE, text=True
+    ) as process:
+        try:
+            ready = process.stdout.readline()
+            yield f"http://127.0.0.1:{ready.strip().rpartition('=')[2]}"
+        finally:
+            process.terminate()
+
+
+def _start(*arguments):
+    return subprocess.Popen(
+        [sys.executable, "-m", "azureline", "config", *arguments],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def _node(stack, folder, number, ports, url):
+    """Starts a node that knows two others and returns its process."""
+    settings = {
+        "name": f"node-{number}",
+        "host": "127.0.0.1",
+        "port": ports[2 * number],
+        "link_port": ports[2 * number + 1],
+        "domain": "abc"[number % 3],
+        "platform": {"url": url},
+        "seeds": [f"127.0.0.1:{ports[1]}", f"127.0.0.1:{ports[3]}"],
+    }
+    path = folder / f"node-{number}.json"
+    path.write_text(json.dumps(settings))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "azureline", "node", "--settings", str(path)],
+        stderr=subprocess.DEVNULL,
+    )
+    stack.callback(process.wait)
+    stack.callback(process.kill)
+    return process
+
+
+def _free_ports(count):
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+def _in_force_on(nodes, port):
+    """Waits until version 1 is in force on a number of live VMs."""
+    wanted = f"version 1 is in force on {nodes} of {nodes} live VMs"
+    shown = ""
+    give_up_at = time.monotonic() + 60
+    while wanted not in shown and time.monotonic() < give_up_at:
+        status = _start("status", "--node", f"127.0.0.1:{port}")
+        shown = status.communicate(timeout=60)[0]
+    return wanted in shown, shown
+
+
+@pytest.mark.processes
+def test_a_node_starts_during_an_outage_with_what_the_others_have(tmp_path):
+    base = tmp_path / "base.json"
+    base.write_text(json.dumps(builders_config.document()))
+    (tmp_path / "site.json").write_text("{}")
+    ports = _free_ports(8)
+    with contextlib.ExitStack() as stack:
+        with _platform() as url:
+            nodes = [_node(stack, tmp_path, i, ports, url) for i in range(3)]
+            files = (str(base), str(tmp_path / "site.json"))
+            assert _start("apply", *files, "--platform", url).wait(60) == 0
+            assert _in_force_on(3, ports[0])[0]
+        _node(stack, tmp_path, 3, ports, url)
+        assert _in_force_on(4, ports[0])[0]
+        nodes[0].kill()
+        nodes[0].wait()
+        _node(stack, tmp_path, 0, ports, url)
+        assert _in_force_on(4, ports[0])[0]
+
+
+@pytest.mark.processes
+def test_operators_at_once_lose_nothing(tmp_path):
+    base = tmp_path / "base.json"
+    base.write_text(json.dumps(builders_config.document()))
+    sites = []
+    for number, option in enumerate(("", *_OPTIONS)):
+        site = tmp_path / f"site-{number}.json"
+        limits = {option: 17} if option else {}
+        site.write_text(json.dumps({"limits": limits}))
+        sites.append(str(site))
+    with _platform() as url:
+        files = (str(base), sites[0], "--platform", url)
+        assert _start("apply", *files).wait(60) == 0
+        expect = ("--platform", url, "--expect", "1")
+        running = [
+            _start("apply", str(base), site, *expect, "--rebase")
+            for site in sites[1:]
+        ]
+        told = [process.communicate(timeout=60) for process in running]
+        assert [p.returncode for p in running] == [0, 0, 0], told
+        refused = _start("apply", str(base), sites[1], *expect)
+        assert "conflict: accepted is version 4" in refused.communicate()[1]
+        assert refused.returncode == 3
+        shown = _start("show", "--platform", url).communicate(timeout=60)[0]
+    limits = json.loads(shown)["limits"]
+    assert [limits[option] for option in _OPTIONS] == [17, 17, 17]
