Name the entry VMs that no node has heard of

Cause: config status listed only what the asked node knows, so a VM that never joined was not seen as lacking the version.

The reading has moved from the command to the client.

Conclusion: the operator sees which VM is missing.

--- a/azureline/ui/client.py
+++ b/azureline/ui/client.py
@@ -1,4 +1,4 @@
-"""Reads a node's operators' interface."""
+"""Reads what nodes and the platform say about the fleet."""
 
 import json
 from typing import Any
@@ -9,6 +9,9 @@
 from twisted.web import client
 
 from azureline.config import rollout
+from azureline.config import store
+from azureline.platform import http
+from azureline.platform import interface
 
 POLL_S = 0.25
 STATUS_PATH = "/operators/status"
@@ -54,26 +57,56 @@
         return NoAnswer(f"{url} gave no answer: {type(e).__name__}: {e}")
 
 
+async def read_expected(
+    reactor: Any, platform: str, timeout_s: float
+) -> rollout.Expected | NoAnswer:
+    """Reads the accepted version and the entry VMs from the platform.
+
+    Args:
+      reactor: the reactor.
+      platform: root of the platform's HTTP interface; "" asks nothing.
+      timeout_s: seconds that one call may take.
+    """
+    if not platform:
+        return rollout.Expected(0, {})
+    stored = await store.read(http.HttpKeyValue(reactor, platform, timeout_s))
+    if not isinstance(stored, store.Stored):
+        return NoAnswer(f"{platform}: {stored.reason}")
+    listed = await http.HttpVmList(reactor, platform, timeout_s).list()
+    if isinstance(listed, interface.Unavailable):
+        return NoAnswer(f"{platform}: {listed.reason}")
+    domains = {
+        vm.name: vm.domain
+        for vm in listed
+        if vm.role == "node" and not vm.leaving
+    }
+    accepted = stored.accepted.version if stored.accepted else 0
+    return rollout.Expected(accepted, domains)
+
+
 async def follow(
-    reactor: Any, node: str, accepted: int, timeout_s: float, wait_s: float
-) -> tuple[list[dict[str, Any]], rollout.Rollout] | NoAnswer:
+    reactor: Any, node: str, platform: str, timeout_s: float, wait_s: float
+) -> rollout.Rollout | NoAnswer:
     """Reads which version is in force until it is the newest everywhere.
 
     Args:
       reactor: the reactor.
       node: see `read_status`.
-      accepted: the version that the platform's service holds, or 0.
+      platform: see `read_expected`.
       timeout_s: seconds that one call may take.
       wait_s: seconds after which it is told as it is.
     """
+    expected = await read_expected(reactor, platform, timeout_s)
+    if isinstance(expected, NoAnswer):
+        return expected
     give_up_at = reactor.seconds() + wait_s
     while True:
         document = await read_status(reactor, node, timeout_s)
         if isinstance(document, NoAnswer):
             return document
-        found = rollout.summarize(document["nodes"], accepted)
+        found = rollout.summarize(document["nodes"], expected)
         if found.complete or reactor.seconds() >= give_up_at:
-            return document["nodes"], found
+            return found
         await task.deferLater(reactor, POLL_S, lambda: None)
 
 
--- a/azureline/ui/config_status.py
+++ b/azureline/ui/config_status.py
@@ -5,9 +5,6 @@
 
 import typer
 
-from azureline.config import store
-from azureline.platform import http
-from azureline.platform import interface
 from azureline.ui import client
 from azureline.ui import command
 from azureline.ui import exits
@@ -29,26 +26,18 @@
 ) -> None:
     """Shows which version is in force on each VM.
 
-    Exit code 0 if the newest known version is in force on every live VM, 1
-    if a VM is behind.
+    With --platform, VMs that its list names and no node knows of are missing,
+    and the accepted version counts as the newest.  Exit code 0 if the newest
+    version is in force on every live VM, 1 if a VM is behind or missing.
     """
 
-    async def work(reactor: Any) -> Any:
-        accepted = 0
-        if platform:
-            service = http.HttpKeyValue(reactor, platform, timeout)
-            stored = await store.read(service)
-            if isinstance(stored, interface.Unavailable):
-                return client.NoAnswer(f"{platform}: {stored.reason}")
-            if isinstance(stored, store.Stored) and stored.accepted:
-                accepted = stored.accepted.version
-        return await client.follow(reactor, node, accepted, timeout, wait)
-
-    followed = command.run(work)
-    if isinstance(followed, client.NoAnswer):
-        command.fail(exits.Exit.UNAVAILABLE, followed.reason)
-    nodes, found = followed
-    typer.echo(render.rolled_out(nodes, found))
+    def work(reactor: Any) -> Any:
+        return client.follow(reactor, node, platform, timeout, wait)
+
+    found = command.run(work)
+    if isinstance(found, client.NoAnswer):
+        command.fail(exits.Exit.UNAVAILABLE, found.reason)
+    typer.echo(render.rolled_out(found))
     if not found.complete:
         raise typer.Exit(int(exits.Exit.REFUSED))
 
--- a/azureline/ui/render.py
+++ b/azureline/ui/render.py
@@ -91,31 +91,20 @@
     return "\n".join(lines)
 
 
-def rolled_out(nodes: list[dict[str, Any]], found: rollout.Rollout) -> str:
+def rolled_out(found: rollout.Rollout) -> str:
     """Returns a table of the VMs and their versions, and a summary."""
     rows = [
-        (
-            node["name"],
-            node["domain"],
-            node["state"],
-            node["config_version"] or "none",
-            "" if node["name"] in found.in_force else "BEHIND",
-        )
-        for node in nodes
-        if node["name"] not in found.gone
-    ]
-    rows += [
-        (node["name"], node["domain"], node["state"], "?", "")
-        for node in nodes
-        if node["name"] in found.gone
+        (vm.name, vm.domain, vm.state, vm.version or "none", vm.standing.value)
+        for vm in found.vms
     ]
-    vms = table(("VM", "DOMAIN", "STATE", "VERSION", ""), rows)
+    vms = table(("VM", "DOMAIN", "STATE", "VERSION", "STANDING"), rows)
     if not found.newest:
         return f"{vms}\nno configuration is in force on any VM"
-    live = len(found.in_force) + len(found.behind)
+    in_force = found.count(rollout.Standing.IN_FORCE)
+    live = len(found.vms) - found.count(rollout.Standing.DEAD)
     return (
-        f"{vms}\nversion {found.newest} is in force on "
-        f"{len(found.in_force)} of {live} live VMs"
+        f"{vms}\nversion {found.newest} is in force on {in_force} of "
+        f"{live} live VMs"
     )
 
 
--- a/tests/builders_config.py
+++ b/tests/builders_config.py
@@ -88,7 +88,8 @@
       entry: what the key holds.
       faults: what happens to the next calls of `put` and `get`, in order:
         "down" loses the call, "lost" loses the answer, None answers.
-      calls: number of calls.
+      calls: number of calls of `put` and `get`.
+      vms: the platform's list of VMs.
     """
 
     def __init__(self, entry: interface.Entry | None = None):
@@ -96,6 +97,11 @@
         self.faults: list[str | None] = []
         self.before_put: list[Callable[[], None]] = []
         self.calls = 0
+        self.vms: tuple[interface.Vm, ...] = ()
+
+    def list(self) -> defer.Deferred[tuple[interface.Vm, ...]]:
+        """Reads the platform's list of VMs."""
+        return defer.succeed(self.vms)
 
     def get(self, key: str) -> defer.Deferred[Any]:
         """Reads the key."""
--- a/tests/test_ui.py
+++ b/tests/test_ui.py
@@ -12,6 +12,7 @@
 import azureline
 from azureline.config import version
 from azureline.platform import http
+from azureline.platform import interface
 from azureline.ui import app
 from azureline.ui import client
 from azureline.ui import command
@@ -26,6 +27,7 @@
 def _service(monkeypatch):
     service = builders_config.FakeService()
     monkeypatch.setattr(http, "HttpKeyValue", lambda *args: service)
+    monkeypatch.setattr(http, "HttpVmList", lambda *args: service)
     monkeypatch.setattr(command, "run", builders_config.run_on_clock)
     return service
 
@@ -148,6 +150,19 @@
     assert _run("config", "status", *_NODE, "--wait", "5")[0] == 0
 
 
+def test_status_names_vms_that_only_the_platform_knows(service, monkeypatch):
+    service.hold(builders_config.accepted(1))
+    service.vms = tuple(
+        interface.Vm(name, "127.0.0.1", 1, role, "b", name == "n4")
+        for name, role in (("n1", "node"), ("n3", "node"), ("n4", "node"))
+    )
+    _answer(monkeypatch, builders_config.status(n1=1, n2=1))
+    code, output = _run("config", "status", *_NODE, *_PLATFORM)
+    assert code == 1
+    assert "n3  b       unknown  none     MISSING" in output
+    assert "version 1 is in force on 2 of 3 live VMs" in output
+
+
 def test_status_without_a_configuration_is_no_success(service, monkeypatch):
     _answer(monkeypatch, builders_config.status(n1=0, n2=0))
     code, output = _run("config", "status", *_NODE)
