--- a/azureline/fleet/keeper.py
+++ b/azureline/fleet/keeper.py
@@ -30,6 +30,9 @@
 VIEW_REFRESH_S = 30.0
 MOVES_REMEMBERED = 256
 FREE_STEPS = 512
+ADAPTER_LOAD_S = 0.02
+REPORT_LAG_S = 3.0
+ADAPTER_IDLE_S = 30.0
 PREFIX = "engine/"
 _CODEC = wire.Codec({1: directories.EngineView, 2: directories.Held})
 
@@ -72,6 +75,13 @@
     result: interface.OrderResult
 
 
+class _AdapterDue(NamedTuple):
+    """An adapter's load should have ended by now."""
+
+    engine: str
+    adapter: str
+
+
 class Asked(NamedTuple):
     """A message of another node."""
 
@@ -117,6 +127,8 @@
         self.moves: dict[str, str] = {}
         self.wanted: dict[str, set[str]] = {}
         self.loading: set[str] = set()
+        self.loaded: dict[str, float] = {}
+        self.used: dict[str, float] = {}
 
 
 class Keeper(task.Task[Any]):
@@ -147,6 +159,7 @@
           counters: counts orders by result.
         """
         super().__init__(f"keeper {slot}")
+        self._reactor = reactor
         self._node = node
         self._epoch = epoch
         self._clock = clock
@@ -181,6 +194,8 @@
                 self._reported(engine, asked, report)
             case _Answered():
                 self._answered(message)
+            case _AdapterDue():
+                self._adapter_due(message)
             case Asked(sender, engine_messages.MoveRequest() as move):
                 self._move(sender, move)
             case Asked(sender, engine_messages.AdapterWanted() as wanted):
@@ -230,6 +245,8 @@
             self._tell(name, engine)
             return
         engine.missed = 0
+        if engine.report and engine.report.incarnation != report.incarnation:
+            engine.loaded.clear()
         engine.report = report
         engine.book.reported(self._clock.now(), report, asked)
         self._tell(name, engine)
@@ -378,19 +395,31 @@
         self._counters.count(f"orders.{order.kind.value}.{result.value}")
         engine = self._engines.get(answered.engine)
         if engine is None:
+            if order.kind is interface.OrderKind.LOAD_ADAPTER:
+                self._peers.give_back()
             return
         engine.book.answered(self._clock.now(), order.order_id, result)
-        if order.kind is interface.OrderKind.LOAD_ADAPTER:
-            engine.loading.discard(order.target)
-            self._peers.give_back()
-            # The report lags by more than the load takes; asking the engine
-            # at once would only find the state from before it.
-            if result is interface.OrderResult.ACCEPTED:
-                self._adapter_state(answered.engine, engine, order.target, "")
-            else:
-                self._adapter_state(
-                    answered.engine, engine, order.target, result.value
-                )
+        if order.kind is not interface.OrderKind.LOAD_ADAPTER:
+            return
+        if result is interface.OrderResult.ACCEPTED:
+            # Nothing tells the end of a load sooner than its usual time.
+            done = _AdapterDue(answered.engine, order.target)
+            self._reactor.callLater(ADAPTER_LOAD_S, self.post, done)
+            return
+        self._adapter_over(engine, order.target)
+        self._adapter_state(answered.engine, engine, order.target, result.value)
+
+    def _adapter_due(self, due: "_AdapterDue") -> None:
+        engine = self._engines.get(due.engine)
+        if engine is None or due.adapter not in engine.loading:
+            return
+        self._adapter_over(engine, due.adapter)
+        engine.loaded[due.adapter] = self._clock.now()
+        self._adapter_state(due.engine, engine, due.adapter, "")
+
+    def _adapter_over(self, engine: _Engine, adapter: str) -> None:
+        engine.loading.discard(adapter)
+        self._peers.give_back()
 
     def _want(self, sender: str, wanted: engine_messages.AdapterWanted) -> None:
         engine = self._engines.get(wanted.engine)
@@ -402,6 +431,7 @@
                 ),
             )
             return
+        engine.used[wanted.adapter] = self._clock.now()
         engine.wanted.setdefault(wanted.adapter, set()).add(sender)
         self._serve_wanted(wanted.engine, engine)
 
@@ -433,11 +463,40 @@
         reason = self._send(engine, name, order)
         if reason:
             self._peers.give_back()
+            if reason == book_lib.Reason.NO_ROOM.value:
+                self._make_room(name, engine)
             return reason
         engine.loading.add(adapter)
         return ""
 
+    def _make_room(self, name: str, engine: _Engine) -> None:
+        """Unloads the adapter that was wanted least recently."""
+        now = self._clock.now()
+        idle = [
+            r
+            for r in (engine.report.adapters if engine.report else ())
+            if r.state == "ready"
+            and now - engine.used.get(r.name, 0.0) > ADAPTER_IDLE_S
+        ]
+        if not idle:
+            return
+        oldest = min(idle, key=lambda r: engine.used.get(r.name, 0.0))
+        engine.loaded.pop(oldest.name, None)
+        order = self._order(
+            interface.OrderKind.UNLOAD_ADAPTER,
+            oldest.name,
+            oldest.version,
+            oldest.bytes_used,
+        )
+        self._send(engine, name, order)
+
     def _resident(self, engine: _Engine, item: book_lib.Item) -> bool:
+        """Returns whether an adapter is loaded, by report or just ordered."""
+        loaded_at = engine.loaded.get(item.name)
+        if loaded_at is not None:
+            if self._clock.now() - loaded_at < REPORT_LAG_S:
+                return True
+            del engine.loaded[item.name]
         report = engine.report
         return report is not None and any(
             r.name == item.name
