Part refusals and their advice from admission

Ruled out: moving them into the pool, which would then need randomness.

Change: refusals.py builds the refusals and counts them in the pool.

--- a/azureline/routing/admission.py
+++ b/azureline/routing/admission.py
@@ -17,9 +17,8 @@
 from azureline.routing import picker as picker_lib
 from azureline.routing import pool as pool_lib
 from azureline.routing import queues
+from azureline.routing import refusals
 
-_MIN_RETRY_AFTER_S = 0.1
-_MAX_RETRY_AFTER_S = 60.0
 _POLL_S = 0.25
 
 
@@ -111,7 +110,7 @@
         """
         self._picker = picker
         self._limits = limits
-        self._rng = rng
+        self._refusals = refusals.Refusals(rng)
         self._settings = settings
         self._pools: dict[str, pool_lib.Pool] = {}
         self._sent: dict[str, Admitted] = {}
@@ -157,11 +156,10 @@
         if not self._picker.usable(now, pool.candidates):
             return self._picker.choose(now, call, pool.candidates)
         wait_s = pool.wait_s(now, call)
-        refusal = self._unreachable(now, pool, call, wait_s)
+        refusal = self._refusals.unreachable(now, pool, call, wait_s)
         if refusal is None:
             refusal = self._make_place(now, pool, call, wait_s)
         if refusal is not None:
-            pool.refused.add(now)
             return refusal
         pool.add(call, tuple(avoid))
         return Queued(call, wait_s)
@@ -323,32 +321,6 @@
                 best = (model, rank, waiting)
         return best
 
-    def _unreachable(
-        self,
-        now: float,
-        pool: pool_lib.Pool,
-        call: requests.ModelCall,
-        wait_s: float,
-    ) -> errors.Refusal | None:
-        expected_s = pool.service.expected_s(call)
-        late_s = now + wait_s + expected_s - call.deadline
-        if now >= call.deadline:
-            return errors.Refusal(
-                errors.ErrorKind.DEADLINE_EXCEEDED,
-                "the deadline had passed on arrival",
-                ran=errors.Ran.NO,
-            )
-        # An idle model takes any call: estimates that only refuse would
-        # never see the answers that correct them.
-        if late_s <= 0.0 or not (pool.outstanding or pool.waiting):
-            return None
-        return errors.Refusal(
-            errors.ErrorKind.DEADLINE_UNREACHABLE,
-            f"about {wait_s:.1f} s of waiting and {expected_s:.1f} s of"
-            f" service exceed the deadline by {late_s:.1f} s",
-            self._retry_after(now, pool, late_s),
-        )
-
     def _make_place(
         self,
         now: float,
@@ -360,23 +332,19 @@
         queue = pool.queue(call.priority)
         if len(queue) < self._settings.queue_bounds[call.priority]:
             return None
-        refusal = errors.Refusal(
-            errors.ErrorKind.OVERLOADED,
-            f"{len(queue)} calls of this class wait for the model",
-            self._retry_after(now, pool, wait_s),
-        )
+        refusal = self._refusals.overloaded(now, pool, len(queue), wait_s)
         crowding = queue.crowding()
         fair = queue.waiting_of(call.caller) + 1
         if queue.waiting_of(crowding.call.caller) <= fair:
             return refusal
         queue.remove(crowding.call.request_id)
-        pool.refused.add(now)
         self._crowded_out.append(Dropped(crowding.call, refusal))
         return None
 
     def _give_up(self, now: float, pool: pool_lib.Pool) -> list[Dropped]:
         dropped = [
-            Dropped(w.call, self._late(now, pool)) for w in pool.overdue(now)
+            Dropped(w.call, self._refusals.late(now, pool))
+            for w in pool.overdue(now)
         ]
         if self._picker.usable(now, pool.candidates):
             pool.unusable_since = None
@@ -393,18 +361,3 @@
                 )
                 dropped.append(Dropped(waiting.call, refusal))
         return dropped
-
-    def _late(self, now: float, pool: pool_lib.Pool) -> errors.Refusal:
-        pool.refused.add(now)
-        return errors.Refusal(
-            errors.ErrorKind.DEADLINE_UNREACHABLE,
-            "the call waited until its deadline was out of reach",
-            self._retry_after(now, pool, pool.service.mean_s),
-        )
-
-    def _retry_after(
-        self, now: float, pool: pool_lib.Pool, seconds: float
-    ) -> float:
-        """Returns advice that spreads refused callers over time."""
-        advice = seconds * pool.pressure(now) * self._rng.uniform(1.0, 1.25)
-        return min(max(advice, _MIN_RETRY_AFTER_S), _MAX_RETRY_AFTER_S)
