--- a/azureline/routing/limits.py
+++ b/azureline/routing/limits.py
@@ -7,6 +7,7 @@
 Algorithms", 1989, which shows that this pair converges to fair shares).
 """
 
+import random
 from typing import NamedTuple
 
 from azureline.routing import outcome as outcomes
@@ -53,6 +54,23 @@
 DEFAULTS = Settings()
 
 
+def for_fleet(
+    max_running: int, nodes: int, settings: Settings = DEFAULTS
+) -> Settings:
+    """Returns settings for engines that a number of nodes share.
+
+    Args:
+      max_running: requests that an engine runs at once.
+      nodes: nodes that send to the same engines.
+      settings: the settings to adapt.
+    """
+    share = max_running / max(1, nodes)
+    return settings._replace(
+        initial=min(settings.initial, share),
+        minimum=min(0.5, share / 8.0),
+    )
+
+
 class _Engine:
     """The limit of one engine and the calls that count against it."""
 
@@ -77,13 +95,18 @@
 class Limits:
     """An adaptive limit for each engine, raised and cut by its answers."""
 
-    def __init__(self, settings: Settings = DEFAULTS):
+    def __init__(
+        self, settings: Settings = DEFAULTS, rng: random.Random | None = None
+    ):
         """Creates limits for engines as they become known.
 
         Args:
           settings: the settings.
+          rng: source of the jitter on pauses, which keeps nodes that were
+            slowed together from coming back together; None for no jitter.
         """
         self._settings = settings
+        self._rng = rng
         self._engines: dict[str, _Engine] = {}
 
     def room(self, now: float, engine: str, reserve: bool = False) -> bool:
@@ -108,7 +131,8 @@
         """Counts a call that is sent."""
         state = self._engine(engine)
         state.outstanding += 1
-        if state.outstanding >= self._settings.in_use * state.limit:
+        # One more, since a limit of 2.9 is full with 2.
+        if state.outstanding + 1 > self._settings.in_use * state.limit:
             state.used_at = now
 
     def observed(
@@ -142,7 +166,7 @@
             case outcomes.Outcome.BUSY:
                 self._cut(now, state)
             case outcomes.Outcome.WHOLE:
-                self._learn_service(state, sample.service_s)
+                self._learn_service(state, sample)
                 if self._over(sample.first_token_s, sample.token_gap_s):
                     self._cut(now, state)
                 elif now - state.used_at <= max(1.0, 2.0 * state.service_s):
@@ -152,6 +176,8 @@
         state.outstanding = max(0, state.outstanding - 1)
         if state.limit < 1.0:
             pause_s = state.service_s * (1.0 / state.limit - 1.0)
+            if self._rng is not None:
+                pause_s *= self._rng.uniform(0.5, 1.5)
             state.paused_until = now + pause_s
 
     def forget(self, engine: str) -> None:
@@ -198,7 +224,11 @@
             step = self._settings.increase / state.limit
         state.limit = min(self._settings.maximum, state.limit + step)
 
-    def _learn_service(self, state: _Engine, service_s: float) -> None:
+    def _learn_service(self, state: _Engine, sample: outcomes.Sample) -> None:
+        # What an overfilled engine took is not what it takes at its bound;
+        # pauses by it would leave the engine idle long after.
+        gap_s = max(sample.token_gap_s or 0.0, self._settings.token_gap_s)
+        service_s = sample.service_s * self._settings.token_gap_s / gap_s
         if state.service_s == 0.0:
             state.service_s = service_s
         state.service_s += _SERVICE_WEIGHT * (service_s - state.service_s)
--- a/tests/test_routing_limits.py
+++ b/tests/test_routing_limits.py
@@ -4,6 +4,7 @@
 
 from azureline.routing import limits
 from azureline.routing import outcome
+from tools import limits_bench
 
 _GOOD = outcome.Sample(outcome.Outcome.WHOLE, 2.0, 0.2, 0.04, 50)
 _SLOW = _GOOD._replace(token_gap_s=0.085)
@@ -126,3 +127,17 @@
 def test_the_share_check_catches_proportional_growth():
     limits_seen = _shares(_Multiplicative)
     assert max(limits_seen) / min(limits_seen) > 1.3
+
+
+@pytest.mark.parametrize("nodes", [8, 45])
+def test_nodes_without_a_shared_picture_fill_an_engine_to_its_bound(nodes):
+    figures = limits_bench.Bench(nodes, 1).run(100.0)
+    assert figures.in_bound >= 0.95
+    assert figures.tokens_s >= 0.9 * 620
+
+
+def test_the_bound_check_catches_limits_without_pauses(monkeypatch):
+    monkeypatch.setattr(
+        limits, "for_fleet", lambda _, nodes: limits.Settings(minimum=1.0)
+    )
+    assert limits_bench.Bench(100, 1).run(50.0).in_bound < 0.95
