--- a/azureline/fleet/limits.py
+++ b/azureline/fleet/limits.py
@@ -15,16 +15,22 @@
 LOAD_MAX_S = 120.0
 """Longest load from the weight store, counted from its start."""
 
-LEND_S = 4.0
+LEND_S = 2.0
 """Duration of a lent share, counted from the sending of its request."""
 
-LEND_MARGIN_S = 0.25
+LEND_MARGIN_S = 0.1
 """Allowance for clock drift, kept by the borrower and by the lender."""
 
-TRANSIT_MAX_S = 0.5
+TRANSIT_MAX_S = 0.2
 """Longest that an adapter load is in transit; none starts later than this
 before the end of its share."""
 
+RENEW_S = 0.5
+"""Pause between requests of a borrower that uses its share."""
+
+RETRY_S = 0.1
+"""Pause in seconds after a request that was not met in full."""
+
 
 class Permit(NamedTuple):
     """Leave to start one load from the weight store.
@@ -150,17 +156,19 @@
 
 
 class Request(NamedTuple):
-    """A borrower's wish.
+    """A borrower's wish, with which it gives back what it does not use.
 
     Attributes:
       borrower: name of the node.
       number: grows with each request of the borrower.
       wanted: adapter loads in transit that it expects at once.
+      keeps: loads to which it limits itself until the answer arrives.
     """
 
     borrower: str
     number: int
     wanted: int
+    keeps: int
 
 
 class Share(NamedTuple):
@@ -186,6 +194,11 @@
     until: float
 
 
+class _Account(NamedTuple):
+    number: int
+    loans: tuple[_Loan, ...]
+
+
 class Lender:
     """Lends the cap; what may still be used is never lent twice."""
 
@@ -199,34 +212,50 @@
         """
         self._cap = cap
         self._unsettled_until = unsettled_until
-        self._loans: dict[str, list[_Loan]] = {}
+        self._accounts: dict[str, _Account] = {}
         self._wanted: dict[str, _Loan] = {}
 
     def lent(self, now: float) -> int:
         """Returns the sum of what borrowers may be using."""
         if now < self._unsettled_until:
             return self._cap
-        return sum(self._held(now, name) for name in list(self._loans))
+        return sum(self._held(now, name) for name in list(self._accounts))
+
+    def _account(self, now: float, borrower: str) -> _Account:
+        if not self._held(now, borrower):
+            self._accounts.pop(borrower, None)
+        return self._accounts.get(borrower, _Account(0, ()))
 
     def handle(self, now: float, request: Request) -> Share:
         """Answers a request, with nothing if the cap is lent.
 
         Args:
           now: time in seconds.
-          request: the wish; one that arrives twice is answered twice.
+          request: the wish; one that is late or a copy gets nothing.
         """
-        self._wanted[request.borrower] = _Loan(request.wanted, now + LEND_S)
+        account = self._account(now, request.borrower)
+        if request.number <= account.number:
+            return self._share(request, 0, RETRY_S)
+        self._wanted[request.borrower] = _Loan(request.wanted, now + RENEW_S)
+        loans = tuple(
+            loan._replace(amount=min(loan.amount, request.keeps))
+            for loan in account.loans
+        )
+        self._accounts[request.borrower] = _Account(request.number, loans)
         if now < self._unsettled_until:
             return self._share(request, 0, self._unsettled_until - now)
-        held = self._held(now, request.borrower)
-        others = self.lent(now) - held
+        others = self.lent(now) - self._held(now, request.borrower)
         amount = min(request.wanted, self._cap - others, self._fair(now))
-        amount = max(0, amount)
+        return self._lend(now, request, max(0, amount))
+
+    def _lend(self, now: float, request: Request, amount: int) -> Share:
         if amount:
-            until = now + LEND_S + LEND_MARGIN_S
-            loans = self._loans.setdefault(request.borrower, [])
-            loans.append(_Loan(amount, until))
-        return self._share(request, amount, LEND_S / 4)
+            loan = _Loan(amount, now + LEND_S + LEND_MARGIN_S)
+            account = self._accounts[request.borrower]
+            self._accounts[request.borrower] = account._replace(
+                loans=(*account.loans, loan)
+            )
+        return self._share(request, amount, RETRY_S)
 
     def _share(self, request: Request, amount: int, retry: float) -> Share:
         return Share(request.borrower, request.number, amount, LEND_S, retry)
@@ -249,11 +278,11 @@
 
     def _held(self, now: float, borrower: str) -> int:
         """Returns the largest loan that a borrower may still hold."""
-        loans = [x for x in self._loans.get(borrower, []) if x.until > now]
-        if loans:
-            self._loans[borrower] = loans
-        else:
-            self._loans.pop(borrower, None)
+        account = self._accounts.get(borrower)
+        if account is None:
+            return 0
+        loans = tuple(loan for loan in account.loans if loan.until > now)
+        self._accounts[borrower] = account._replace(loans=loans)
         return max((loan.amount for loan in loans), default=0)
 
 
@@ -261,6 +290,12 @@
     """Spends a lent share on adapter loads, on its own clock."""
 
     def __init__(self, name: str):
+        """Starts with no share.
+
+        Args:
+          name: name of the node, unique to this process, so that a late
+            request of a former process cannot give this one's share back.
+        """
         self._name = name
         self._number = 0
         self._asked: dict[int, tuple[float, int]] = {}
@@ -269,6 +304,7 @@
         self._in_transit = 0
         self._peak = 0
         self._ask_at = float("-inf")
+        self._asked_at = float("-inf")
 
     @property
     def in_transit(self) -> int:
@@ -294,24 +330,28 @@
     def ask(self, now: float, waiting: int) -> Request | None:
         """Returns a request if it is time for one.
 
-        A share is renewed in its last half while it is in use, and asked for
-        at once when loads wait, but no sooner than the lender advised.
+        A share is renewed while it is in use, asked for at once when loads
+        wait, and given back when it has not been used for a while.
 
         Args:
           now: time in seconds.
           waiting: adapter loads that could not be started.
         """
+        usable = self._usable(now)
+        short = waiting > 0
+        if now < self._ask_at or not (short or usable):
+            return None
         wanted = max(self._in_transit + waiting, self._peak)
-        ends = self._until - TRANSIT_MAX_S
-        short = wanted > self._usable(now)
-        renew = self._peak > 0 and now > ends - LEND_S / 2
-        if wanted == 0 or now < self._ask_at or not (short or renew):
+        if not short and now < self._asked_at + RENEW_S:
             return None
         self._number += 1
         self._asked = {self._number: (now, wanted)}
-        self._ask_at = now + LEND_S / 8
+        self._asked_at = now
+        self._ask_at = now + RETRY_S
+        self._amount = min(self._amount, max(self._peak, self._in_transit))
         self._peak = self._in_transit
-        return Request(self._name, self._number, wanted)
+        keeps = max(self._amount, self._in_transit)
+        return Request(self._name, self._number, wanted, keeps)
 
     def granted(self, now: float, share: Share) -> None:
         """Takes in a share; one for an earlier request is ignored.
