--- a/azureline/node.py
+++ b/azureline/node.py
@@ -144,6 +144,7 @@
         """Opens the sockets and begins to serve when it can."""
         self._neighbours.on_rumour("vm/", self._vm_heard)
         self._neighbours.on_domains(self._domains_changed)
+        self._neighbours.on_member(lambda member: self._share_engines())
         self._room.on_views(self._views_changed)
         self._room.on_crash(self._generations.engine_restarted)
         self._room.add_slot_owner("once/", self._once_owners)
@@ -312,10 +313,11 @@
             self._settings.name, self._settings.domain, self._rng, breakers
         )
         self._suspects = suspects.Suspects()
+        self._limits = limits.Limits()
         self._generations = generations_lib.Generations(
             self._reactor,
             self._clock,
-            admission.Admission(chooser, limits.Limits(), self._rng),
+            admission.Admission(chooser, self._limits, self._rng),
             retries,
             self._suspects,
             self._directory,
@@ -363,9 +365,18 @@
         self._planning.configure(version, config)
         self._room.configure(config)
         self._generations.refresh(list(config.models))
+        self._share_engines()
         self._neighbours.announce(config_version=version)
         logging.info("event=config_in_force version=%d", version)
 
+    def _share_engines(self) -> None:
+        """Starts limits at this node's share of what engines run at once."""
+        if self._config is None:
+            return
+        nodes = max(1, len(self._neighbours.names()))
+        most = max(m.max_running for m in self._config.models.values())
+        self._limits.set_initial(max(1.0, most / nodes))
+
     def _vm_heard(self, rumour: fleet_messages.Rumour, source: str) -> None:
         name = rumour.key.removeprefix(vm_poller.PREFIX)
         try:
--- a/azureline/routing/limits.py
+++ b/azureline/routing/limits.py
@@ -15,6 +15,10 @@
 # Growth per answer of a limit below 1, where one call per answer would be a
 # step of several times the limit.
 _SMALL_GROWTH = 0.25
+# Part of the bound on the first token within which a limit grows at once.
+SLOW_START_SHARE = 0.5
+_IN_USE_S = 2.0
+_NEVER = float("-inf")
 _SERVICE_WEIGHT = 0.2
 
 
@@ -86,7 +90,7 @@
     def __init__(self, limit: float):
         self.limit = limit
         self.outstanding = 0
-        self.cut_at = float("-inf")
+        self.cut_at = _NEVER
         self.paused_until = float("-inf")
         self.service_s = 0.0
         self.used_at = float("-inf")
@@ -142,10 +146,13 @@
         first_token_s: float | None = None,
         token_gap_s: float | None = None,
     ) -> None:
-        """Cuts the limit if a call in flight exceeds a bound.
+        """Adapts the limit to a call in flight.
 
         Generations last long, and a limit that learned only from ended ones
-        would be cut a generation too late.  Growth waits for whole answers.
+        would be cut a generation too late.  Before its first cut a limit also
+        grows by each first token that comes well within the bound, as in the
+        slow start of TCP (Jacobson, "Congestion Avoidance and Control", 1988);
+        later growth waits for whole answers.
 
         Args:
           now: monotonic time in seconds.
@@ -156,6 +163,19 @@
         state = self._engine(engine)
         if self._over(first_token_s, token_gap_s):
             self._cut(now, state)
+        elif self._starts_slowly(now, state, first_token_s):
+            self._raise(state, 1.0)
+
+    def set_initial(self, initial: float) -> None:
+        """Takes another limit for engines that have not been cut yet.
+
+        Args:
+          initial: what an engine runs at once, divided by the number of nodes.
+        """
+        self._settings = self._settings._replace(initial=initial)
+        for state in self._engines.values():
+            if state.cut_at == _NEVER:
+                state.limit = max(state.limit, initial)
 
     def finished(
         self, now: float, engine: str, sample: outcomes.Sample
@@ -217,11 +237,21 @@
             self._settings.minimum, state.limit * self._settings.decrease
         )
 
+    def _starts_slowly(
+        self, now: float, state: _Engine, first_token_s: float | None
+    ) -> bool:
+        if first_token_s is None or state.cut_at != _NEVER:
+            return False
+        quick_s = SLOW_START_SHARE * self._settings.first_token_s
+        return first_token_s <= quick_s and now - state.used_at <= _IN_USE_S
+
     def _grow(self, state: _Engine) -> None:
         if state.limit < 1.0:
-            step = _SMALL_GROWTH * state.limit
+            self._raise(state, _SMALL_GROWTH * state.limit)
         else:
-            step = self._settings.increase / state.limit
+            self._raise(state, self._settings.increase / state.limit)
+
+    def _raise(self, state: _Engine, step: float) -> None:
         state.limit = min(self._settings.maximum, state.limit + step)
 
     def _learn_service(self, state: _Engine, sample: outcomes.Sample) -> None:
--- a/azureline/serving/generation.py
+++ b/azureline/serving/generation.py
@@ -15,6 +15,7 @@
 from azureline.routing import retry
 from azureline.routing import stream
 
+OBSERVED_S = 1.0
 _REASONS = {
     404: retry.Reason.STREAM_GONE,
     429: retry.Reason.BUSY,
@@ -62,6 +63,14 @@
     def attempt_ended(self, gen: "Generation", ended: Ended) -> None:
         """Learns how an attempt ended."""
 
+    def observed(
+        self,
+        gen: "Generation",
+        first_token_s: float | None,
+        token_gap_s: float | None,
+    ) -> None:
+        """Learns how fast an engine answers a call in flight."""
+
     def caller_left(self, gen: "Generation") -> None:
         """Learns that a caller left before its call was sent."""
 
@@ -109,6 +118,7 @@
         self._attempt_id = ""
         self._sent_at = 0.0
         self._first_at: float | None = None
+        self._window = (0.0, 0)
         self._last_at = 0.0
         self._tokens = 0
         self._hint: loads.LoadHint | None = None
@@ -149,10 +159,21 @@
         self._act(self._relay.caller_took(now, self.answer.unsent))
         if self._relay is None:
             return
+        self._observe_gap(now)
         wake_at = self._relay.wake_at()
         if wake_at is not None and now >= wake_at:
             self._act(self._relay.tick(now))
 
+    def _observe_gap(self, now: float) -> None:
+        """Reports the mean gap between the tokens of about a second."""
+        since, tokens = self._window
+        if self._first_at is None or now - since < OBSERVED_S:
+            return
+        new = self._tokens - tokens
+        self._window = (now, self._tokens)
+        if new:
+            self._owner.observed(self, None, (now - since) / new)
+
     def engine_lost(self) -> None:
         """Learns that the engine died."""
         if self._relay is not None:
@@ -269,6 +290,8 @@
         self._last_at = self._clock.now()
         if self._first_at is None:
             self._first_at = self._last_at
+            self._window = (self._last_at, 0)
+            self._owner.observed(self, self._last_at - self._sent_at, None)
         self._tokens += 1
         self.answer.write(data)
 
