--- a/tests/builders_once.py
+++ b/tests/builders_once.py
@@ -333,6 +333,8 @@
         self._healed = False
         self.run_s = 0.0
         self.refuse_next = False
+        self.lose_next_answer = False
+        self.next_call_delay_s = 0.0
 
     def serial(self) -> int:
         self._serial += 1
@@ -398,12 +400,15 @@
             if self._down(process):
                 return
             done = call(*args)
-            if not self.chance(self.rates.lose_answer):
+            lost = self.lose_next_answer or self.chance(self.rates.lose_answer)
+            self.lose_next_answer = False
+            if not lost:
                 process.deliver(self.delay(), answered, done)
 
         process.deliver(CALL_TIMEOUT_S, timeout)
         if not self._down(process):
-            self.after(self.delay(), take_effect)
+            late_s, self.next_call_delay_s = self.next_call_delay_s, 0.0
+            self.after(late_s + self.delay(), take_effect)
 
     def _down(self, process: Process) -> bool:
         start, end = self.outage
--- a/tests/features/at_most_once.feature
+++ b/tests/features/at_most_once.feature
@@ -79,6 +79,32 @@
     And 1.5 s pass
     Then the last answer for key A is platform_unavailable with ran unknown
 
+  Scenario: An answer of the service is lost after the write
+    Given the service's next answer is lost
+    When the caller sends key A through node e0
+    And 2 s pass
+    Then the ledger ran key A 1 times
+    And the last answer for key A is the ledger's first answer
+
+  Scenario: A write arrives after its owner has been replaced
+    Given the service takes up the next write 3 s late
+    When the caller sends key A through node e0
+    And 0.1 s pass
+    And a new owner takes over
+    And the caller sends key A through node e1
+    And 8 s pass
+    Then the ledger ran key A 1 times
+
+  Scenario: An owner hands its slot over
+    When the caller sends key A through node e0
+    And 1 s pass
+    And the owner drains
+    And a new owner takes over
+    And the caller sends key A through node e1
+    And 1 s pass
+    Then the ledger ran key A 1 times
+    And the last answer for key A is may_have_run with ran yes
+
   Scenario: The ledger says that it did not start the request
     Given the ledger refuses the next request
     When the caller sends key A through node e0
--- a/tests/test_once_stories.py
+++ b/tests/test_once_stories.py
@@ -49,6 +49,26 @@
     world.refuse_next = True
 
 
+@pytest_bdd.given("the service's next answer is lost")
+def _lose_answer(world):
+    world.lose_next_answer = True
+
+
+@pytest_bdd.given(
+    parsers.parse("the service takes up the next write {seconds:g} s late")
+)
+def _delay_call(world, seconds):
+    world.next_call_delay_s = seconds
+
+
+@pytest_bdd.when("the owner drains")
+def _drain(world):
+    process = world.owners[-1]
+    process.act(process.owner.drain(process.now))
+    world.run(world.now + 0.1)
+    assert process.owner.drained
+
+
 @pytest_bdd.when(
     parsers.re(
         r"the caller sends key (?P<name>\w) "
