End interrupted commands without a traceback

Cause: an interrupt while a command waited for an answer showed a traceback.

Change: the interrupt is typer's own; apply still says that the change may have been accepted.

--- a/azureline/ui/command.py
+++ b/azureline/ui/command.py
@@ -64,7 +64,7 @@
     run: Callable[..., None]
 
 
-class InterruptedRunError(Exception):
+class InterruptedRunError(typer.Abort):
     """Raised if the user ended the command before its work was done."""
 
 
