Stop the reactor once when a command is interrupted

The trial printed a traceback: the interrupt had stopped the reactor, the lost connection then ended the work, and that stopped the reactor again. It ended with 4, not with 1, and did not print "Aborted.".

Change: a second stop is passed over. A test interrupts a command that waits for a node which never answers; it failed first.

--- a/azureline/ui/command.py
+++ b/azureline/ui/command.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 from typing import Annotated
 from typing import Any
 from typing import NamedTuple
@@ -9,6 +10,7 @@
 from typing import TypeVar
 
 from twisted.internet import defer
+from twisted.internet import error
 import typer
 
 from azureline.ui import exits
@@ -84,10 +86,14 @@
 
     ended: list[Any] = []
 
+    def stop(_: Any) -> None:
+        with contextlib.suppress(error.ReactorNotRunning):  # Interrupted.
+            reactor.stop()
+
     def begin() -> None:
         working = defer.ensureDeferred(work(reactor))
         working.addBoth(ended.append)
-        working.addBoth(lambda _: reactor.stop())
+        working.addBoth(stop)
 
     reactor.callWhenRunning(begin)
     reactor.run()
--- a/tests/test_ui.py
+++ b/tests/test_ui.py
@@ -2,6 +2,9 @@
 
 import json
 import logging as standard_logging
+import os
+import signal
+import socket
 import subprocess
 import sys
 import types
@@ -223,3 +226,19 @@
     done = subprocess.run(arguments, capture_output=True, timeout=60)
     assert done.returncode == 4
     assert b"gave no answer" in done.stderr
+
+
+def test_an_interrupt_ends_a_command_without_a_traceback():
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        address = f"127.0.0.1:{silent.getsockname()[1]}"
+        asking = subprocess.Popen(
+            [sys.executable, "-m", "azureline", "status", "--timeout", "60"],
+            stderr=subprocess.PIPE,
+            env=os.environ | {"AZURELINE_NODE": address},
+        )
+        silent.settimeout(60)
+        with silent.accept()[0]:
+            asking.send_signal(signal.SIGINT)
+            told = asking.communicate(timeout=60)[1]
+    assert b"Traceback" not in told
+    assert asking.returncode != 0
