Wire the options that nothing read, and drop those without a use

Cause: 15 options of the settings and the configuration were accepted and ignored, which is worse than refusing them.

Ruled out: keeping them for later.

Change: timeouts, buffers, queue bounds, the retry ratio and the two targets reach the code that they are about, the latter four when a configuration comes into force. Dropped: the time to the first token of a model, the half-life of demand and the least gain (the planner's measured constants stand), and whether an engine fences: the memory book treats all engines as if they did not, and the engine's report says it.

--- a/azureline/backends/http.py
+++ b/azureline/backends/http.py
@@ -21,7 +21,6 @@
 
 from azureline.backends import interface
 
-CONNECT_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 2.0
 ORDER_TIMEOUT_S = 5.0
 CANCEL_TIMEOUT_S = 2.0
@@ -160,23 +159,25 @@
 class BackendClient:
     """Sends requests and orders to backend servers."""
 
-    def __init__(self, reactor: Any):
+    def __init__(self, reactor: Any, connect_timeout_s: float):
         """Creates a client.
 
         Args:
           reactor: the Twisted reactor.
+          connect_timeout_s: seconds after which a connection that has not
+            been made is given up.
         """
         self._reactor = reactor
         self._pool = client.HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = MAX_IDLE_PER_HOST
         self._pool.retryAutomatically = False
         self._agent = client.Agent(
-            reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool
+            reactor, connectTimeout=connect_timeout_s, pool=self._pool
         )
         # A reused connection may be closed by the server while the request
         # is under way, which leaves its fate unknown; a new one may not.
         self._fresh_agent = client.Agent(
-            reactor, connectTimeout=CONNECT_TIMEOUT_S
+            reactor, connectTimeout=connect_timeout_s
         )
 
     def close(self) -> defer.Deferred[None]:
--- a/azureline/config/schema.py
+++ b/azureline/config/schema.py
@@ -133,7 +133,6 @@
       version: version of the weights that is to be served.
       min_replicas: replicas that are always kept.
       tokens_per_s: tokens that a replica generates at full batch, per second.
-      first_token_ms: time to the first token on an idle replica, in ms.
       max_running: requests that a replica generates at once.
     """
 
@@ -141,7 +140,6 @@
     version: str
     min_replicas: bounds.Positive
     tokens_per_s: bounds.Rate
-    first_token_ms: bounds.Rate
     max_running: bounds.Positive
 
 
@@ -170,7 +168,6 @@
       memory_bytes: accelerator memory for models, adapters and KV cache, in
         bytes; 0 for a ledger engine.
       accelerators: number of accelerators.
-      fences: whether it refuses an order with an old fencing number.
     """
 
     role: Literal["model", "prefill", "decode", "ledger"]
@@ -178,7 +175,6 @@
     region: bounds.Name
     memory_bytes: bounds.Bytes
     accelerators: bounds.Count
-    fences: bool
 
 
 class Route(NamedTuple):
@@ -296,11 +292,8 @@
       attainment_weight: worth of a request answered in time.
       move_weight: cost of one move, in the same unit.
       plan_interval_s: seconds between two rounds of planning.
-      demand_half_life_s: seconds after which old demand counts half.
       min_stay_s: seconds for which a placed replica is not taken away for a
         gain in attainment alone.
-      min_gain_ratio: share by which a change must better the present
-        placement's worth.
       first_token_target_ms: time to the first token that attains, in ms.
       token_gap_target_ms: time between tokens that attains, in ms.
     """
@@ -308,9 +301,7 @@
     attainment_weight: bounds.Weight
     move_weight: bounds.Weight
     plan_interval_s: bounds.Seconds
-    demand_half_life_s: bounds.Seconds
     min_stay_s: bounds.Seconds
-    min_gain_ratio: bounds.Ratio
     first_token_target_ms: bounds.Rate
     token_gap_target_ms: bounds.Rate
 
--- a/azureline/fleet/keeper.py
+++ b/azureline/fleet/keeper.py
@@ -24,7 +24,6 @@
 from azureline.fleet import engine_messages
 from azureline.metrics import counters as metrics
 
-POLL_S = 1.0
 MISSED_REPORTS = 3
 ORDER_EXPIRES_S = 3.0
 VIEW_REFRESH_S = 30.0
@@ -144,6 +143,7 @@
         clock: clocks.Clock,
         peers: Peers,
         counters: metrics.Counters,
+        poll_s: float,
     ):
         """Creates the keeper for one term of ownership.
 
@@ -157,6 +157,7 @@
           clock: source of time.
           peers: how others are reached.
           counters: counts orders by result.
+          poll_s: seconds between two reports of an engine.
         """
         super().__init__(f"keeper {slot}")
         self._reactor = reactor
@@ -165,6 +166,7 @@
         self._clock = clock
         self._peers = peers
         self._counters = counters
+        self._poll_s = poll_s
         self._settles_at = settles_at
         self._config: schema.Configuration | None = None
         self._engines: dict[str, _Engine] = {}
@@ -181,7 +183,7 @@
     def start(self) -> None:
         """Starts to poll."""
         super().start()
-        self._loop.start(POLL_S)
+        self._loop.start(self._poll_s)
 
     async def handle(self, message: Any) -> None:
         """Acts on one message."""
--- a/azureline/node.py
+++ b/azureline/node.py
@@ -21,6 +21,7 @@
 from azureline.fleet import directory as directories
 from azureline.fleet import messages as fleet_messages
 from azureline.metrics import counters as metrics
+from azureline.nodes import links
 from azureline.nodes import neighbours as neighbours_lib
 from azureline.once import key as key_lib
 from azureline.operators import status as status_lib
@@ -31,6 +32,7 @@
 from azureline.routing import limits
 from azureline.routing import picker
 from azureline.routing import retry
+from azureline.routing import stream
 from azureline.routing import suspects
 from azureline.serving import adapters as adapters_lib
 from azureline.serving import config_follower
@@ -74,7 +76,9 @@
         self._counters = metrics.connect(
             statsd.host, statsd.port, statsd.prefix
         )
-        self._backends = backend_http.BackendClient(reactor)
+        self._backends = backend_http.BackendClient(
+            reactor, settings.timeouts.connect_s
+        )
         self._key_value = platform_http.HttpKeyValue(
             reactor, settings.platform.url, settings.platform.timeout_s
         )
@@ -100,6 +104,7 @@
             self._backends,
             self._directory,
             self._counters,
+            settings.timeouts.probe_s,
         )
         self._planning = planning.Planning(
             reactor,
@@ -137,6 +142,7 @@
             tuple(_address(seed) for seed in settings.seeds),
             self._in_force,
             self._counters,
+            settings.timeouts.watch_s,
         )
         self._port: Any = None
 
@@ -304,21 +310,31 @@
             self._clock,
             self._rng,
             self._counters,
+            links.Timing(
+                settings.timeouts.connect_s,
+                settings.timeouts.heartbeat_s,
+                settings.timeouts.link_silence_s,
+            ),
         )
 
     def _make_routing(self) -> None:
         breakers = breaker.Breakers(self._rng)
-        retries = retry.Retries(self._rng)
+        self._retries = retry.Retries(self._rng)
         chooser = picker.Picker(
             self._settings.name, self._settings.domain, self._rng, breakers
         )
         self._suspects = suspects.Suspects()
         self._limits = limits.Limits()
+        self._admission = admission.Admission(chooser, self._limits, self._rng)
+        relay = stream.DEFAULTS._replace(
+            progress_timeout_s=self._settings.timeouts.stream_silence_s,
+            buffer_bytes=self._settings.buffers.stream_bytes,
+        )
         self._generations = generations_lib.Generations(
             self._reactor,
             self._clock,
-            admission.Admission(chooser, self._limits, self._rng),
-            retries,
+            self._admission,
+            self._retries,
             self._suspects,
             self._directory,
             adapters_lib.Adapters(
@@ -331,6 +347,7 @@
             ),
             self._backends,
             self._counters,
+            relay,
         )
         self._suspicion = suspicion.Suspicion(
             self._reactor,
@@ -346,7 +363,7 @@
             self._directory,
             self._backends,
             breakers,
-            retries,
+            self._retries,
             self._counters,
         )
 
@@ -361,6 +378,7 @@
                 for name, caller in config.callers.items()
             }
         )
+        self._configure_routing(config)
         self._directory.configure(config)
         self._planning.configure(version, config)
         self._room.configure(config)
@@ -369,6 +387,17 @@
         self._neighbours.announce(config_version=version)
         logging.info("event=config_in_force version=%d", version)
 
+    def _configure_routing(self, config: schema.Configuration) -> None:
+        queue, policy = config.limits.queue, config.policy
+        self._retries.set_ratio(config.limits.retry_budget_ratio)
+        self._admission.set_queue_bounds(
+            (queue.urgent, queue.normal, queue.batch)
+        )
+        self._limits.set_targets(
+            policy.first_token_target_ms / 1000,
+            policy.token_gap_target_ms / 1000,
+        )
+
     def _share_engines(self) -> None:
         """Starts limits at this node's share of what engines run at once."""
         if self._config is None:
--- a/azureline/nodes/links.py
+++ b/azureline/nodes/links.py
@@ -19,13 +19,24 @@
 from azureline.metrics import counters as metrics
 from azureline.nodes import messages
 
-HEARTBEAT_S = 1.0
-SILENCE_S = 3.5
 IDLE_S = 60.0
-CONNECT_TIMEOUT_S = 1.0
 MAX_WAITING = 1024
 
 
+class Timing(NamedTuple):
+    """Intervals and timeouts of links, in seconds.
+
+    Attributes:
+      connect_s: after which a connection that has not been made is given up.
+      heartbeat_s: between two heartbeats.
+      silence_s: without a byte, after which a link is ended.
+    """
+
+    connect_s: float = 1.0
+    heartbeat_s: float = 1.0
+    silence_s: float = 3.5
+
+
 class Address(NamedTuple):
     """Where a node accepts streams."""
 
@@ -54,6 +65,7 @@
         receiver: Receiver,
         clock: clocks.Clock,
         counters: metrics.Counters,
+        timing: Timing,
     ):
         """Creates links without opening any.
 
@@ -64,6 +76,7 @@
           receiver: told of messages and of lost streams.
           clock: source of time.
           counters: counts malformed input and lost streams.
+          timing: intervals and timeouts.
         """
         self._reactor = reactor
         self._name = name
@@ -71,6 +84,7 @@
         self._receiver = receiver
         self._clock = clock
         self._counters = counters
+        self.timing = timing
         self._codec = messages.codec()
         self._open: dict[Address, _LinkProtocol] = {}
         # Two nodes may open a stream to each other at once; both are kept.
@@ -87,7 +101,7 @@
         )
         factory = protocol.Factory.forProtocol(self.build)
         self._port = await endpoint.listen(factory)
-        self._beat.start(HEARTBEAT_S, now=False)
+        self._beat.start(self.timing.heartbeat_s, now=False)
 
     def close(self) -> None:
         """Closes every stream."""
@@ -188,7 +202,7 @@
             self._reactor,
             address.host,
             address.port,
-            timeout=CONNECT_TIMEOUT_S,
+            timeout=self.timing.connect_s,
         )
         factory = protocol.Factory.forProtocol(lambda: self.build(address))
         connected = endpoint.connect(factory)
@@ -237,7 +251,7 @@
 
     def beat(self, now: float) -> None:
         """Sends a heartbeat, or ends a stream that is silent or unused."""
-        if now - self._heard_at > SILENCE_S:
+        if now - self._heard_at > self._links.timing.silence_s:
             self.transport.abortConnection()
         elif now - self._used_at > IDLE_S:
             self.transport.loseConnection()
--- a/azureline/nodes/neighbours.py
+++ b/azureline/nodes/neighbours.py
@@ -37,6 +37,7 @@
         clock: clocks.Clock,
         rng: random.Random,
         counters: metrics.Counters,
+        timing: links_lib.Timing,
     ):
         """Creates the node's view of its neighbours; no socket is opened.
 
@@ -48,6 +49,7 @@
           clock: source of time.
           rng: source of randomness.
           counters: counts messages and failures.
+          timing: intervals and timeouts of the streams.
         """
         self._reactor = reactor
         self._clock = clock
@@ -58,7 +60,7 @@
         )
         address = links_lib.Address(info.host, info.port)
         self._links = links_lib.Links(
-            reactor, name, address, self, clock, counters
+            reactor, name, address, self, clock, counters, timing
         )
         self._datagrams = datagrams.Datagrams(self, counters)
         self._udp: Any = None
--- a/azureline/routing/admission.py
+++ b/azureline/routing/admission.py
@@ -122,6 +122,10 @@
         """Number of calls that wait."""
         return sum(p.waiting for p in self._pools.values())
 
+    def set_queue_bounds(self, bounds: tuple[int, int, int]) -> None:
+        """Takes other numbers of calls that may wait, by priority."""
+        self._settings = self._settings._replace(queue_bounds=bounds)
+
     def set_candidates(
         self, model: str, candidates: Sequence[picker_lib.Candidate]
     ) -> None:
--- a/azureline/routing/limits.py
+++ b/azureline/routing/limits.py
@@ -166,6 +166,12 @@
         elif self._starts_slowly(now, state, first_token_s):
             self._raise(state, 1.0)
 
+    def set_targets(self, first_token_s: float, token_gap_s: float) -> None:
+        """Takes other bounds, in seconds, that answers are held against."""
+        self._settings = self._settings._replace(
+            first_token_s=first_token_s, token_gap_s=token_gap_s
+        )
+
     def set_initial(self, initial: float) -> None:
         """Takes another limit for engines that have not been cut yet.
 
--- a/azureline/routing/retry.py
+++ b/azureline/routing/retry.py
@@ -86,6 +86,10 @@
         self._burst = settings.burst
         self._tokens = settings.burst
 
+    def set_ratio(self, ratio: float) -> None:
+        """Takes another number of retries per first send."""
+        self._ratio = ratio
+
     def sent_first(self) -> None:
         """Counts a first send."""
         self._tokens = min(self._burst, self._tokens + self._ratio)
@@ -118,6 +122,10 @@
         """Retries by `retry.<reason>`, refused by `retry_refused.<rule>`."""
         return self._counts
 
+    def set_ratio(self, ratio: float) -> None:
+        """Takes another number of retries per first send."""
+        self._budget.set_ratio(ratio)
+
     def sent_first(self) -> None:
         """Counts the first send of a call; every one must be counted."""
         self._budget.sent_first()
--- a/azureline/serving/config_follower.py
+++ b/azureline/serving/config_follower.py
@@ -29,7 +29,6 @@
 from azureline.platform import vm_poller
 
 TICK_S = 0.5
-WATCH_S = 5.0
 RETRY_S = 1.0
 MAX_EDITS_IN_RUMOUR = 300
 KEY = "config/current"
@@ -59,6 +58,7 @@
         seeds: tuple[tuple[str, int], ...],
         in_force: Callable[[int, schema.Configuration], None],
         counters: metrics.Counters,
+        watch_s: float,
     ):
         """Creates the follower.
 
@@ -71,6 +71,7 @@
           seeds: link addresses of nodes that are known to exist.
           in_force: called with each version that comes into force.
           counters: counts versions.
+          watch_s: seconds that a watch on the service waits at most.
         """
         self._reactor = reactor
         self._clock = clock
@@ -80,6 +81,7 @@
         self._seeds = seeds
         self._in_force = in_force
         self._counters = counters
+        self._watch_s = watch_s
         self._ledger = ledger_lib.ConfigLedger(rng)
         self._version = 0
         self._entry_version = 0
@@ -132,7 +134,7 @@
         try:
             if self._entry_version:
                 found = await self._key_value.watch(
-                    versions.KEY, self._entry_version, WATCH_S
+                    versions.KEY, self._entry_version, self._watch_s
                 )
                 if found is None:
                     return
--- a/azureline/serving/engine_room.py
+++ b/azureline/serving/engine_room.py
@@ -76,6 +76,7 @@
         backends: http.BackendClient,
         directory: directories.Directory,
         counters: metrics.Counters,
+        poll_s: float,
     ):
         """Creates the room; nothing is owned until a configuration comes.
 
@@ -89,6 +90,7 @@
           backends: sends orders and reads reports.
           directory: kept up to date with what owners tell.
           counters: counts orders.
+          poll_s: seconds between two reports of an engine.
         """
         self._reactor = reactor
         self._identity = identity
@@ -99,6 +101,7 @@
         self._backends = backends
         self._directory = directory
         self._counters = counters
+        self._poll_s = poll_s
         self._config: schema.Configuration | None = None
         self._owning: owning_lib.Owning | None = None
         self._keepers: dict[str, keeper_lib.Keeper] = {}
@@ -197,6 +200,7 @@
             self._clock,
             self._peers(name),
             self._counters,
+            self._poll_s,
         )
         self._keepers[name] = keeper
         keeper.start()
--- a/tests/builders_processes.py
+++ b/tests/builders_processes.py
@@ -120,7 +120,11 @@
             demo.OVERLAY,
         )
         fleet = Fleet(processes)
-        _wait_until_served(fleet)
+        try:
+            _wait_until_served(fleet)
+        except deployment.StartError as e:
+            logs = [f"--- {n}\n{processes.log_tail(n)}" for n in NODES]
+            raise deployment.StartError("\n".join([str(e), *logs])) from e
         try:
             yield fleet
         finally:
--- a/tests/test_fleet_keeper.py
+++ b/tests/test_fleet_keeper.py
@@ -74,6 +74,7 @@
             self.clock,
             self._peers(),
             metrics.Counters(),
+            poll_s=1.0,
         )
         self.keeper.start()
         config = builders_directory.configuration()
--- a/tests/test_nodes_links.py
+++ b/tests/test_nodes_links.py
@@ -50,6 +50,7 @@
             self.receiver,
             clock,
             self.counters,
+            links_lib.Timing(),
         )
 
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -59,7 +59,7 @@
   "site": "demo",
   "engines": {
     "$add": {
-      "engine-1": {"domain": "d1", "memory_bytes": "80 GiB", "fences": true},
+      "engine-1": {"domain": "d1", "memory_bytes": "80 GiB"},
       "engine-2": {"domain": "d2", "memory_bytes": "80 GiB"},
       "ledger-1": {"role": "ledger", "domain": "d3"}
     }
