--- a/azureline/routing/limits.py
+++ b/azureline/routing/limits.py
@@ -7,6 +7,7 @@
 Algorithms", 1989, which shows that this pair converges to fair shares).
 """
 
+import random
 from typing import NamedTuple
 
 from azureline.routing import outcome as outcomes
@@ -14,6 +15,10 @@
 # Growth per answer of a limit below 1, where one call per answer would be a
 # step of several times the limit.
 _SMALL_GROWTH = 0.25
+# Part of the bound on the first token within which a limit grows at once.
+SLOW_START_SHARE = 0.5
+_IN_USE_S = 2.0
+_NEVER = float("-inf")
 _SERVICE_WEIGHT = 0.2
 
 
@@ -53,6 +58,23 @@
 DEFAULTS = Settings()
 
 
+def for_fleet(
+    max_running: int, nodes: int, settings: Settings = DEFAULTS
+) -> Settings:
+    """Returns settings for engines that a number of nodes share.
+
+    Args:
+      max_running: requests that an engine runs at once.
+      nodes: nodes that send to the same engines.
+      settings: the settings to adapt.
+    """
+    share = max_running / max(1, nodes)
+    return settings._replace(
+        initial=min(settings.initial, share),
+        minimum=min(0.5, share / 8.0),
+    )
+
+
 class _Engine:
     """The limit of one engine and the calls that count against it."""
 
@@ -68,7 +90,7 @@
     def __init__(self, limit: float):
         self.limit = limit
         self.outstanding = 0
-        self.cut_at = float("-inf")
+        self.cut_at = _NEVER
         self.paused_until = float("-inf")
         self.service_s = 0.0
         self.used_at = float("-inf")
@@ -77,13 +99,18 @@
 class Limits:
     """An adaptive limit for each engine, raised and cut by its answers."""
 
-    def __init__(self, settings: Settings = DEFAULTS):
+    def __init__(
+        self, settings: Settings = DEFAULTS, rng: random.Random | None = None
+    ):
         """Creates limits for engines as they become known.
 
         Args:
           settings: the settings.
+          rng: source of the jitter on pauses, which keeps nodes that were
+            slowed together from coming back together; None for no jitter.
         """
         self._settings = settings
+        self._rng = rng
         self._engines: dict[str, _Engine] = {}
 
     def room(self, now: float, engine: str, reserve: bool = False) -> bool:
@@ -108,7 +135,8 @@
         """Counts a call that is sent."""
         state = self._engine(engine)
         state.outstanding += 1
-        if state.outstanding >= self._settings.in_use * state.limit:
+        # One more, since a limit of 2.9 is full with 2.
+        if state.outstanding + 1 > self._settings.in_use * state.limit:
             state.used_at = now
 
     def observed(
@@ -118,10 +146,13 @@
         first_token_s: float | None = None,
         token_gap_s: float | None = None,
     ) -> None:
-        """Cuts the limit if a call in flight exceeds a bound.
+        """Adapts the limit to a call in flight.
 
         Generations last long, and a limit that learned only from ended ones
-        would be cut a generation too late.  Growth waits for whole answers.
+        would be cut a generation too late.  Before its first cut a limit also
+        grows by each first token that comes well within the bound, as in the
+        slow start of TCP (Jacobson, "Congestion Avoidance and Control", 1988);
+        later growth waits for whole answers.
 
         Args:
           now: monotonic time in seconds.
@@ -132,6 +163,19 @@
         state = self._engine(engine)
         if self._over(first_token_s, token_gap_s):
             self._cut(now, state)
+        elif self._starts_slowly(now, state, first_token_s):
+            self._raise(state, 1.0)
+
+    def set_initial(self, initial: float) -> None:
+        """Takes another limit for engines that have not been cut yet.
+
+        Args:
+          initial: what an engine runs at once, divided by the number of nodes.
+        """
+        self._settings = self._settings._replace(initial=initial)
+        for state in self._engines.values():
+            if state.cut_at == _NEVER:
+                state.limit = max(state.limit, initial)
 
     def finished(
         self, now: float, engine: str, sample: outcomes.Sample
@@ -142,7 +186,7 @@
             case outcomes.Outcome.BUSY:
                 self._cut(now, state)
             case outcomes.Outcome.WHOLE:
-                self._learn_service(state, sample.service_s)
+                self._learn_service(state, sample)
                 if self._over(sample.first_token_s, sample.token_gap_s):
                     self._cut(now, state)
                 elif now - state.used_at <= max(1.0, 2.0 * state.service_s):
@@ -152,6 +196,8 @@
         state.outstanding = max(0, state.outstanding - 1)
         if state.limit < 1.0:
             pause_s = state.service_s * (1.0 / state.limit - 1.0)
+            if self._rng is not None:
+                pause_s *= self._rng.uniform(0.5, 1.5)
             state.paused_until = now + pause_s
 
     def forget(self, engine: str) -> None:
@@ -191,14 +237,28 @@
             self._settings.minimum, state.limit * self._settings.decrease
         )
 
+    def _starts_slowly(
+        self, now: float, state: _Engine, first_token_s: float | None
+    ) -> bool:
+        if first_token_s is None or state.cut_at != _NEVER:
+            return False
+        quick_s = SLOW_START_SHARE * self._settings.first_token_s
+        return first_token_s <= quick_s and now - state.used_at <= _IN_USE_S
+
     def _grow(self, state: _Engine) -> None:
         if state.limit < 1.0:
-            step = _SMALL_GROWTH * state.limit
+            self._raise(state, _SMALL_GROWTH * state.limit)
         else:
-            step = self._settings.increase / state.limit
+            self._raise(state, self._settings.increase / state.limit)
+
+    def _raise(self, state: _Engine, step: float) -> None:
         state.limit = min(self._settings.maximum, state.limit + step)
 
-    def _learn_service(self, state: _Engine, service_s: float) -> None:
+    def _learn_service(self, state: _Engine, sample: outcomes.Sample) -> None:
+        # What an overfilled engine took is not what it takes at its bound;
+        # pauses by it would leave the engine idle long after.
+        gap_s = max(sample.token_gap_s or 0.0, self._settings.token_gap_s)
+        service_s = sample.service_s * self._settings.token_gap_s / gap_s
         if state.service_s == 0.0:
             state.service_s = service_s
         state.service_s += _SERVICE_WEIGHT * (service_s - state.service_s)
--- a/azureline/serving/generations.py
+++ b/azureline/serving/generations.py
@@ -156,6 +156,19 @@
             self._failed(gen, ended.reason)
         self._pump()
 
+    def observed(
+        self,
+        gen: generation.Generation,
+        first_token_s: float | None,
+        token_gap_s: float | None,
+    ) -> None:
+        """Learns how fast an engine answers a call in flight."""
+        self._admission.observed(
+            self._clock.now(), gen.call.request_id, first_token_s, token_gap_s
+        )
+        if first_token_s is not None and self._admission.waiting:
+            self._pump()
+
     def caller_left(self, gen: generation.Generation) -> None:
         """Drops a call that waits."""
         self._admission.cancel(gen.call.request_id)
