--- a/tests/test_routing_suspects.py
+++ b/tests/test_routing_suspects.py
@@ -9,7 +9,9 @@
 import pytest
 
 from azureline.core import errors
+from azureline.routing import affinity
 from azureline.routing import outcome
+from azureline.routing import picker
 from azureline.routing import suspects
 from tests import builders_routing as build
 from tools import engine_model
@@ -296,3 +298,43 @@
 
 def test_the_checks_catch_refusing_all_that_were_near():
     assert run_fleet(1, 1, _Careless).never_answered > 0
+
+
+class _WithoutTurns(suspects.Suspects):
+    """Deliberate fault: all suspects of a crash run again together."""
+
+    def _turn(self, call, last, server, usable):
+        del call, server, usable
+        return last + self._settings.settle_s
+
+
+def _most_down(copies=1, watch_class=suspects.Suspects):
+    return max(
+        run_fleet(seed, copies, watch_class).servers_down for seed in range(4)
+    )
+
+
+def test_the_checks_catch_suspects_that_run_together():
+    assert _most_down(watch_class=_WithoutTurns) > 3
+
+
+def test_the_checks_catch_copies_that_spread_over_all_engines(monkeypatch):
+    def by_chance(p, call, pool, loads, bound):
+        del call, loads, bound
+        return p._rng.sample(pool, min(2, len(pool)))
+
+    monkeypatch.setattr(picker.Picker, "_pair", by_chance)
+    assert _most_down(copies=8) > 3
+
+
+def test_a_new_content_waits_only_if_its_first_engines_have_crashed():
+    watch = suspects.Suspects()
+    watch.crashed(WALL, "e0", "i1")
+    for i in range(20):
+        call = build.call(content=b"new-%d" % i)
+        first = affinity.ordered(call.content, _ENGINES)[:2]
+        check = watch.check(WALL + 0.5, call, _ENGINES, _ENGINES[1:])
+        expected = suspects.Clear()
+        if "e0" in first:
+            expected = suspects.Wait(WALL + 2.0)
+        assert check == expected
