Pause a new connection for a slow caller once it is open

Cause: a connection replaced while its caller was slow was to be paused before it existed; the node had nothing to pause, and the engine's bytes then piled up for the caller.

Ruled out: remembering the pause in the node, which would put a rule of the relay into its transport.

Change: Pause comes with the new connection's head.

--- a/azureline/routing/stream.py
+++ b/azureline/routing/stream.py
@@ -162,7 +162,8 @@
         self._heard_at = now
         if not self._reader.confirm(request_id):
             return self._replace(now)
-        return []
+        # A new connection starts out reading.
+        return [Pause()] if self._paused else []
 
     def received(self, now: float, attempt: int, data: bytes) -> list[Output]:
         """Takes bytes of the body of a connection."""
@@ -268,10 +269,7 @@
         self._reader.restart()
         self._attempt += 1
         self._heard_at = now
-        wanted = ResumeAt(self._reader.next_offset, self._attempt)
-        outputs: list[Output] = [wanted]
-        # A new connection starts out reading.
-        return [*outputs, Pause()] if self._paused else outputs
+        return [ResumeAt(self._reader.next_offset, self._attempt)]
 
     def _give_up(self) -> list[Output]:
         self._ended = True
--- a/tests/test_routing_stream.py
+++ b/tests/test_routing_stream.py
@@ -147,6 +147,13 @@
     assert relay.wake_at() is None
 
 
+def test_a_connection_opened_for_a_slow_caller_is_paused_once_it_exists():
+    relay = _relay(buffer_bytes=100)
+    relay.received(0.0, 1, event(0) + event(1) + event(2))
+    assert relay.closed(0.0, 1) == [stream.ResumeAt(3, 2)]
+    assert relay.opened(0.0, 2, _NAME) == [stream.Pause()]
+
+
 def test_a_caller_that_leaves_cancels_the_stream_once():
     relay = _relay()
     assert relay.caller_left(0.0) == [stream.Cancel()]
