--- a/azureline/fleet/limits.py
+++ b/azureline/fleet/limits.py
@@ -28,7 +28,7 @@
 RENEW_S = 0.5
 """Pause between requests of a borrower that uses its share."""
 
-RETRY_S = 0.1
+RETRY_S = 0.25
 """Pause in seconds after a request that was not met in full."""
 
 
--- a/azureline/fleet/placement.py
+++ b/azureline/fleet/placement.py
@@ -18,6 +18,9 @@
 _CANDIDATES = 8
 """Models, and engines for each, that are tried for one load."""
 
+PLANNING_SHARE = 0.008
+"""Part of a core that planning may take: half of a node's control budget."""
+
 _FAR_PAST_S = 0.0
 """Age below which a repair respects a load: it respects none."""
 
@@ -62,6 +65,16 @@
     return draft.moves
 
 
+def pause_after(cpu_s: float, interval_s: float) -> float:
+    """Returns seconds to wait from one plan to the next.
+
+    Args:
+      cpu_s: processor time in seconds that the last plan took.
+      interval_s: configured interval, which is kept while it is affordable.
+    """
+    return max(interval_s, cpu_s / PLANNING_SHARE)
+
+
 class _Planner:
     """The duties of a plan over one draft."""
 
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -150,7 +150,7 @@
 
 def _stale_request(machine):
     machine.ask("n0", 6, "late")
-    machine.wait(0.1)
+    machine.wait(limits.RETRY_S)
     machine.ask("n0", 6)
     machine.ask("n1", 6, "late")
     machine.serve(-1)
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -107,6 +107,11 @@
     assert _hot({"a": 0.6, "b": 0.0}, move_weight=0.9) == []
 
 
+def test_slow_plans_are_made_less_often():
+    assert placement.pause_after(0.01, interval_s=5.0) == 5.0
+    assert placement.pause_after(0.16, interval_s=5.0) == pytest.approx(20.0)
+
+
 def test_a_recent_load_is_not_undone_for_its_gain():
     engines = [
         build.engine("e1", 10, ["a", "b"]),
