Count loads from the store that go on without a permit

Cause: a permit is taken back when its move is dropped or its answer is unknown, but the load may be under way all the same; after the first two minutes of an owner's term nothing counted it, so the number at once could be exceeded.

Change: loads that engines report without a permit of this owner count until they end or the longest load after that report is over. The successor's rule follows from it: zero is assumed for an engine only by its report, or when the longest load has passed.

Figures: the new test gave a second permit with one at once before the change; the successor's test now waits the longest load from the last report instead of from the takeover.

Conclusion: stricter, at no cost while reports arrive.

--- a/azureline/fleet/limits.py
+++ b/azureline/fleet/limits.py
@@ -67,6 +67,11 @@
     started: bool
 
 
+class _Seen(NamedTuple):
+    loading: int
+    taken: float
+
+
 class StoreLimit:
     """Gives permits for loads by rate and by number at once."""
 
@@ -89,7 +94,7 @@
         self._unsettled_until = unsettled_until
         self._next_start = 0.0
         self._given: dict[str, _Given] = {}
-        self._inherited: dict[str, int] = {}
+        self._inherited: dict[str, _Seen] = {}
 
     def ask(
         self, now: float, key: str, engine: str, engines: Collection[str]
@@ -137,7 +142,10 @@
         self._given.pop(key, None)
 
     def seen(self, engine: str, taken: float, loading: int) -> None:
-        """Notes the loads in progress that a former owner permitted.
+        """Notes the loads in progress that hold no permit of this owner.
+
+        They are a former owner's, or this owner's whose permit was taken
+        back while the load was under way after all.
 
         Args:
           engine: name of the engine.
@@ -145,14 +153,18 @@
           loading: loads in progress that this owner has not permitted.
         """
         if taken >= self._unsettled_until:
-            self._inherited[engine] = loading
+            self._inherited[engine] = _Seen(loading, taken)
 
     def _former(self, now: float, engines: Iterable[str]) -> int:
-        if now >= self._unsettled_until + LOAD_MAX_S:
-            return 0
-        if any(engine not in self._inherited for engine in engines):
+        known = [self._inherited.get(engine) for engine in engines]
+        if None in known and now < self._unsettled_until + LOAD_MAX_S:
             return self._at_once
-        return min(self._at_once, sum(self._inherited.values()))
+        loading = sum(
+            seen.loading
+            for seen in known
+            if seen is not None and now < seen.taken + LOAD_MAX_S
+        )
+        return min(self._at_once, loading)
 
 
 class Request(NamedTuple):
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -253,4 +253,17 @@
     store.seen("e1", 21.0, 0)
     assert store.ask(21.0, "1", "e1", ENGINES)
     assert store.ask(22.0, "2", "e1", ENGINES).reason == "at_once"
-    assert store.ask(20.0 + limits.LOAD_MAX_S, "2", "e1", ENGINES)
+    assert not store.ask(20.0 + limits.LOAD_MAX_S, "2", "e1", ENGINES)
+    assert store.ask(21.0 + limits.LOAD_MAX_S, "2", "e1", ENGINES)
+
+
+def test_a_load_that_goes_on_without_its_permit_still_counts():
+    store = limits.StoreLimit(rate=2.0, at_once=1)
+    for engine in ENGINES:
+        store.seen(engine, 0.0, 0)
+    assert store.ask(500.0, "1", "e1", ENGINES)
+    store.ended("1")
+    store.seen("e1", 501.0, 1)
+    assert store.ask(502.0, "2", "e2", ENGINES).reason == "at_once"
+    store.seen("e1", 503.0, 0)
+    assert store.ask(504.0, "2", "e2", ENGINES)
