--- a/tests/test_once_machine.py
+++ b/tests/test_once_machine.py
@@ -2,6 +2,7 @@
 
 import random
 
+import hypothesis
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -153,3 +154,16 @@
     with pytest.raises(AssertionError):
         for seed in range(WALKS):
             _walk(faulty, seed)
+
+
+class FaultyMachine(OnceMachine):
+    owner_kind = test_once_histories.GrantBeforeWrite
+
+
+def test_the_machine_finds_a_grant_before_the_write():
+    # The search ends with the first example that shows the fault.
+    unshrunk = settings(
+        SETTINGS, max_examples=3000, phases=[hypothesis.Phase.generate]
+    )
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(FaultyMachine, settings=unshrunk)
--- a/tests/test_ui.py
+++ b/tests/test_ui.py
@@ -2,6 +2,9 @@
 
 import json
 import logging as standard_logging
+import os
+import signal
+import socket
 import subprocess
 import sys
 import types
@@ -12,6 +15,7 @@
 import azureline
 from azureline.config import version
 from azureline.platform import http
+from azureline.platform import interface
 from azureline.ui import app
 from azureline.ui import client
 from azureline.ui import command
@@ -26,6 +30,7 @@
 def _service(monkeypatch):
     service = builders_config.FakeService()
     monkeypatch.setattr(http, "HttpKeyValue", lambda *args: service)
+    monkeypatch.setattr(http, "HttpVmList", lambda *args: service)
     monkeypatch.setattr(command, "run", builders_config.run_on_clock)
     return service
 
@@ -148,6 +153,19 @@
     assert _run("config", "status", *_NODE, "--wait", "5")[0] == 0
 
 
+def test_status_names_vms_that_only_the_platform_knows(service, monkeypatch):
+    service.hold(builders_config.accepted(1))
+    service.vms = tuple(
+        interface.Vm(name, "127.0.0.1", 1, role, "b", name == "n4")
+        for name, role in (("n1", "node"), ("n3", "node"), ("n4", "node"))
+    )
+    _answer(monkeypatch, builders_config.status(n1=1, n2=1))
+    code, output = _run("config", "status", *_NODE, *_PLATFORM)
+    assert code == 1
+    assert "n3  b       unknown  none     MISSING" in output
+    assert "version 1 is in force on 2 of 3 live VMs" in output
+
+
 def test_status_without_a_configuration_is_no_success(service, monkeypatch):
     _answer(monkeypatch, builders_config.status(n1=0, n2=0))
     code, output = _run("config", "status", *_NODE)
@@ -208,3 +226,19 @@
     done = subprocess.run(arguments, capture_output=True, timeout=60)
     assert done.returncode == 4
     assert b"gave no answer" in done.stderr
+
+
+def test_an_interrupt_ends_a_command_without_a_traceback():
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        address = f"127.0.0.1:{silent.getsockname()[1]}"
+        asking = subprocess.Popen(
+            [sys.executable, "-m", "azureline", "status", "--timeout", "60"],
+            stderr=subprocess.PIPE,
+            env=os.environ | {"AZURELINE_NODE": address},
+        )
+        silent.settimeout(60)
+        with silent.accept()[0]:
+            asking.send_signal(signal.SIGINT)
+            told = asking.communicate(timeout=60)[1]
+    assert b"Traceback" not in told
+    assert asking.returncode != 0
