Move the following of demand into a module of its own

Change: the offers for demand live in `following`, replacing and the check of recent unloads in `draft`; the bench takes the mean load as a parameter.

--- a/azureline/fleet/draft.py
+++ b/azureline/fleet/draft.py
@@ -134,6 +134,24 @@
             )
         )
 
+    def replace(
+        self,
+        model: str,
+        engine: str,
+        evicted: Iterable[Spare],
+        cause: layout.Cause,
+    ) -> None:
+        """Adds a load and, before it, the unloads that make room for it."""
+        for spare in evicted:
+            self.unload(spare.model, spare.version, engine, layout.Cause.ROOM)
+        self.load(model, engine, cause)
+
+    def just_unloaded(
+        self, engine: str, model: str, now: float, no_undo_s: float
+    ) -> bool:
+        """Returns whether a load would undo a recent unload."""
+        return now - self.touched(engine, model).unloaded < no_undo_s
+
     def surplus(self, engine: str, now: float, no_undo_s: float) -> list[Spare]:
         """Returns the replicas that an engine may give up.
 
--- a/azureline/fleet/placement.py
+++ b/azureline/fleet/placement.py
@@ -7,17 +7,13 @@
 """
 
 from collections.abc import Mapping
-from collections.abc import Sequence
 from typing import NamedTuple
 
 from azureline.fleet import balance
 from azureline.fleet import draft as drafts
-from azureline.fleet import gain
+from azureline.fleet import following
 from azureline.fleet import layout
 
-_CANDIDATES = 8
-"""Models, and engines for each, that are tried for one load."""
-
 PLANNING_SHARE = 0.008
 """Part of a core that planning may take: half of a node's control budget."""
 
@@ -30,13 +26,6 @@
     evicted: tuple[drafts.Spare, ...]
 
 
-class _Offer(NamedTuple):
-    model: str
-    option: _Option
-    shift: gain.Shift
-    worth: float
-
-
 def plan(
     fleet: drafts.Fleet,
     demand: Mapping[str, float],
@@ -61,7 +50,7 @@
     planner.change_versions()
     planner.empty_leaving()
     planner.spread()
-    planner.follow_demand()
+    following.follow_demand(draft, params, now)
     return draft.moves
 
 
@@ -105,7 +94,7 @@
     def _place(self, name: str, cause: layout.Cause) -> bool:
         option = self._cheapest(name, _FAR_PAST_S)
         if option is not None:
-            self._apply(name, option, cause)
+            self._draft.replace(name, option.engine, option.evicted, cause)
             return True
         return self._relocate_for(name, cause)
 
@@ -135,14 +124,6 @@
                 best = (rank, _Option(engine.name, tuple(evicted)))
         return best[1] if best else None
 
-    def _apply(self, name: str, option: _Option, cause: layout.Cause) -> None:
-        draft = self._draft
-        for spare in option.evicted:
-            draft.unload(
-                spare.model, spare.version, option.engine, layout.Cause.ROOM
-            )
-        draft.load(name, option.engine, cause)
-
     def _relocate_for(self, name: str, cause: layout.Cause) -> bool:
         """Makes room by moving last replicas into free room elsewhere."""
         draft = self._draft
@@ -274,96 +255,13 @@
             for e in draft.usable
             if e.domain not in used
             and draft.free[e.name] >= size
-            and not self._just_unloaded(e.name, name)
+            and not draft.just_unloaded(
+                e.name, name, self._now, self._params.no_undo_s
+            )
         ]
         loads = draft.split.load
         return min(fits, key=lambda e: (loads[e], e)) if fits else None
 
-    def _just_unloaded(self, engine: str, name: str) -> bool:
-        age = self._now - self._draft.touched(engine, name).unloaded
-        return age < self._params.no_undo_s
-
-    def follow_demand(self) -> None:
-        """Adds replicas that pay back within the horizon."""
-        for _ in range(self._params.moves_per_plan):
-            offer = self._best_offer()
-            if offer is None:
-                return
-            self._apply(offer.model, offer.option, layout.Cause.DEMAND)
-            gain.apply(self._draft, offer.shift)
-
-    def _best_offer(self) -> _Offer | None:
-        pressure = self._pressure()
-        ranked = sorted(pressure, key=lambda n: (-pressure[n], n))
-        loads = self._draft.split.load
-        coldest = sorted(loads, key=lambda e: (loads[e], e))
-        offers = [
-            offer
-            for name in ranked[:_CANDIDATES]
-            if (offer := self._offer(name, coldest)) is not None
-        ]
-        return max(offers, key=lambda o: o.worth) if offers else None
-
-    def _pressure(self) -> dict[str, float]:
-        """Returns the missed work of the models that miss any."""
-        split, slots = self._draft.split, self._params.slots
-        pressure = {
-            name: gain.missed(per, split.load, slots)
-            for name, per in split.shares.items()
-            if self._draft.work[name] > 0.0
-        }
-        floor = self._least_gain()
-        return {n: work for n, work in pressure.items() if work > floor}
-
-    def _least_gain(self) -> float:
-        params = self._params
-        cost = params.move_weight * params.move_cost_s
-        return cost / (params.attainment_weight * params.horizon_s)
-
-    def _offer(self, name: str, coldest: Sequence[str]) -> _Offer | None:
-        draft = self._draft
-        tried = 0
-        best: _Offer | None = None
-        for engine in coldest:
-            if engine in draft.serving(name):
-                continue
-            if self._just_unloaded(engine, name):
-                continue
-            tried += 1
-            if tried > _CANDIDATES:
-                break
-            offer = self._weigh(name, engine)
-            if offer and (best is None or offer.worth > best.worth):
-                best = offer
-        return best
-
-    def _weigh(self, name: str, engine: str) -> _Offer | None:
-        """Returns the offer if its worth over the horizon pays the move."""
-        draft, params = self._draft, self._params
-        spares = draft.surplus(engine, self._now, params.no_undo_s)
-        evicted = draft.room(engine, draft.models[name].bytes, spares)
-        if evicted is None:
-            return None
-        shift = gain.of_replica(draft, name, engine, evicted, params)
-        extra = sum(self._spread_cost(s.model, engine) for s in evicted)
-        moves = 1 + params.eviction_moves * len(evicted)
-        worth = params.attainment_weight * (
-            shift.gain * params.horizon_s - extra
-        )
-        worth -= params.move_weight * params.move_cost_s * moves
-        if worth <= 0.0:
-            return None
-        return _Offer(name, _Option(engine, tuple(evicted)), shift, worth)
-
-    def _spread_cost(self, name: str, engine: str) -> float:
-        draft = self._draft
-        if engine not in draft.where.get(name, ()):
-            return 0.0
-        left = draft.domains(draft.where[name] - {engine})
-        before = draft.domains(draft.where[name])
-        narrows = len(left) < 2 <= len(before)
-        return self._params.spread_cost_s if narrows else 0.0
-
 
 def _set_role(engine: layout.Engine) -> layout.Move:
     return layout.Move(
--- a/tools/policy_bench.py
+++ b/tools/policy_bench.py
@@ -73,13 +73,14 @@
         scenario: str,
         policy: policy_rules.Policy,
         seed: int,
+        load: float = policy_demand.LOAD,
     ):
         rng = random.Random(f"{site.name}/{scenario}/{seed}")
         self._models = policy_model.make_models(site, rng)
         self._engines = policy_model.make_engines(site)
         names = [model.name for model in self._models]
         self._profile = policy_demand.Profile(
-            scenario, names, site.engines, rng
+            scenario, names, site.engines, rng, load
         )
         domains = {e.name: e.domain for e in self._engines}
         self._failures = policy_demand.failures(scenario, domains)
--- a/tools/policy_demand.py
+++ b/tools/policy_demand.py
@@ -53,11 +53,12 @@
         names: Sequence[str],
         engines: int,
         rng: random.Random,
+        load: float = LOAD,
     ):
         order = list(names)
         rng.shuffle(order)
         self._base = {n: 1 / (i + 1) ** 1.1 for i, n in enumerate(order)}
-        self._total = LOAD * engines
+        self._total = load * engines
         self._phase = {n: rng.uniform(0, 2 * math.pi) for n in names}
         self._period = {n: rng.uniform(900, 2400) for n in names}
         self._drift = dict.fromkeys(names, 0.0)
