Go on asking seeds that are not known to live

Change: a node asks seeds that it does not see alive, every 15 s, or every 5 s while it knows nobody; the digests in the question keep the answer short.

--- a/azureline/fleet/membership.py
+++ b/azureline/fleet/membership.py
@@ -26,6 +26,7 @@
 URGENT_FANOUT = 3
 NEWS_BYTES = 400
 SYNC_INTERVAL_S = 5.0
+SEED_INTERVAL_S = 15.0
 SUSPICION_FACTOR = 3
 DEAD_KEPT_S = 600
 DOMAIN_LOST_SHARE = 0.6
@@ -147,6 +148,7 @@
         self._sequence = 0
         self._next_probe = 0.0
         self._next_sync = 0.0
+        self._next_seed = 0.0
         self._synced = False
         self._unreachable: set[str] = set()
         self._speak(0.0)
@@ -216,10 +218,8 @@
         if now >= self._next_probe:
             self._next_probe = now + PERIOD_S
             effects += self._start_probe(now)
-        alone = not self._synced or not self.alive()
-        if alone and now >= self._next_sync:
-            self._next_sync = now + SYNC_INTERVAL_S
-            effects += self._ask_seed()
+        if now >= self._next_seed:
+            effects += self._ask_seed(now)
         return effects
 
     def received(
@@ -368,13 +368,21 @@
                 self._suspects.discard(name)
         return []
 
-    def _ask_seed(self) -> list[Effect]:
-        own = (self._info.host, self._info.port)
-        seeds = [s for s in self._seeds if s != own]
-        if not seeds:
+    def _ask_seed(self, now: float) -> list[Effect]:
+        """Asks a seed for the state of the fleet unless all are known to live.
+
+        Nodes that started while a seed was down would otherwise never meet
+        it, nor would parts of the fleet that have given each other up.
+        """
+        alone = not self._synced or not self.alive()
+        self._next_seed = now + (SYNC_INTERVAL_S if alone else SEED_INTERVAL_S)
+        met = {(m.info.host, m.info.port) for m in self.alive()}
+        met.add((self._info.host, self._info.port))
+        unmet = [seed for seed in self._seeds if seed not in met]
+        if not unmet:
             return []
-        host, port = self._rng.choice(seeds)
-        return [LinkMessage(host, port, self._pull(()))]
+        host, port = self._rng.choice(unmet)
+        return [LinkMessage(host, port, self._pull(self._store.buckets))]
 
     def _pull(self, buckets: tuple[bytes, ...]) -> messages.SyncPull:
         return messages.SyncPull(
