Look only at models with waiting calls

Cause: each call looked at the queues of all 210 models four times.

Ruled out: caching the number of waiting calls per pool, which still visits every pool.

--- a/azureline/routing/admission.py
+++ b/azureline/routing/admission.py
@@ -113,6 +113,8 @@
         self._refusals = refusals.Refusals(rng)
         self._settings = settings
         self._pools: dict[str, pool_lib.Pool] = {}
+        # Only pools with waiting calls are looked at for each call.
+        self._busy: dict[str, pool_lib.Pool] = {}
         self._sent: dict[str, Admitted] = {}
         self._crowded_out: list[Dropped] = []
         self._polled_at = float("-inf")
@@ -120,7 +122,7 @@
     @property
     def waiting(self) -> int:
         """Number of calls that wait."""
-        return sum(p.waiting for p in self._pools.values())
+        return sum(p.waiting for p in self._busy.values())
 
     def set_candidates(
         self, model: str, candidates: Sequence[picker_lib.Candidate]
@@ -162,6 +164,7 @@
         if refusal is not None:
             return refusal
         pool.add(call, tuple(avoid))
+        self._busy[call.model] = pool
         return Queued(call, wait_s)
 
     def claim(
@@ -183,9 +186,10 @@
         self._polled_at = now
         results: list[Admitted | Dropped] = list(self._crowded_out)
         self._crowded_out.clear()
-        for pool in self._pools.values():
-            if pool.waiting:
-                results += self._give_up(now, pool)
+        for model, pool in list(self._busy.items()):
+            results += self._give_up(now, pool)
+            if not pool.waiting:
+                del self._busy[model]
         blocked: dict[str, int] = {}
         while (best := self._best_pool(blocked)) is not None:
             model, rank, waiting = best
@@ -204,7 +208,7 @@
         """Returns when `next` must be called at the latest, or None."""
         if self._crowded_out:
             return now
-        waiting = [p for p in self._pools.values() if p.waiting]
+        waiting = [p for p in self._busy.values() if p.waiting]
         if not waiting:
             return None
         overdue = (p.next_overdue() for p in waiting)
@@ -220,7 +224,7 @@
           method to cancel it at its engine.
         """
         return any(
-            pool.remove(request_id) is not None for pool in self._pools.values()
+            pool.remove(request_id) is not None for pool in self._busy.values()
         )
 
     def observed(
@@ -309,7 +313,7 @@
             on an owed share the highest class is tried, which has a reserve.
         """
         best = None
-        for model, pool in self._pools.items():
+        for model, pool in self._busy.items():
             if not pool.waiting or blocked.get(model, -1) >= 0:
                 continue
             head = pool.head(owed=model not in blocked)
--- a/tests/test_routing_admission.py
+++ b/tests/test_routing_admission.py
@@ -345,6 +345,33 @@
 TestAdmission = _Machine.TestCase
 
 
+class _CountingPool(pool.Pool):
+    """Counts how often pools are looked at."""
+
+    looks = 0
+
+    @property
+    def waiting(self):
+        type(self).looks += 1
+        return super().waiting
+
+
+def _looks(models):
+    _CountingPool.looks = 0
+    adm = new_admission()
+    for i in range(models):
+        adm.set_candidates(f"m{i}", build.candidates(1))
+    sent = adm.offer(0.0, build.call())
+    adm.offer(0.0, build.call())
+    finish(adm, 1.0, sent.call.request_id)
+    return _CountingPool.looks
+
+
+def test_models_without_waiting_calls_cost_nothing(monkeypatch):
+    monkeypatch.setattr(pool, "Pool", _CountingPool)
+    assert _looks(210) == _looks(1)
+
+
 class _ForgetfulPool(pool.Pool):
     """Deliberate fault: waiting calls are sent however late it is."""
 
