Tell entry nodes of new owners, and outbid an epoch found in a log

Cause: a claim under way waited for its own resend when its slot changed hands; a slot whose ownership record was lost stayed with an owner that its log refuses; pending calls had no bound.

Ruled out: a shorter resend (more messages in the ordinary case).

Change: rumours of holders reach the calls that wait; a deposed runner hands the epoch that it found to the ownership; 2,048 calls at once, then refused as not run.

--- a/azureline/fleet/owning.py
+++ b/azureline/fleet/owning.py
@@ -32,6 +32,11 @@
     names: tuple[str, ...]
 
 
+class _Outbid(NamedTuple):
+    name: str
+    epoch: int
+
+
 class _ReadDone(NamedTuple):
     name: str
     result: Any
@@ -119,6 +124,10 @@
         """Adds slots that this node may take."""
         self.post(_Names(names))
 
+    def outbid(self, name: str, epoch: int) -> None:
+        """Takes a slot again above an epoch that was found elsewhere."""
+        self.post(_Outbid(name, epoch))
+
     def release(self) -> defer.Deferred[None]:
         """Gives up all slots, for a graceful shutdown.
 
@@ -162,6 +171,8 @@
                 self._act(self._ownership.live(now, nodes))
             case _Names(names):
                 self._act(self._ownership.add_names(now, names))
+            case _Outbid(name, epoch):
+                self._act(self._ownership.outbid(now, name, epoch))
             case _Hint(name, record):
                 self._act(self._ownership.hint(now, name, record))
             case _ReadDone(name, result):
--- a/azureline/node.py
+++ b/azureline/node.py
@@ -154,6 +154,8 @@
         self._room.on_views(self._views_changed)
         self._room.on_crash(self._generations.engine_restarted)
         self._room.add_slot_owner("once/", self._once_owners)
+        self._room.on_holder(self._once.owner_changed)
+        self._once_owners.on_deposed(self._room.outbid)
         self._room.add_slot_owner("planner/", self._planning)
         self._generations.on_answered(self._planning.answered)
         await self._neighbours.start()
--- a/azureline/serving/engine_room.py
+++ b/azureline/serving/engine_room.py
@@ -110,6 +110,7 @@
         self._short = 0
         self._loop = task.LoopingCall(self._borrow_more)
         self._loop.clock = reactor
+        self._on_holder: Callable[[str], None] = lambda name: None
         self._on_views: Callable[[set[str]], None] = lambda models: None
         self._on_crash: Callable[[str, str], None] = lambda e, i: None
         neighbours.on_rumour(keeper_lib.PREFIX, self._view_heard)
@@ -156,6 +157,15 @@
         """Returns the node that owns an engine's orders, or ""."""
         return self.holder(slot_of(engine))
 
+    def outbid(self, name: str, epoch: int) -> None:
+        """Takes a slot again above an epoch that was found elsewhere."""
+        if self._owning is not None:
+            self._owning.outbid(name, epoch)
+
+    def on_holder(self, handler: Callable[[str], None]) -> None:
+        """Has the name of each slot with a new holder handed over."""
+        self._on_holder = handler
+
     def may_act(self, name: str, travel_s: float) -> bool:
         """Returns whether what is sent now arrives within a slot's lease."""
         return self._owning is not None and self._owning.may_act(name, travel_s)
@@ -325,7 +335,9 @@
         except wire.MalformedError:
             self._counters.count("rumours.malformed")
             return
-        self._owning.hint(rumour.key.removeprefix(OWNERS), record)
+        name = rumour.key.removeprefix(OWNERS)
+        self._owning.hint(name, record)
+        self._on_holder(name)
 
     def _tell_live(self) -> None:
         if self._owning is not None:
--- a/azureline/serving/once_calls.py
+++ b/azureline/serving/once_calls.py
@@ -23,6 +23,7 @@
 from azureline.serving import services as services_lib
 
 TICK_S = 0.02
+MAX_PENDING = 2048
 _CONTENT_TYPE = "Content-Type"
 _REPLIES = (
     messages.Granted,
@@ -39,6 +40,7 @@
     call: entry.Call
     sent: site.ServiceRequest
     done: defer.Deferred
+    slot: int
     replayed: list[bool]
 
 
@@ -84,6 +86,13 @@
         """The number of calls that the owner or the caller still waits for."""
         return len(self._pending)
 
+    def owner_changed(self, name: str) -> None:
+        """Learns that a slot has a new holder."""
+        now = self._clock.now()
+        for pending in self._pending.values():
+            if f"once/{pending.slot}" == name:
+                pending.call.owner_changed(now)
+
     def start(self) -> None:
         """Starts the timer."""
         self._ticker.start(TICK_S, now=False)
@@ -97,6 +106,11 @@
         self, sent: site.ServiceRequest
     ) -> site.ServiceAnswer | errors.Refusal:
         """Carries out a call at most once for its key."""
+        if len(self._pending) >= MAX_PENDING:
+            return errors.Refusal(
+                errors.ErrorKind.OVERLOADED,
+                f"{MAX_PENDING} calls that may run once are under way here.",
+            )
         now = self._clock.now()
         key = key_lib.parse(sent.call.key, self._clock.wall())
         if isinstance(key, errors.Refusal):
@@ -112,7 +126,7 @@
         )
         call = entry.Call(claim, now, self._rng)
         done: defer.Deferred = defer.Deferred()
-        pending = _Pending(call, sent, done, [])
+        pending = _Pending(call, sent, done, claim.slot, [])
         self._pending[claim.request_id] = pending
         self._counters.count("requests.once")
         self._act(pending, call.start(now))
--- a/azureline/serving/once_owners.py
+++ b/azureline/serving/once_owners.py
@@ -1,5 +1,6 @@
 """The at-most-once slots that this node owns."""
 
+from collections.abc import Callable
 import random
 from typing import Any
 
@@ -48,11 +49,16 @@
         self._neighbours = neighbours
         self._key_value = key_value
         self._counters = counters
+        self._on_deposed: Callable[[str, int], None] = lambda name, epoch: None
         self._runners: dict[int, runner.Runner] = {}
         for cls in (messages.Claim, messages.Withdraw, messages.Outcome):
             neighbours.on_message(cls, self._on_request)
         neighbours.on_member(self._on_member)
 
+    def on_deposed(self, handler: Callable[[str, int], None]) -> None:
+        """Has each slot found sealed, and by which epoch, handed over."""
+        self._on_deposed = handler
+
     def acquired(self, name: str, epoch: int) -> None:
         """Starts the owner of a slot."""
         slot = int(name.removeprefix(PREFIX))
@@ -107,9 +113,11 @@
             owner.stop()
 
     def _deposed(self, slot: int) -> None:
-        logging.warning("event=deposed slot=once/%d", slot)
-        self._counters.count("once.deposed")
+        """Stops an owner whose log belongs to a higher epoch."""
+        owner = self._runners.get(slot)
+        epoch = owner.deposed_by if owner else 0
         self._stop(slot)
+        self._on_deposed(f"{PREFIX}{slot}", epoch)
 
     def _on_request(self, sender: str, message: messages.Request) -> None:
         owner = self._runners.get(message.slot)
