Part the adapters of an engine from its keeper, and keep one check of fit

Cause: the keeper had grown to 520 lines; whether models fit was decided by two functions, of which one was used by its own test only.

Ruled out: keeping the planner's own check (the configuration's check is the one that refuses files, and states the same condition: room for the largest model beside all replicas).

Change: fleet/adapter_loads.py; fleet/feasibility.py is gone and its five cases are asked of config/feasibility.py. The planner paces itself by the processor time of its plans; a borrower of adapter loads is named per process.

--- a/azureline/fleet/keeper.py
+++ b/azureline/fleet/keeper.py
@@ -19,6 +19,7 @@
 from azureline.core import clock as clocks
 from azureline.core import task
 from azureline.core import wire
+from azureline.fleet import adapter_loads
 from azureline.fleet import book as book_lib
 from azureline.fleet import directory as directories
 from azureline.fleet import engine_messages
@@ -30,8 +31,6 @@
 MOVES_REMEMBERED = 256
 FREE_STEPS = 512
 ADAPTER_LOAD_S = 0.02
-REPORT_LAG_S = 3.0
-ADAPTER_IDLE_S = 30.0
 PREFIX = "engine/"
 _CODEC = wire.Codec({1: directories.EngineView, 2: directories.Held})
 
@@ -124,10 +123,7 @@
         self.told: directories.EngineView | None = None
         self.told_at = 0.0
         self.moves: dict[str, str] = {}
-        self.wanted: dict[str, set[str]] = {}
-        self.loading: set[str] = set()
-        self.loaded: dict[str, float] = {}
-        self.used: dict[str, float] = {}
+        self.adapters = adapter_loads.AdapterLoads()
 
 
 class Keeper(task.Task[Any]):
@@ -248,7 +244,7 @@
             return
         engine.missed = 0
         if engine.report and engine.report.incarnation != report.incarnation:
-            engine.loaded.clear()
+            engine.adapters.restarted()
         engine.report = report
         engine.book.reported(self._clock.now(), report, asked)
         self._tell(name, engine)
@@ -413,14 +409,14 @@
 
     def _adapter_due(self, due: "_AdapterDue") -> None:
         engine = self._engines.get(due.engine)
-        if engine is None or due.adapter not in engine.loading:
+        if engine is None or not engine.adapters.is_loading(due.adapter):
             return
         self._adapter_over(engine, due.adapter)
-        engine.loaded[due.adapter] = self._clock.now()
+        engine.adapters.loaded(self._clock.now(), due.adapter)
         self._adapter_state(due.engine, engine, due.adapter, "")
 
     def _adapter_over(self, engine: _Engine, adapter: str) -> None:
-        engine.loading.discard(adapter)
+        engine.adapters.ended(adapter)
         self._peers.give_back()
 
     def _want(self, sender: str, wanted: engine_messages.AdapterWanted) -> None:
@@ -433,13 +429,12 @@
                 ),
             )
             return
-        engine.used[wanted.adapter] = self._clock.now()
-        engine.wanted.setdefault(wanted.adapter, set()).add(sender)
+        engine.adapters.want(self._clock.now(), wanted.adapter, sender)
         self._serve_wanted(wanted.engine, engine)
 
     def _serve_wanted(self, name: str, engine: _Engine) -> None:
-        for adapter in list(engine.wanted):
-            if adapter in engine.loading:
+        for adapter in engine.adapters.wanted:
+            if engine.adapters.is_loading(adapter):
                 continue
             reason = self._load_adapter(name, engine, adapter)
             if reason:
@@ -450,8 +445,8 @@
         if self._config is None or adapter not in self._config.adapters:
             return "unknown_adapter"
         entry = self._config.adapters[adapter]
-        item = book_lib.Item(True, adapter, entry.version)
-        if self._resident(engine, item):
+        now = self._clock.now()
+        if engine.adapters.holds(now, engine.report, adapter, entry.version):
             self._adapter_state(name, engine, adapter, "")
             return ""
         if not self._peers.borrow():
@@ -468,22 +463,14 @@
             if reason == book_lib.Reason.NO_ROOM.value:
                 self._make_room(name, engine)
             return reason
-        engine.loading.add(adapter)
+        engine.adapters.started(adapter)
         return ""
 
     def _make_room(self, name: str, engine: _Engine) -> None:
         """Unloads the adapter that was wanted least recently."""
-        now = self._clock.now()
-        idle = [
-            r
-            for r in (engine.report.adapters if engine.report else ())
-            if r.state == "ready"
-            and now - engine.used.get(r.name, 0.0) > ADAPTER_IDLE_S
-        ]
-        if not idle:
+        oldest = engine.adapters.idle(self._clock.now(), engine.report)
+        if oldest is None:
             return
-        oldest = min(idle, key=lambda r: engine.used.get(r.name, 0.0))
-        engine.loaded.pop(oldest.name, None)
         order = self._order(
             interface.OrderKind.UNLOAD_ADAPTER,
             oldest.name,
@@ -492,21 +479,6 @@
         )
         self._send(engine, name, order)
 
-    def _resident(self, engine: _Engine, item: book_lib.Item) -> bool:
-        """Returns whether an adapter is loaded, by report or just ordered."""
-        loaded_at = engine.loaded.get(item.name)
-        if loaded_at is not None:
-            if self._clock.now() - loaded_at < REPORT_LAG_S:
-                return True
-            del engine.loaded[item.name]
-        report = engine.report
-        return report is not None and any(
-            r.name == item.name
-            and r.version == item.version
-            and r.state == "ready"
-            for r in report.adapters
-        )
-
     def _adapter_state(
         self, name: str, engine: _Engine, adapter: str, reason: str
     ) -> None:
@@ -514,7 +486,7 @@
         message = engine_messages.AdapterState(
             name, adapter, incarnation, not reason, reason
         )
-        for sender in engine.wanted.pop(adapter, ()):
+        for sender in engine.adapters.waiting(adapter):
             self._peers.reply(sender, message)
 
     def _stop_loop(self) -> None:
--- a/azureline/fleet/planner.py
+++ b/azureline/fleet/planner.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import itertools
+import time
 from typing import Any
 from typing import NamedTuple
 import uuid
@@ -151,7 +152,9 @@
         if before is not None:
             # Loads and shares under the former limits end before the new
             # ones count in full.
-            settled_at = self._clock.now() + limits.LEND_S
+            settled_at = (
+                self._clock.now() + limits.LEND_S + limits.LEND_MARGIN_S
+            )
         cap = config.limits
         if before is None or (
             before.adapters_in_transit != cap.adapters_in_transit
@@ -171,24 +174,34 @@
         engines = self._engines()
         models = self._models()
         if now >= self._next_plan:
-            self._next_plan = now + self._config.policy.plan_interval_s
-            self._demand.observe(now, self._peers.rates())
-            fleet = draft.Fleet(
-                models,
-                engines,
-                self._executor.pending,
-                self._executor.touched,
-            )
-            proposed = placement.plan(
-                fleet, self._demand.rates, self._params, now
-            )
-            self._executor.adopt(now, proposed)
+            self._plan(now, models, engines)
         self._settle_loads(now, engines)
         names = [engine.name for engine in engines]
         permits = self._store.free(now, names)
         for move in self._executor.steps(now, models, engines, permits):
             self._order(now, move, names)
 
+    def _plan(
+        self,
+        now: float,
+        models: tuple[layout.Model, ...],
+        engines: tuple[layout.Engine, ...],
+    ) -> None:
+        """Plans anew, and waits longer the more processor time it took."""
+        started = time.thread_time()
+        self._demand.observe(now, self._peers.rates())
+        fleet = draft.Fleet(
+            models,
+            engines,
+            self._executor.pending,
+            self._executor.touched,
+        )
+        proposed = placement.plan(fleet, self._demand.rates, self._params, now)
+        self._executor.adopt(now, proposed)
+        self._next_plan = now + placement.pause_after(
+            time.thread_time() - started, self._config.policy.plan_interval_s
+        )
+
     def _settle_loads(
         self, now: float, engines: tuple[layout.Engine, ...]
     ) -> None:
--- a/azureline/serving/engine_room.py
+++ b/azureline/serving/engine_room.py
@@ -106,7 +106,9 @@
         self._owning: owning_lib.Owning | None = None
         self._keepers: dict[str, keeper_lib.Keeper] = {}
         self._slot_owners: dict[str, SlotOwner] = {ENGINES: self}
-        self._borrower = limits.Borrower(neighbours.membership.name)
+        self._borrower = limits.Borrower(
+            f"{neighbours.membership.name}/{identity[:8]}"
+        )
         self._short = 0
         self._loop = task.LoopingCall(self._borrow_more)
         self._loop.clock = reactor
--- a/tests/test_config_files.py
+++ b/tests/test_config_files.py
@@ -277,3 +277,29 @@
     )
     merged = overlay.merge(base, site)
     assert merged.document["models"]["m"]["version"] == "1"
+
+
+@pytest.mark.parametrize(
+    ("sizes", "capacities", "word"),
+    [
+        ([4, 4], [4, 4, 4], None),
+        ([11], [10], "largest engine"),
+        ([6, 6], [10], "all models need"),
+        ([6, 6, 6], [10, 10], "all models need"),
+        ([4, 4], [4, 4], "room for moving"),
+    ],
+)
+def test_an_impossible_configuration_is_refused_with_its_reason(
+    sizes, capacities, word
+):
+    model = builders_config.configuration().models["model-0"]
+    models = {
+        f"m{i}": model._replace(memory_bytes=size * GIB, min_replicas=1)
+        for i, size in enumerate(sizes)
+    }
+    engines = {f"e{i}": size * GIB for i, size in enumerate(capacities)}
+    verdict = feasibility.pack(models, engines)
+    if word is None:
+        assert isinstance(verdict, feasibility.Packing)
+    else:
+        assert word in verdict.reason
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -10,7 +10,6 @@
 from azureline.fleet import book
 from azureline.fleet import demand
 from azureline.fleet import draft
-from azureline.fleet import feasibility
 from azureline.fleet import layout
 from azureline.fleet import moves
 from azureline.fleet import placement
@@ -146,25 +145,6 @@
     assert sum(sums[50:]) / 350 < 1.1 * 20 * 1.5
 
 
-@pytest.mark.parametrize(
-    ("sizes", "capacities", "word"),
-    [
-        ([4, 4], [4, 4, 4], None),
-        ([11], [10], "largest engine"),
-        ([6, 6], [10], "all models need"),
-        ([6, 6, 6], [10, 10], "no division"),
-        ([4, 4], [4, 4], "no engine keeps"),
-    ],
-)
-def test_an_impossible_configuration_is_refused_with_its_reason(
-    sizes, capacities, word
-):
-    models = [build.model(f"m{i}", size) for i, size in enumerate(sizes)]
-    engines = [build.engine(f"e{i}", c, []) for i, c in enumerate(capacities)]
-    verdict = feasibility.feasible(models, engines, PARAMS)
-    assert (verdict is None) if word is None else (word in verdict.reason)
-
-
 class FleetMachine(stateful.RuleBasedStateMachine):
     """A planner with books drives fake engines that fail at any point."""
 
