--- a/tests/builders_processes.py
+++ b/tests/builders_processes.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import concurrent.futures
 import contextlib
+import json
 import os
 import signal
 import time
@@ -26,6 +27,7 @@
     def __init__(self, processes: deployment.Deployment):
         self.processes = processes
         self.stopped: set[str] = set()
+        self.gone: set[str] = set()
 
     def caller(self, node: str, timeout_s: float = 30.0) -> callers.Caller:
         """Returns a caller of one node."""
@@ -75,6 +77,105 @@
             time.sleep(0.5)
         return seen
 
+    def start_chat(
+        self, node: str, tokens: int
+    ) -> tuple[concurrent.futures.Future, Any]:
+        """Starts a stream; returns its future and its engine's name."""
+        future = self.in_background(self.chat, node, tokens)
+        busy = deployment.wait_until(
+            "an engine runs the stream", self.busy_engines, READY_S
+        )
+        return future, busy[0]
+
+    def chat_until_whole(
+        self, nodes: tuple[str, ...], tokens: int, question: Any = None
+    ) -> list[callers.StreamedText]:
+        """Asks again, as a caller would, until an answer is whole."""
+        asked = question or QUESTION
+        seen = []
+        give_up_at = time.monotonic() + READY_S
+        while time.monotonic() < give_up_at:
+            node = nodes[len(seen) % len(nodes)]
+            chat = self.caller(node).chat(demo.MODEL, asked, tokens)
+            seen.append(chat)
+            if chat.whole:
+                break
+            time.sleep(0.5)
+        return seen
+
+    def report(self, engine: str) -> dict[str, Any]:
+        """Returns an engine's own report, or {} if it does not answer."""
+        url = self.processes.urls[engine]
+        return (
+            callers.Caller(url, timeout_s=2.0).call("GET", "/report").document
+        )
+
+    def engines(self) -> list[str]:
+        """Returns the names of all engines that were started."""
+        names = self.processes.urls
+        return sorted(n for n in names if n.startswith("engine-"))
+
+    def busy_engines(self) -> list[str]:
+        """Returns the engines that say that they run something."""
+        return [e for e in self.engines() if self.report(e).get("running")]
+
+    def holds(self, engine: str) -> set[str]:
+        """Returns the models that an engine says are ready in it."""
+        models = self.report(engine).get("models", [])
+        return {m["name"] for m in models if m["state"] == "ready"}
+
+    def alive(self, vm: str) -> bool:
+        """Returns whether a process still runs."""
+        pid = self.processes.pid(vm)
+        try:
+            with open(f"/proc/{pid}/stat") as stat:
+                return stat.read().rpartition(")")[2].split()[0] != "Z"
+        except FileNotFoundError:
+            return False
+
+    def exit_code(self, vm: str, timeout_s: float) -> int:
+        """Waits for the end of a process that was told to stop."""
+        pid = self.processes.pid(vm)
+        ended = deployment.wait_until(
+            f"{vm} ends",
+            lambda: os.waitid(
+                os.P_PID, pid, os.WEXITED | os.WNOWAIT | os.WNOHANG
+            ),
+            timeout_s,
+        )
+        assert ended.si_code == os.CLD_EXITED, ended
+        return ended.si_status
+
+    def start_engine(self, number: int, **options: Any) -> None:
+        """Starts an engine, again if there was one of that number."""
+        _start_engine(self.processes, number, **options)
+
+    def configure(self, models: dict[str, str], **limits: int) -> str:
+        """Applies a configuration; returns what the command printed.
+
+        Args:
+          models: models besides the usual ones, with their memory.
+          **limits: limits of the site.
+        """
+        base = demo.BASE % demo.key_digest()
+        for name, size in models.items():
+            entry = f'"{name}": {{"memory_bytes": "{size}"}},'
+            base = base.replace('"models": {', f'"models": {{{entry}', 1)
+        overlay = _overlay(len(self.engines()), limits)
+        paths = [self.processes.folder / f"{n}.json" for n in ("base", "site")]
+        for path, text in zip(paths, (base, overlay), strict=True):
+            path.write_text(text)
+        platform = ("--platform", self.processes.urls["platform"])
+        applied = self.processes.command(
+            "config", "apply", *map(str, paths), *platform
+        )
+        assert applied.returncode == 0, applied.stderr
+        return applied.stdout
+
+    def versions(self, nodes: tuple[str, ...] = NODES) -> list[int]:
+        """Returns the configuration that each node says is in force."""
+        return [self.status(node).get("config_version", 0) for node in nodes]
+
     def runs(self) -> dict[str, int]:
         """Returns how often the ledger ran each key."""
         url = self.processes.urls["ledger-1"]
@@ -95,31 +196,30 @@
 
 
 @contextlib.contextmanager
-def running(**engine_options: Any) -> Iterator[Fleet]:
-    """Starts a fleet that serves, and ends it."""
-    with deployment.Deployment() as processes:
+def running(
+    engines: int = 2, program: str = "", **engine_options: Any
+) -> Iterator[Fleet]:
+    """Starts a fleet that serves, and ends it.
+
+    Args:
+      engines: number of model engines.
+      program: the built azureline to run; by default the package itself.
+      **engine_options: options of the engines' command line.
+    """
+    command = [program] if program else None
+    with deployment.Deployment(command) as processes:
         processes.standin("platform", "platform", store_rate=4.0)
-        for number in (1, 2):
-            processes.standin(
-                "engine",
-                f"engine-{number}",
-                domain=f"d{number}",
-                memory_bytes=80 * GIB,
-                fences=number == 1,
-                resident=[f"{demo.MODEL}@1={14 * GIB}"],
-                **engine_options,
+        resident = [f"{demo.MODEL}@1={14 * GIB}"]
+        for number in range(1, engines + 1):
+            _start_engine(
+                processes, number, resident=resident, **engine_options
             )
         processes.standin("ledger", "ledger-1", domain="d3")
         processes.standin("service", "stock-1", domain="d1")
         for name, domain in zip(NODES, demo.DOMAINS, strict=True):
             processes.node(name, domain, timeouts={"drain_notice_s": 1.0})
-        demo.apply(
-            processes,
-            demo.Checks(),
-            demo.BASE % demo.key_digest(),
-            demo.OVERLAY,
-        )
         fleet = Fleet(processes)
+        fleet.configure({})
         _wait_until_served(fleet)
         try:
             yield fleet
@@ -128,6 +228,31 @@
                 fleet.signal(name, signal.SIGCONT)
 
 
+def _start_engine(
+    processes: deployment.Deployment, number: int, **options: Any
+) -> None:
+    processes.standin(
+        "engine",
+        f"engine-{number}",
+        domain=f"d{(number - 1) % 3 + 1}",
+        memory_bytes=80 * GIB,
+        fences=number == 1,
+        **options,
+    )
+
+
+def _overlay(engines: int, limits: dict[str, int]) -> str:
+    added: dict[str, Any] = {"ledger-1": {"role": "ledger", "domain": "d3"}}
+    for number in range(1, engines + 1):
+        added[f"engine-{number}"] = {
+            "domain": f"d{(number - 1) % 3 + 1}",
+            "memory_bytes": "80 GiB",
+            "fences": number == 1,
+        }
+    document = {"site": "demo", "engines": {"$add": added}, "limits": limits}
+    return json.dumps(document)
+
+
 def _wait_until_served(fleet: Fleet) -> None:
     for node in NODES:
         deployment.wait_until(
