Ask seeds that are not met yet, also when others are

Cause: three nodes started at once. The first, which was the seed of the others and has no seed itself, opened its sockets last; by then the other two had met. A node asked its seeds only while it knew nobody, so neither side ever heard of the other: the seed refused every call with no_replica for the minute that was watched, with ready engines beside it (logs: no 'member' event on it, config_in_force version=1, engines [] in its status). Ruled out: the platform (all leases and the VM list answered), ports (all listened), load (the other two agreed within 5 s). Change: each 5 s a node asks one of its seeds that is not a live member. A seed that is gone costs one connection attempt in 5 s per node.

--- a/azureline/fleet/membership.py
+++ b/azureline/fleet/membership.py
@@ -147,6 +147,7 @@
         self._sequence = 0
         self._next_probe = 0.0
         self._next_sync = 0.0
+        self._next_seed = 0.0
         self._synced = False
         self._unreachable: set[str] = set()
         self._speak(0.0)
@@ -216,9 +217,8 @@
         if now >= self._next_probe:
             self._next_probe = now + PERIOD_S
             effects += self._start_probe(now)
-        alone = not self._synced or not self.alive()
-        if alone and now >= self._next_sync:
-            self._next_sync = now + SYNC_INTERVAL_S
+        if now >= self._next_seed:
+            self._next_seed = now + SYNC_INTERVAL_S
             effects += self._ask_seed()
         return effects
 
@@ -369,8 +369,15 @@
         return []
 
     def _ask_seed(self) -> list[Effect]:
-        own = (self._info.host, self._info.port)
-        seeds = [s for s in self._seeds if s != own]
+        """Asks a seed while alone, and later each seed that is not met.
+
+        Nodes that met each other before a seed started would otherwise
+        never hear of it, nor it of them.
+        """
+        known = {(self._info.host, self._info.port)}
+        if self._synced:
+            known |= {(m.info.host, m.info.port) for m in self.alive()}
+        seeds = [s for s in self._seeds if s not in known]
         if not seeds:
             return []
         host, port = self._rng.choice(seeds)
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -28,6 +28,18 @@
     assert all(network.states(name) == {ALIVE} for name in names)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_seed_that_starts_last_is_found_by_those_who_met_before(seed):
+    network = builders_network.Network(seed)
+    network.add("n1", "d1", ("n0",))
+    network.add("n2", "d2", ("n0", "n1"))
+    network.run(30)
+    assert network.states("n1") == network.states("n2") == {ALIVE}
+    network.add("n0", "d0", ())
+    network.run(15)
+    assert network.states("n0") == {ALIVE}
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_killed_node_is_dead_to_all_within_ten_seconds(seed):
     network, names = _started(seed)
