--- a/tests/builders_processes.py
+++ b/tests/builders_processes.py
@@ -28,6 +28,8 @@
         self.processes = processes
         self.stopped: set[str] = set()
         self.gone: set[str] = set()
+        self._models: dict[str, str] = {}
+        self._limits: dict[str, int] = {}
 
     def caller(self, node: str, timeout_s: float = 30.0) -> callers.Caller:
         """Returns a caller of one node."""
@@ -151,17 +153,19 @@
         _start_engine(self.processes, number, **options)
 
     def configure(self, models: dict[str, str], **limits: int) -> str:
-        """Applies a configuration; returns what the command printed.
+        """Adds to the configuration; returns what the command printed.
 
         Args:
-          models: models besides the usual ones, with their memory.
-          **limits: limits of the site.
+          models: models to add, with their memory.
+          **limits: limits of the site to set.
         """
+        self._models |= models
+        self._limits |= limits
         base = demo.BASE % demo.key_digest()
-        for name, size in models.items():
+        for name, size in self._models.items():
             entry = f'"{name}": {{"memory_bytes": "{size}"}},'
             base = base.replace('"models": {', f'"models": {{{entry}', 1)
-        overlay = _overlay(len(self.engines()), limits)
+        overlay = _overlay(len(self.engines()), self._limits)
         paths = [self.processes.folder / f"{n}.json" for n in ("base", "site")]
         for path, text in zip(paths, (base, overlay), strict=True):
             path.write_text(text)
--- /dev/null
+++ b/tests/test_processes_fleet.py
@@ -0,0 +1,168 @@
+"""The fleet with real processes: owners, engines, orders, configuration."""
+
+import signal
+import time
+
+import pytest
+
+from tests import builders_processes
+from tools import caller
+from tools import demo
+from tools import deployment
+
+pytestmark = pytest.mark.processes
+NODES = builders_processes.NODES
+IN_FORCE_S = 6.0
+NEW_WORK_S = 3.0
+
+
+@pytest.fixture(scope="module", name="fleet")
+def fixture_fleet():
+    with builders_processes.running(memory_check=False) as fleet:
+        yield fleet
+
+
+def _apply(fleet, **limits):
+    """Applies a change; returns its version and when it was begun."""
+    before = max(fleet.versions(("node-1", "node-2")))
+    begun = time.monotonic()
+    fleet.configure({}, **limits)
+    return before + 1, begun
+
+
+def _in_force_s(fleet, nodes, version, begun):
+    """Returns when a version was in force on nodes, in seconds."""
+    deployment.wait_until(
+        f"version {version} is in force",
+        lambda: min(fleet.versions(nodes)) >= version,
+        60,
+    )
+    return time.monotonic() - begun
+
+
+def _served(fleet, node, model):
+    """Waits until a node answers for a model."""
+    deployment.wait_until(
+        f"{node} serves {model}",
+        lambda: (
+            fleet.caller(node).chat(model, builders_processes.QUESTION, 3).whole
+        ),
+        120,
+    )
+
+
+def _owner(fleet, node, engine):
+    engines = fleet.status(node).get("engines", [])
+    return next((e["owner"] for e in engines if e["name"] == engine), "")
+
+
+def test_changes_are_in_force_everywhere_within_six_seconds(fleet):
+    took = []
+    for number in range(10):
+        version, begun = _apply(fleet, adapters_in_transit=20 + number)
+        took.append(_in_force_s(fleet, NODES, version, begun))
+    print("in force after", [round(s, 2) for s in took])
+    assert max(took) < IN_FORCE_S
+
+
+def test_a_frozen_node_delays_no_other_and_follows_when_it_wakes(fleet):
+    fleet.signal("node-3", signal.SIGSTOP)
+    fleet.stopped.add("node-3")
+    version, begun = _apply(fleet, adapters_in_transit=31)
+    others = _in_force_s(fleet, NODES[:2], version, begun)
+    time.sleep(20)
+    fleet.signal("node-3", signal.SIGCONT)
+    fleet.stopped.discard("node-3")
+    woken = _in_force_s(fleet, ("node-3",), version, time.monotonic())
+    print(f"others {others:.2f} s, woken {woken:.2f} s")
+    assert others < IN_FORCE_S
+    assert woken < IN_FORCE_S
+    assert min(fleet.versions()) >= version
+
+
+def test_streams_outlive_an_outage_of_the_platform(fleet):
+    sent = [fleet.in_background(fleet.chat, node, 720) for node in NODES]
+    time.sleep(0.5)
+    fleet.fault("platform", down_s=15.0)
+    time.sleep(3.0)
+    for node in NODES:
+        assert fleet.whole(fleet.chat(node, 20), 20)
+    for future in sent:
+        seen = future.result(timeout=120)
+        assert fleet.whole(seen, 720), seen
+    version, begun = _apply(fleet, adapters_in_transit=32)
+    assert _in_force_s(fleet, NODES, version, begun) < IN_FORCE_S
+    key = caller.new_key()
+    assert fleet.approve_until_told(NODES, key, 1)[-1].status == 200
+
+
+def test_lost_orders_are_made_up_for(fleet):
+    for engine in fleet.engines():
+        fleet.fault(engine, lose_orders=2)
+    fleet.configure({"rim-check": "6 GiB"})
+    for node in NODES:
+        _served(fleet, node, "rim-check")
+
+
+def test_an_engine_that_comes_back_empty_is_filled_again(fleet):
+    fleet.processes.kill("engine-2")
+    fleet.start_engine(2, memory_check=False)
+    give_up_at = time.monotonic() + 120
+    seen = []
+    while demo.MODEL not in fleet.holds("engine-2"):
+        assert time.monotonic() < give_up_at, fleet.report("engine-2")
+        seen.append(fleet.chat(NODES[len(seen) % 3], 5))
+        time.sleep(0.2)
+    lost = [chat for chat in seen if not fleet.whole(chat, 5)]
+    print(f"asked {len(seen)} times meanwhile, {len(lost)} not whole")
+    assert not lost, lost
+
+
+def test_a_killed_owner_is_replaced_and_changes_go_on(fleet):
+    dead = deployment.wait_until(
+        "engine-1 has an owner", lambda: _owner(fleet, "node-1", "engine-1"), 60
+    )
+    left = tuple(node for node in NODES if node != dead)
+    fleet.processes.kill(dead)
+    fleet.gone.add(dead)
+    started = time.monotonic()
+    deployment.wait_until(
+        "engine-1 has another owner",
+        lambda: _owner(fleet, left[0], "engine-1") in left,
+        90,
+    )
+    print(f"another owner after {time.monotonic() - started:.1f} s")
+    fleet.configure({"bead-check": "5 GiB"})
+    for node in left:
+        _served(fleet, node, "bead-check")
+
+
+def test_an_engine_that_leaves_gets_no_new_work_and_is_emptied(fleet):
+    nodes = tuple(node for node in NODES if node not in fleet.gone)
+    platform = caller.Caller(fleet.processes.urls["platform"])
+    assert platform.call("POST", "/vms/engine-1/leave", {}).status == 200
+    deployment.wait_until(
+        "the list says that it leaves",
+        lambda: any(
+            vm["leaving"] for vm in platform.call("GET", "/vms").document
+        ),
+        30,
+    )
+    time.sleep(NEW_WORK_S)
+    fleet.fault("engine-1", crash_on="chuck")  # New work would be its end.
+    for number in range(30):
+        seen = fleet.chat(nodes[number % len(nodes)], 3)
+        assert fleet.whole(seen, 3), seen
+    assert fleet.alive("engine-1")
+    deployment.wait_until(
+        "it is emptied",
+        lambda: fleet.report("engine-1").get("models") == [],
+        120,
+    )
+    assert fleet.alive("engine-1")
+
+
+def test_memory_was_never_overcommitted(fleet):
+    seen = {e: fleet.report(e)["overcommits"] for e in fleet.engines()}
+    print("overcommits", seen)
+    assert set(seen.values()) == {0}, seen
