Free the permits of loads whose orders were lost

Cause: with two orders lost at each of two engines, four permits of the store (the default of loads at once) stayed taken, and no load was ordered anywhere from 18 s after the change until they ran out, 131 s after each was given; a new model was unreachable all that time. Seen with real processes: orders at 17, 19, 33 and 35 s of the minute, then none in the 75 s that were watched. Ruled out: the retry itself (made 16 s after each loss), room (43 of 72 GiB used), takeovers (owners and planner did not change meanwhile). Change: once an order can no longer start and a later view of its engine shows neither that load nor an unsure replica, its permit is free. Without a later view it is kept as before.

--- a/azureline/fleet/limits.py
+++ b/azureline/fleet/limits.py
@@ -136,6 +136,18 @@
         """Takes back the permit of a load that a report shows as settled."""
         self._given.pop(key, None)
 
+    def not_seen(self, key: str, taken: float) -> None:
+        """Takes back the permit of a load whose order must have been lost.
+
+        Args:
+          key: identity of the load.
+          taken: earliest time at which the report was taken that does not
+            show the load.
+        """
+        given = self._given.get(key)
+        if given is not None and taken >= given.dead_at:
+            del self._given[key]
+
     def seen(self, engine: str, taken: float, loading: int) -> None:
         """Notes the loads in progress that a former owner permitted.
 
--- a/azureline/fleet/planner.py
+++ b/azureline/fleet/planner.py
@@ -194,10 +194,22 @@
     ) -> None:
         """Frees the permits of loads that are over, and counts inherited."""
         pending = {p.move for p in self._executor.pending}
+        known = {engine.name for engine in engines}
+        under_way = {
+            (engine.name, r.model)
+            for engine in engines
+            for r in engine.replicas
+            if r.state is layout.State.LOADING or not r.sure
+        }
         for move_id, move in list(self._sent.items()):
             if move not in pending:
                 self._store.ended(move_id)
                 del self._sent[move_id]
+            elif (
+                move.engine in known
+                and (move.engine, move.target) not in under_way
+            ):
+                self._store.not_seen(move_id, now - VIEW_AGE_S)
         own = {(m.engine, m.target) for m in self._sent.values()}
         for engine in engines:
             loading = sum(
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from azureline.fleet import book
 from azureline.fleet import limits
 
 CAP = 6
@@ -244,6 +245,18 @@
     assert store.ask(limits.LOAD_MAX_S + 12.0, "2", "e1", ENGINES)
 
 
+def test_a_permit_is_free_when_its_order_is_dead_and_no_load_is_seen():
+    store = limits.StoreLimit(rate=2.0, at_once=1)
+    for engine in ENGINES:
+        store.seen(engine, 0.0, 0)
+    store.ask(0.0, "1", "e1", ENGINES)
+    latest_start = book.latest_start(0.0, book.ORDER_EXPIRY_MAX_S)
+    store.not_seen("1", latest_start - 0.1)
+    assert not store.ask(20.0, "2", "e1", ENGINES)
+    store.not_seen("1", latest_start)
+    assert store.ask(20.0, "2", "e1", ENGINES)
+
+
 def test_a_successor_counts_former_loads_before_it_gives_permits():
     store = limits.StoreLimit(rate=2.0, at_once=2, unsettled_until=20.0)
     assert store.ask(10.0, "1", "e1", ENGINES).reason == "unsettled"
