Leave the connection of a whole answer to the pool

Cause: at 256 streams the node refused 437 calls and opened breakers for no reason. When a stream ended, its connection was closed although the pool was about to hand it to the next request, which then died without an answer. An adapter that was not loaded looked like a failed connection and ended, after three tries, as "backend failed, may have run" though nothing had been sent.

Ruled out: the limits and the queue bounds (the refusals stayed without them).

Change: a whole answer only forgets its connection; an attempt that sends nothing is skipped as busy; a refusal says "not run" if no attempt can have reached an engine.

--- a/azureline/serving/generation.py
+++ b/azureline/serving/generation.py
@@ -108,6 +108,7 @@
         self.engine = ""
         self.tried: list[str] = []
         self.pinned = ""
+        self.may_have_run = False
         self._owner = owner
         self._messages = messages
         self._backends = backends
@@ -132,6 +133,25 @@
           engine: name of the engine.
           url: its root, or "" if it is not known any more.
         """
+        self._begin(engine, url)
+        if url:
+            defer.ensureDeferred(self._open(self._relay))
+        else:
+            self._end(retry.Reason.CONNECT_FAILED, None)
+
+    def skip(self, engine: str, reason: retry.Reason) -> None:
+        """Ends an attempt for which nothing is sent.
+
+        Args:
+          engine: the engine that was chosen.
+          reason: why it is not asked.
+        """
+        self._begin(engine, "")
+        self._relay = None
+        sample = self._sample(outcome.Outcome.CANCELLED)
+        self._owner.attempt_ended(self, Ended(sample, None, reason, None))
+
+    def _begin(self, engine: str, url: str) -> None:
         now = self._clock.now()
         self.attempt += 1
         self.engine = engine
@@ -143,10 +163,6 @@
         self._tokens = 0
         self._hint = None
         self._relay = stream.StreamRelay(now, self._attempt_id, self._settings)
-        if url:
-            defer.ensureDeferred(self._open(self._relay))
-        else:
-            self._end(retry.Reason.CONNECT_FAILED, None)
 
     def tick(self, now: float) -> None:
         """Acts on timeouts of the stream and on the deadline."""
@@ -198,13 +214,16 @@
             return
         if isinstance(opened, http.Failure):
             if opened.sent:
+                self.may_have_run = True
                 self._act(relay.closed(self._clock.now(), 1))
             else:
                 self._end(retry.Reason.CONNECT_FAILED, None)
             return
         if opened.status != 200:
+            self.may_have_run |= opened.status not in _REASONS
             self._end(_REASONS.get(opened.status), _bad_status(opened.status))
             return
+        self.may_have_run = True
         self._connected(relay, 1, opened)
 
     async def _reopen(self, relay: stream.StreamRelay, wanted: Any) -> None:
@@ -281,6 +300,9 @@
             case stream.RetryElsewhere():
                 self._end(retry.Reason.BACKEND_DIED, None)
             case stream.Finished(tokens):
+                # The pool hands a connection out again as its body ends, so
+                # closing it now would cut off the next request on it.
+                self._transport = None
                 self._tokens = tokens
                 self._end(None, None)
             case stream.Failed(refusal):
--- a/azureline/serving/generations.py
+++ b/azureline/serving/generations.py
@@ -221,10 +221,12 @@
         url = self._directory.url(engine)
 
         def loaded(ready: bool) -> None:
-            if gen.call.request_id in self._active:
-                gen.send(engine, url if ready else "")
-                return
-            self._give_back(gen, engine)
+            if gen.call.request_id not in self._active:
+                self._give_back(gen, engine)
+            elif ready:
+                gen.send(engine, url)
+            else:
+                gen.skip(engine, retry.Reason.BUSY)
 
         self._adapters.ensure(engine, gen.call.adapter, loaded)
 
@@ -261,6 +263,8 @@
                 self._counters.count(counter)
                 self._later(at, gen)
             case errors.Refusal() as refusal:
+                if not gen.may_have_run:
+                    refusal = refusal._replace(ran=errors.Ran.NO)
                 self._refuse(gen, refusal)
 
     def _later(self, at: float, gen: generation.Generation) -> None:
--- a/tests/builders_serving.py
+++ b/tests/builders_serving.py
@@ -87,6 +87,7 @@
         self.refuse: dict[str, int | http.Failure] = {}
         self.cancelled: list[str] = []
         self.resumed: list[int] = []
+        self.transports: list[Transport] = []
 
     async def generate(self, url, body):
         return self._open(url, body["request_id"])
@@ -100,7 +101,8 @@
 
     def deliver(self, stream, sink):
         stream.response.append(sink)
-        sink.opened(Transport())
+        self.transports.append(Transport())
+        sink.opened(self.transports[-1])
 
     def _open(self, url, request_id):
         failure = self.refuse.get(url)
--- a/tests/test_serving_generations.py
+++ b/tests/test_serving_generations.py
@@ -23,6 +23,24 @@
     assert world.counters.value("answered.model") == 1
 
 
+def test_a_connection_whose_stream_is_whole_is_left_to_the_pool(world):
+    world.begin()
+    world.backends.send(0, 5, done=True)
+    assert not world.backends.transports[0].closed
+
+
+def test_an_adapter_that_is_not_loaded_is_refused_as_not_run(world):
+    world.adapters.held = True
+    answer = world.begin(adapter="can")
+    for _ in range(10):
+        while world.adapters.waiting:
+            world.adapters.waiting.pop()(False)
+        world.advance(1)
+    assert answer.refusal.answer.ran is errors.Ran.NO
+    assert answer.refusal.answer.retry_after_s is not None
+    assert not world.backends.streams
+
+
 def test_a_stream_of_over_half_a_minute_is_whole(world):
     answer = world.begin(max_tokens=1000, deadline=200.0)
     for second in range(50):
