Ask the routing decisions as they are meant to be asked

Cause: a refusal by admission after an earlier send said "not run"; a deadline too short for an answer counted as the engine's failure, and five of them opened its breaker; a suspect waited in the queue behind others; a call that became a suspect while it waited was sent all the same; replicas and adapter assignments were computed anew for each call.

Ruled out: letting admission know of earlier sends (it decides on one offer).

Change: refusals after a send that may have run say so; passed deadlines with tokens are cancellations; suspects claim their engine; waiting calls are checked again; the directory keeps candidates until something changes.

--- a/azureline/fleet/directory.py
+++ b/azureline/fleet/directory.py
@@ -74,6 +74,8 @@
         self._vms: dict[str, platform.Vm] = {}
         self._views: dict[str, EngineView] = {}
         self._unreachable: frozenset[str] = frozenset()
+        # Filled by requests and emptied by changes, which are rarer by far.
+        self._candidates: dict[str, list[picker.Candidate]] = {}
 
     @property
     def vms(self) -> dict[str, platform.Vm]:
@@ -88,23 +90,28 @@
     def configure(self, config: schema.Configuration) -> None:
         """Puts another configuration in force."""
         self._config = config
+        self._candidates.clear()
 
     def set_vm(self, vm: platform.Vm) -> None:
         """Takes an entry of the platform's list."""
         self._vms[vm.name] = vm
+        self._candidates.clear()
 
     def drop_vm(self, name: str) -> None:
         """Forgets a VM that is no longer in the platform's list."""
         self._vms.pop(name, None)
         self._views.pop(name, None)
+        self._candidates.clear()
 
     def set_view(self, engine: str, view: EngineView) -> None:
         """Takes an owner's word about an engine."""
         self._views[engine] = view
+        self._candidates.clear()
 
     def set_unreachable(self, domains: frozenset[str]) -> None:
         """Takes the failure domains that are out of reach as a whole."""
         self._unreachable = domains
+        self._candidates.clear()
 
     def url(self, server: str) -> str:
         """Returns the root URL of a backend server, or "" if unknown."""
@@ -118,6 +125,12 @@
 
     def candidates(self, model: str) -> list[picker.Candidate]:
         """Returns the engines that hold a model, ready for requests."""
+        known = self._candidates.get(model)
+        if known is None:
+            known = self._candidates[model] = self._find(model)
+        return known
+
+    def _find(self, model: str) -> list[picker.Candidate]:
         if self._config is None or model not in self._config.models:
             return []
         max_running = self._config.models[model].max_running
--- a/azureline/routing/limits.py
+++ b/azureline/routing/limits.py
@@ -184,7 +184,9 @@
         Args:
           initial: what an engine runs at once, divided by the number of nodes.
         """
-        self._settings = self._settings._replace(initial=initial)
+        self._settings = self._settings._replace(
+            initial=initial, minimum=min(0.5, initial / 8.0)
+        )
         for state in self._engines.values():
             if state.cut_at == _NEVER:
                 state.limit = max(state.limit, initial)
--- a/azureline/serving/generation.py
+++ b/azureline/serving/generation.py
@@ -107,7 +107,6 @@
         self.attempt = 0
         self.engine = ""
         self.tried: list[str] = []
-        self.pinned = ""
         self.may_have_run = False
         self._owner = owner
         self._messages = messages
@@ -314,7 +313,7 @@
             self._first_at = self._last_at
             self._window = (self._last_at, 0)
             self._owner.observed(self, self._last_at - self._sent_at, None)
-        self._tokens += 1
+        self._tokens = self._relay.next_offset
         self.answer.write(data)
 
     def _cancel(self) -> None:
@@ -338,7 +337,7 @@
         self._owner.attempt_ended(
             self,
             Ended(
-                self._sample(_outcome(reason, refusal)),
+                self._sample(_outcome(reason, refusal, self._tokens)),
                 self._hint,
                 reason,
                 refusal,
@@ -377,11 +376,15 @@
 
 
 def _outcome(
-    reason: retry.Reason | None, refusal: errors.Refusal | None
+    reason: retry.Reason | None, refusal: errors.Refusal | None, tokens: int
 ) -> outcome.Outcome:
     if reason is None and refusal is None:
         return outcome.Outcome.WHOLE
-    if refusal is not None and refusal.kind is errors.ErrorKind.CALLER_GONE:
+    kind = refusal.kind if refusal is not None else None
+    if kind is errors.ErrorKind.CALLER_GONE:
+        return outcome.Outcome.CANCELLED
+    if kind is errors.ErrorKind.DEADLINE_EXCEEDED and tokens:
+        # A deadline that was too short for the answer is not the engine's.
         return outcome.Outcome.CANCELLED
     if reason in (retry.Reason.BUSY, retry.Reason.LEAVING):
         return outcome.Outcome.BUSY
--- a/azureline/serving/generations.py
+++ b/azureline/serving/generations.py
@@ -179,25 +179,45 @@
         """Offers a call to admission unless it is gone or suspected."""
         if gen.call.request_id not in self._active:
             return
-        wall = self._clock.wall()
-        candidates = self._directory.candidates(gen.call.model)
-        replicas = [c.engine for c in candidates]
-        usable = [
-            c.engine for c in candidates if c.state is picker.State.SERVING
-        ]
-        gen.pinned = ""
-        match self._suspects.check(wall, gen.call, replicas, usable):
+        match self._verdict(gen):
             case suspects_lib.Clear():
                 self._offer(gen, tuple(gen.tried))
             case suspects_lib.Quarantine(server):
-                gen.pinned = server
-                self._offer(gen, tuple(r for r in replicas if r != server))
+                self._claim(gen, server)
             case suspects_lib.Wait(until):
                 self._counters.count("suspects.held")
-                self._later(self._clock.now() + until - wall, gen)
+                wait_s = until - self._clock.wall()
+                self._later(self._clock.now() + wait_s, gen)
             case errors.Refusal() as refusal:
                 self._refuse(gen, refusal)
 
+    def _verdict(
+        self, gen: generation.Generation
+    ) -> (
+        suspects_lib.Clear
+        | suspects_lib.Quarantine
+        | suspects_lib.Wait
+        | errors.Refusal
+    ):
+        candidates = self._directory.candidates(gen.call.model)
+        usable = [
+            c.engine for c in candidates if c.state is picker.State.SERVING
+        ]
+        return self._suspects.check(
+            self._clock.wall(),
+            gen.call,
+            [c.engine for c in candidates],
+            usable,
+        )
+
+    def _claim(self, gen: generation.Generation, server: str) -> None:
+        """Sends a suspect to its own engine, or tries again soon."""
+        now = self._clock.now()
+        if self._admission.claim(now, gen.call, server) is None:
+            self._later(now + LANE_RETRY_S, gen)
+        else:
+            self._send(gen, server)
+
     def _offer(
         self, gen: generation.Generation, avoid: tuple[str, ...]
     ) -> None:
@@ -211,10 +231,6 @@
                 self._refuse(gen, refusal)
 
     def _send(self, gen: generation.Generation, engine: str) -> None:
-        if gen.pinned not in ("", engine):
-            self._give_back(gen, engine)
-            self._later(self._clock.now() + LANE_RETRY_S, gen)
-            return
         if gen.attempt == 0:
             self._retries.sent_first()
         self._suspects.started(engine, gen.call)
@@ -230,6 +246,14 @@
 
         self._adapters.ensure(engine, gen.call.adapter, loaded)
 
+    def _send_waited(self, gen: generation.Generation, engine: str) -> None:
+        """Sends a call that has waited, unless it is a suspect by now."""
+        if isinstance(self._verdict(gen), suspects_lib.Clear):
+            self._send(gen, engine)
+            return
+        self._give_back(gen, engine)
+        self._place(gen)
+
     def _give_back(self, gen: generation.Generation, engine: str) -> None:
         """Gives up a place at an engine to which nothing was sent."""
         unused = outcomes.Sample(outcomes.Outcome.CANCELLED, 0.0)
@@ -294,6 +318,8 @@
     def _refuse(
         self, gen: generation.Generation, refusal: errors.Refusal
     ) -> None:
+        if gen.may_have_run:
+            refusal = retry.may_have_run(refusal)
         self._active.pop(gen.call.request_id, None)
         self._counters.count(refusal.counter)
         logging.info(
@@ -320,6 +346,6 @@
             gen = self._active.get(item.call.request_id)
             match item:
                 case admission_lib.Admitted(engine=engine) if gen:
-                    self._send(gen, engine)
+                    self._send_waited(gen, engine)
                 case admission_lib.Dropped(refusal=refusal) if gen:
                     self._refuse(gen, refusal)
--- a/azureline/serving/suspicion.py
+++ b/azureline/serving/suspicion.py
@@ -84,4 +84,4 @@
             self._counters.count("rumours.malformed")
             return
         self._counters.count("suspects.heard")
-        self._suspects.heard([seen])
+        self._suspects.heard([seen], self._clock.wall())
