--- /dev/null
+++ b/tools/capacity_process.py
@@ -0,0 +1,108 @@
+"""Measures memory, processor time and start of real node processes."""
+
+import os
+import pathlib
+import statistics
+import time
+from typing import TypedDict
+
+from tools import caller
+from tools import demo
+from tools import deployment
+
+SIZES = (3, 6, 12)
+QUIET_S = 8.0
+SETTLE_S = 10.0
+READY_S = 60.0
+_TICK_S = 1.0 / os.sysconf("SC_CLK_TCK")
+
+
+class Processes(TypedDict):
+    """What idle processes cost on one machine, engines included.
+
+    Attributes:
+      nodes: nodes beside the platform's stand-in and two engines.
+      rss_mb: resident memory of a node, mean over the nodes.
+      cpu_ms_per_s: processor time of a node, mean.
+      busiest_ms_per_s: the same of the busiest node.
+      restart_s: from starting a replaced process until it is ready.
+    """
+
+    nodes: int
+    rss_mb: float
+    cpu_ms_per_s: float
+    busiest_ms_per_s: float
+    restart_s: float
+
+
+def measure() -> list[Processes]:
+    """Returns the figures of all sizes."""
+    return [measure_size(size) for size in SIZES]
+
+
+def measure_size(size: int) -> Processes:
+    """Starts a small deployment and watches it without requests."""
+    with deployment.Deployment() as fleet:
+        names = [f"node-{n}" for n in range(size)]
+        _start(fleet, names)
+        time.sleep(SETTLE_S)
+        before = {n: _cpu_s(fleet.pid(n)) for n in names}
+        time.sleep(QUIET_S)
+        spent = [1000 * (_cpu_s(fleet.pid(n)) - before[n]) for n in names]
+        memory = [_rss_mb(fleet.pid(n)) for n in names]
+        restarted = _restart(fleet, names[-1])
+    return Processes(
+        nodes=size,
+        rss_mb=round(statistics.mean(memory), 1),
+        cpu_ms_per_s=round(statistics.mean(spent) / QUIET_S, 2),
+        busiest_ms_per_s=round(max(spent) / QUIET_S, 2),
+        restart_s=round(restarted, 1),
+    )
+
+
+def _start(fleet: deployment.Deployment, names: list[str]) -> None:
+    fleet.standin("platform", "platform", store_rate=4.0)
+    for number in (1, 2):
+        fleet.standin(
+            "engine",
+            f"engine-{number}",
+            domain=f"d{number}",
+            memory_bytes=80 << 30,
+        )
+    fleet.standin("ledger", "ledger-1", domain="d3")
+    for number, name in enumerate(names):
+        fleet.node(name, f"d{number % 3 + 1}")
+    checks = demo.Checks()
+    demo.apply(fleet, checks, demo.BASE % demo.key_digest(), demo.OVERLAY)
+    for name in names:
+        _wait_ready(fleet, name)
+
+
+def _wait_ready(fleet: deployment.Deployment, name: str) -> None:
+    node = caller.Caller(fleet.urls[name])
+    deployment.wait_until(
+        f"{name} is ready",
+        lambda: node.call("GET", "/readyz").status == 200,
+        READY_S,
+    )
+
+
+def _restart(fleet: deployment.Deployment, name: str) -> float:
+    fleet.kill(name)
+    started = time.monotonic()
+    fleet.node(name, "d1")
+    _wait_ready(fleet, name)
+    return time.monotonic() - started
+
+
+def _cpu_s(pid: int) -> float:
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")")[-1]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) * _TICK_S
+
+
+def _rss_mb(pid: int) -> float:
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1000
+    raise ValueError(f"no resident size for process {pid}")
