--- a/tests/test_processes_fleet.py
+++ b/tests/test_processes_fleet.py
@@ -14,6 +14,7 @@
 NODES = builders_processes.NODES
 IN_FORCE_S = 6.0
 NEW_WORK_S = 3.0
+STREAM_TOKENS = 800
 
 
 @pytest.fixture(scope="module", name="fleet")
@@ -137,10 +138,11 @@
         _served(fleet, node, "bead-check")
 
 
-def test_an_engine_that_leaves_gets_no_new_work_and_is_emptied(fleet):
+def test_an_engine_that_leaves_ends_its_work_and_gets_no_more(fleet):
     nodes = tuple(node for node in NODES if node not in fleet.gone)
+    stream, engine = fleet.start_chat(nodes[0], STREAM_TOKENS)
     platform = caller.Caller(fleet.processes.urls["platform"])
-    assert platform.call("POST", "/vms/engine-1/leave", {}).status == 200
+    assert platform.call("POST", f"/vms/{engine}/leave", {}).status == 200
     deployment.wait_until(
         "the list says that it leaves",
         lambda: any(
@@ -149,17 +151,19 @@
         30,
     )
     time.sleep(NEW_WORK_S)
-    fleet.fault("engine-1", crash_on="chuck")  # New work would be its end.
+    fleet.fault(engine, crash_on="chuck")  # New work would be its end.
     for number in range(30):
         seen = fleet.chat(nodes[number % len(nodes)], 3)
         assert fleet.whole(seen, 3), seen
-    assert fleet.alive("engine-1")
+    assert fleet.alive(engine)
+    seen = stream.result(timeout=120)
+    assert fleet.whole(seen, STREAM_TOKENS), seen
     deployment.wait_until(
         "it is emptied",
-        lambda: fleet.report("engine-1").get("models") == [],
+        lambda: fleet.report(engine).get("models") == [],
         120,
     )
-    assert fleet.alive("engine-1")
+    assert fleet.alive(engine)
 
 
 def test_memory_was_never_overcommitted(fleet):
