--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format binary bench
+.PHONY: setup demo test lint format binary bench capacity
 
 $(VENV)/.ready: requirements.lock requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -28,5 +28,8 @@
 bench: setup
 	$(BIN)/python -m tools.bench
 
+capacity: setup
+	$(BIN)/python -m tools.capacity
+
 binary: setup
 	$(BIN)/python -m tools.binary
--- a/azureline/fleet/directory.py
+++ b/azureline/fleet/directory.py
@@ -76,6 +76,7 @@
         self._unreachable: frozenset[str] = frozenset()
         # Filled by requests and emptied by changes, which are rarer by far.
         self._candidates: dict[str, list[picker.Candidate]] = {}
+        self._holders: dict[str, set[str]] = {}
 
     @property
     def vms(self) -> dict[str, platform.Vm]:
@@ -95,18 +96,31 @@
     def set_vm(self, vm: platform.Vm) -> None:
         """Takes an entry of the platform's list."""
         self._vms[vm.name] = vm
-        self._candidates.clear()
+        self._forget_models_of(vm.name)
 
     def drop_vm(self, name: str) -> None:
         """Forgets a VM that is no longer in the platform's list."""
         self._vms.pop(name, None)
-        self._views.pop(name, None)
-        self._candidates.clear()
+        self._forget_models_of(name)
+        view = self._views.pop(name, None)
+        for model in _ready_models(view):
+            self._holders[model].discard(name)
 
     def set_view(self, engine: str, view: EngineView) -> None:
         """Takes an owner's word about an engine."""
+        self._forget_models_of(engine)
+        before = _ready_models(self._views.get(engine))
+        after = _ready_models(view)
+        for model in before - after:
+            self._holders[model].discard(engine)
+        for model in after - before:
+            self._holders.setdefault(model, set()).add(engine)
         self._views[engine] = view
-        self._candidates.clear()
+        self._forget_models_of(engine)
+
+    def models_of(self, engine: str) -> set[str]:
+        """Returns the models that an engine holds, ready for requests."""
+        return _ready_models(self._views.get(engine))
 
     def set_unreachable(self, domains: frozenset[str]) -> None:
         """Takes the failure domains that are out of reach as a whole."""
@@ -134,11 +148,9 @@
         if self._config is None or model not in self._config.models:
             return []
         max_running = self._config.models[model].max_running
-        holders = [
-            name
-            for name, view in self._views.items()
-            if name in self._vms and _holds(view, model)
-        ]
+        holders = sorted(
+            name for name in self._holders.get(model, ()) if name in self._vms
+        )
         adapters = self._adapters_by_engine(model, holders)
         return [
             picker.Candidate(
@@ -171,6 +183,10 @@
             names, key=lambda n: (self._vms[n].domain != self._domain, n)
         )
 
+    def _forget_models_of(self, engine: str) -> None:
+        for model in _ready_models(self._views.get(engine)):
+            self._candidates.pop(model, None)
+
     def _state(self, engine: str) -> picker.State:
         vm = self._vms[engine]
         view = self._views[engine]
@@ -200,8 +216,10 @@
         return assigned
 
 
-def _holds(view: EngineView, model: str) -> bool:
-    return any(h.name == model and h.state == "ready" for h in view.models)
+def _ready_models(view: EngineView | None) -> set[str]:
+    if view is None:
+        return set()
+    return {held.name for held in view.models if held.state == "ready"}
 
 
 def _weight(adapter: str, engine: str) -> bytes:
--- a/azureline/node.py
+++ b/azureline/node.py
@@ -160,8 +160,6 @@
         self._generations.on_answered(self._planning.answered)
         await self._neighbours.start()
         self._poller.start()
-        self._generations.start()
-        self._once.start()
         self._suspicion.start()
         self._follower.start()
         self._port = self._reactor.listenTCP(
@@ -415,11 +413,12 @@
         except ValueError:
             self._counters.count("rumours.malformed")
             return
+        models = self._directory.models_of(name)
         if vm is None:
             self._directory.drop_vm(name)
         else:
             self._directory.set_vm(vm)
-        self._refresh_all()
+        self._generations.refresh(sorted(models))
 
     def _domains_changed(self, unreachable: frozenset[str]) -> None:
         self._directory.set_unreachable(unreachable)
--- a/azureline/nodes/neighbours.py
+++ b/azureline/nodes/neighbours.py
@@ -18,7 +18,7 @@
 from azureline.nodes import datagrams
 from azureline.nodes import links as links_lib
 
-TICK_S = 0.1
+TICK_S = 0.2
 
 MessageHandler = Callable[[str, Any], None]
 RumourHandler = Callable[[fleet_messages.Rumour, str], None]
--- a/azureline/serving/generations.py
+++ b/azureline/serving/generations.py
@@ -86,10 +86,6 @@
         """Has the model and tokens of each whole answer handed over."""
         self._on_answered = handler
 
-    def start(self) -> None:
-        """Starts the timer."""
-        self._ticker.start(TICK_S, now=False)
-
     def close(self) -> None:
         """Stops the timer."""
         if self._ticker.running:
@@ -112,6 +108,8 @@
             self._settings,
         )
         self._active[call.request_id] = gen
+        if not self._ticker.running:
+            self._ticker.start(TICK_S, now=False)
         self._counters.count("requests.model")
         self._place(gen)
 
@@ -339,6 +337,9 @@
         wake_at = self._admission.wake_at(now)
         if wake_at is not None and now >= wake_at:
             self._pump()
+        if not self._active:
+            # An idle node would spend most of its control budget on ticks.
+            self._ticker.stop()
 
     def _pump(self) -> None:
         """Sends and drops what admission says."""
--- a/azureline/serving/once_calls.py
+++ b/azureline/serving/once_calls.py
@@ -93,10 +93,6 @@
             if f"once/{pending.slot}" == name:
                 pending.call.owner_changed(now)
 
-    def start(self) -> None:
-        """Starts the timer."""
-        self._ticker.start(TICK_S, now=False)
-
     def close(self) -> None:
         """Stops the timer."""
         if self._ticker.running:
@@ -128,6 +124,8 @@
         done: defer.Deferred = defer.Deferred()
         pending = _Pending(call, sent, done, claim.slot, [])
         self._pending[claim.request_id] = pending
+        if not self._ticker.running:
+            self._ticker.start(TICK_S, now=False)
         self._counters.count("requests.once")
         self._act(pending, call.start(now))
         return await done
@@ -148,6 +146,9 @@
                 self._act(pending, pending.call.tick(now))
             if pending.call.done and pending.done.called:
                 self._pending.pop(request_id, None)
+        if not self._pending:
+            # An idle node would spend most of its control budget on ticks.
+            self._ticker.stop()
 
     def _act(self, pending: _Pending, effects: list[entry.Effect]) -> None:
         for effect in effects:
--- a/azureline/serving/suspicion.py
+++ b/azureline/serving/suspicion.py
@@ -12,8 +12,8 @@
 from azureline.routing import suspects as suspects_lib
 
 PREFIX = "suspect/"
-TICK_S = 0.1
-EXPIRE_TICKS = 100
+TICK_S = 0.5
+EXPIRE_TICKS = 20
 RUMOURS_PER_TICK = 8
 TTL_S = 1800
 _CODEC = wire.Codec({1: suspects_lib.SuspectSeen, 2: suspects_lib.Crash})
--- a/tests/builders_processes.py
+++ b/tests/builders_processes.py
@@ -255,7 +255,6 @@
         added[f"engine-{number}"] = {
             "domain": f"d{(number - 1) % 3 + 1}",
             "memory_bytes": "80 GiB",
-            "fences": number == 1,
         }
     document = {"site": "demo", "engines": {"$add": added}, "limits": limits}
     return json.dumps(document)
--- a/tests/builders_serving.py
+++ b/tests/builders_serving.py
@@ -171,7 +171,6 @@
             self.backends,
             self.counters,
         )
-        self.generations.start()
         self.generations.refresh([MODEL])
 
     def begin(self, number: int = 1, **fields: Any) -> Answer:
