Send the killer through all nodes at the same moment

Cause: with real processes its copies were sent one after another, which is the easier case for nodes that share what they know.

--- a/tests/test_processes_streams.py
+++ b/tests/test_processes_streams.py
@@ -154,16 +154,21 @@
         ]
         time.sleep(0.2)
         refused = []
-        for number in range(12):
-            node = NODES[number % len(NODES)]
-            chat = fleet.caller(node).chat(demo.MODEL, killer, 10)
-            assert not chat.whole
-            refused.append(chat.problem.get("kind"))
-            time.sleep(0.3)
+        for _ in range(4):
+            copies = [
+                fleet.in_background(
+                    fleet.caller(node).chat, demo.MODEL, killer, 10
+                )
+                for node in NODES
+            ]
+            chats = [copy.result(timeout=120) for copy in copies]
+            assert not any(chat.whole for chat in chats)
+            refused += [chat.problem.get("kind") for chat in chats]
+            time.sleep(0.5)
         died = [e for e in fleet.engines() if not fleet.alive(e)]
         print("killer:", refused, "engines that died:", died)
         assert len(died) <= MOST_CRASHES, (died, refused)
-        assert refused[-1] == "crash_suspect", refused
+        assert set(refused[-3:]) == {"crash_suspect"}, refused
         for future in sent:
             seen = future.result(timeout=200)
             assert fleet.whole(seen[-1], 40), seen
