Give nodes of tests fixed ports, and count every refusal

Ports were picked, let go and bound again by the node a moment later, and something took one in between; a node that cannot start also ended with code 0.

Ruled out: a second try with other ports (the race stays).

Change: each node has a loopback address of its own, so all use 8080 and 8081, below the ephemeral range; a failed start ends with code 1; serving/front.py answers for the node and counts refusals in one place; a caller that leaves is told to the call that may run once.

--- a/azureline/callers/request.py
+++ b/azureline/callers/request.py
@@ -43,6 +43,7 @@
             errors.ErrorKind.BODY_TOO_LARGE,
             f"The body may have up to {self._bound()} bytes.",
         )
+        self.channel.site.refused(refusal)
         answer.write_refusal(self, refusal, "")
 
     def _bound(self) -> int:
--- a/azureline/callers/site.py
+++ b/azureline/callers/site.py
@@ -93,6 +93,12 @@
     def issue_key(self) -> str:
         """Returns a new idempotency key."""
 
+    def refused(self, refusal: errors.Refusal) -> None:
+        """Counts a refusal that the interface has given."""
+
+    def caller_left(self, request_id: str) -> None:
+        """Learns that the caller of a service is gone."""
+
     def status(self) -> Any:
         """Returns the operators' status document."""
 
@@ -128,7 +134,7 @@
             case (_, path) if path.startswith(_SERVICES):
                 self._service(request)
             case _:
-                answer.write_refusal(
+                self._refuse(
                     request,
                     errors.Refusal(
                         errors.ErrorKind.NOT_FOUND, "No such path or method."
@@ -144,10 +150,16 @@
             return
         answer.write_json(request, 200, {"status": "ready"})
 
+    def _refuse(
+        self, request: Any, refusal: errors.Refusal, request_id: str
+    ) -> None:
+        self._backend.refused(refusal)
+        answer.write_refusal(request, refusal, request_id)
+
     def _issue_key(self, request: Any) -> None:
         identity = self._identify(request)
         if isinstance(identity, errors.Refusal):
-            answer.write_refusal(request, identity, "")
+            self._refuse(request, identity, "")
             return
         answer.write_json(request, 201, {"key": self._backend.issue_key()})
 
@@ -162,7 +174,7 @@
         request_id = _new_id()
         call, parsed = self._chat_call(request, request_id)
         if isinstance(call, errors.Refusal):
-            answer.write_refusal(request, call, request_id)
+            self._refuse(request, call, request_id)
             return
         to: Any
         if parsed.stream:
@@ -212,16 +224,23 @@
         request_id = _new_id()
         sent = self._service_request(request, request_id)
         if isinstance(sent, errors.Refusal):
-            answer.write_refusal(request, sent, request_id)
+            self._refuse(request, sent, request_id)
             return
         pending = defer.ensureDeferred(self._backend.call_service(sent))
         gone: list[bool] = []
-        request.notifyFinish().addErrback(lambda _: gone.append(True))
+
+        def left(_: Any) -> None:
+            gone.append(True)
+            self._backend.caller_left(request_id)
 
         def reply(result: Any) -> None:
+            if isinstance(result, errors.Refusal):
+                self._backend.refused(result)
             if not gone:
                 _reply(request, result, request_id)
 
+        request.notifyFinish().addErrback(left)
+
         def crashed(failure: Any) -> None:
             reply(errors.Refusal(errors.ErrorKind.INTERNAL, ""))
             failure.raiseException()
@@ -280,6 +299,7 @@
     """
     site = server.Site(Root(backend), requestFactory=request_lib.MemoryRequest)
     site.max_body_bytes = max_body_bytes
+    site.refused = backend.refused
     site.displayTracebacks = False
     return site
 
--- a/azureline/node.py
+++ b/azureline/node.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import sys
 from typing import Any
 import uuid
 
@@ -10,21 +11,15 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet import task
 
-from azureline import requests
 from azureline.backends import http as backend_http
-from azureline.callers import credentials as credentials_lib
-from azureline.callers import parse
 from azureline.callers import site as site_lib
 from azureline.config import schema
 from azureline.core import clock as clocks
-from azureline.core import errors
 from azureline.fleet import directory as directories
 from azureline.fleet import messages as fleet_messages
 from azureline.metrics import counters as metrics
 from azureline.nodes import links
 from azureline.nodes import neighbours as neighbours_lib
-from azureline.once import key as key_lib
-from azureline.operators import status as status_lib
 from azureline.platform import http as platform_http
 from azureline.platform import vm_poller
 from azureline.routing import admission
@@ -37,6 +32,7 @@
 from azureline.serving import adapters as adapters_lib
 from azureline.serving import config_follower
 from azureline.serving import engine_room
+from azureline.serving import front
 from azureline.serving import generations as generations_lib
 from azureline.serving import once_calls
 from azureline.serving import once_owners
@@ -50,7 +46,7 @@
 
 
 class Node:
-    """One entry VM's part of the system; it backs the callers' interface."""
+    """One entry VM's part of the system."""
 
     def __init__(
         self,
@@ -69,9 +65,7 @@
         self._rng = random.Random()
         self._identity = uuid.uuid4().hex
         self._config: schema.Configuration | None = None
-        self._credentials = credentials_lib.Credentials({})
-        self._draining = False
-        self._refusing = False
+        self._stopping = False
         statsd = settings.statsd
         self._counters = metrics.connect(
             statsd.host, statsd.port, statsd.prefix
@@ -144,6 +138,18 @@
             self._counters,
             settings.timeouts.watch_s,
         )
+        self._front = front.Front(
+            self._clock,
+            self._rng,
+            settings.timeouts.request_s,
+            self._generations,
+            self._services,
+            self._once,
+            self._planning,
+            self._neighbours.membership,
+            self._directory,
+            self._counters,
+        )
         self._port: Any = None
 
     async def start(self) -> None:
@@ -164,7 +170,7 @@
         self._follower.start()
         self._port = self._reactor.listenTCP(
             self._settings.port,
-            site_lib.make_site(self, self._settings.buffers.body_bytes),
+            site_lib.make_site(self._front, self._settings.buffers.body_bytes),
             interface=self._settings.host,
         )
         logging.info(
@@ -181,116 +187,26 @@
         Readiness fails first; requests are still accepted until the balancer
         has had time to notice.
         """
-        if self._draining:
+        if self._stopping:
             return
-        self._draining = True
+        self._stopping = True
+        self._front.drain()
         timeouts = self._settings.timeouts
-        logging.info("event=draining active=%d", self._active())
+        logging.info("event=draining active=%d", self._front.active)
         self._neighbours.announce(leaving=True)
         await self._within(HAND_OVER_S, self._once_owners.drain())
         await self._within(HAND_OVER_S, self._room.release())
         await self._sleep(timeouts.drain_notice_s)
-        self._refusing = True
+        self._front.close()
         give_up_at = self._clock.now() + timeouts.drain_s
-        while self._active() and self._clock.now() < give_up_at:
+        while self._front.active and self._clock.now() < give_up_at:
             await self._sleep(DRAIN_POLL_S)
         if self._port is not None:
             await defer.maybeDeferred(self._port.stopListening)
         await self._sleep(DRAIN_QUIET_S)
-        logging.info("event=stopped active=%d", self._active())
+        logging.info("event=stopped active=%d", self._front.active)
         await self._close()
 
-    def refusal(self) -> errors.Refusal | None:
-        """Returns why new requests are refused, or None."""
-        if self._refusing:
-            return errors.Refusal(
-                errors.ErrorKind.SHUTTING_DOWN, "This node is stopping."
-            )
-        if self._config is None:
-            return errors.Refusal(
-                errors.ErrorKind.NOT_READY,
-                "No configuration is in force on this node yet.",
-            )
-        return None
-
-    def ready(self) -> errors.Refusal | None:
-        """Returns why the balancer is to send no requests, or None."""
-        if self._draining:
-            return errors.Refusal(
-                errors.ErrorKind.SHUTTING_DOWN, "This node is stopping."
-            )
-        return self.refusal()
-
-    def credentials(self) -> credentials_lib.Credentials:
-        """Returns the callers of the configuration in force."""
-        return self._credentials
-
-    def target(self, name: str) -> parse.Target | errors.Refusal:
-        """Returns the model and adapter that a name stands for."""
-        if self._config is not None:
-            if name in self._config.models:
-                return parse.Target(name, "")
-            if name in self._config.adapters:
-                return parse.Target(self._config.adapters[name].model, name)
-        return errors.Refusal(
-            errors.ErrorKind.UNKNOWN_MODEL, f"There is no model {name!r}."
-        )
-
-    def deadline(self, seconds: float) -> float:
-        """Returns the monotonic time that many seconds from now."""
-        return self._clock.now() + seconds
-
-    def default_deadline_s(self) -> float:
-        """Returns the deadline in seconds of requests that name none."""
-        return self._settings.timeouts.request_s
-
-    def generate(
-        self,
-        call: requests.ModelCall,
-        messages: list[dict[str, str]],
-        to: Any,
-    ) -> None:
-        """Starts a generation that answers to `to`."""
-        self._planning.count(call)
-        self._generations.begin(call, messages, to)
-
-    def is_idempotent(
-        self, service: str, method: str, path: str
-    ) -> bool | errors.Refusal:
-        """Returns the repeat rule of a call."""
-        if self._config is None or service not in self._config.services:
-            return errors.Refusal(
-                errors.ErrorKind.UNKNOWN_SERVICE,
-                f"There is no service {service!r}.",
-            )
-        return self._config.services[service].is_idempotent(method, path)
-
-    async def call_service(
-        self, sent: site_lib.ServiceRequest
-    ) -> site_lib.ServiceAnswer | errors.Refusal:
-        """Carries out a call to a service."""
-        if not sent.call.idempotent:
-            return await self._once.run(sent)
-        self._counters.count("requests.service")
-        result = await self._services.repeatable(sent)
-        if isinstance(result, errors.Refusal):
-            self._counters.count(result.counter)
-        return result
-
-    def issue_key(self) -> str:
-        """Returns a new idempotency key."""
-        return key_lib.issue(self._clock.wall(), self._rng)
-
-    def status(self) -> status_lib.Status:
-        """Returns the operators' status document."""
-        return status_lib.build(
-            self._neighbours.membership,
-            self._clock.now(),
-            self._directory,
-            self._counters,
-            self._follower.version,
-        )
-
     def _make_neighbours(self) -> neighbours_lib.Neighbours:
         settings = self._settings
         info = fleet_messages.MemberInfo(
@@ -370,14 +286,7 @@
     def _in_force(self, version: int, config: schema.Configuration) -> None:
         """Puts an accepted configuration in force on this node."""
         self._config = config
-        self._credentials = credentials_lib.Credentials(
-            {
-                caller.key_sha256: credentials_lib.Identity(
-                    name, caller.priority
-                )
-                for name, caller in config.callers.items()
-            }
-        )
+        self._front.configure(version, config)
         self._configure_routing(config)
         self._directory.configure(config)
         self._planning.configure(version, config)
@@ -431,9 +340,6 @@
         if self._config is not None:
             self._generations.refresh(list(self._config.models))
 
-    def _active(self) -> int:
-        return self._generations.active + self._once.active
-
     async def _close(self) -> None:
         self._poller.close()
         self._follower.close()
@@ -466,6 +372,9 @@
 
     Args:
       settings: the VM's settings.
+
+    Raises:
+      SystemExit: if the node could not start.
     """
     node = Node(settings)
 
@@ -477,8 +386,11 @@
     def on_signal(number: int, frame: Any) -> None:
         default_reactor.callFromThread(stop)
 
+    failures: list[str] = []
+
     def failed(failure: Any) -> None:
-        logging.error("event=start_failed reason=%r", str(failure.value))
+        failures.append(str(failure.value))
+        logging.error("event=start_failed reason=%r", failures[-1])
         default_reactor.stop()
 
     def begin() -> None:
@@ -488,6 +400,8 @@
 
     default_reactor.callWhenRunning(begin)
     default_reactor.run(installSignalHandlers=False)
+    if failures:
+        sys.exit(1)
 
 
 def _address(text: str) -> tuple[str, int]:
--- a/azureline/serving/once_calls.py
+++ b/azureline/serving/once_calls.py
@@ -93,6 +93,13 @@
             if f"once/{pending.slot}" == name:
                 pending.call.owner_changed(now)
 
+    def caller_left(self, request_id: str) -> None:
+        """Learns that a caller is gone; a call that runs goes on."""
+        pending = self._pending.get(request_id)
+        if pending is not None:
+            now = self._clock.now()
+            self._act(pending, pending.call.caller_gone(now))
+
     def close(self) -> None:
         """Stops the timer."""
         if self._ticker.running:
@@ -198,7 +205,6 @@
         if pending.done.called:
             return
         if isinstance(result, errors.Refusal):
-            self._counters.count(result.counter)
             pending.done.callback(result)
             return
         self._counters.count("answered.once")
--- a/tests/builders_callers.py
+++ b/tests/builders_callers.py
@@ -19,15 +19,23 @@
     def __init__(self):
         self.calls: list[requests.ModelCall] = []
         self.sent: list[site.ServiceRequest] = []
-        self.refused: errors.Refusal | None = None
+        self.stopped: errors.Refusal | None = None
         self.answer: Any = None
         self.hold = False
+        self.counted: list[errors.ErrorKind] = []
+        self.left: list[str] = []
+
+    def caller_left(self, request_id):
+        self.left.append(request_id)
+
+    def refused(self, refusal):
+        self.counted.append(refusal.kind)
 
     def refusal(self):
-        return self.refused
+        return self.stopped
 
     def ready(self):
-        return self.refused
+        return self.stopped
 
     def credentials(self):
         digest = hashlib.sha256(KEY.encode()).hexdigest()
--- a/tests/test_callers_site.py
+++ b/tests/test_callers_site.py
@@ -84,11 +84,12 @@
     assert response.json["kind"] == kind
     assert response.json["ran"] == "no"
     assert response.headers["Content-Type"] == "application/problem+json"
+    assert [k.value for k in backend.counted] == [kind]
     assert not backend.calls
 
 
 def test_a_refusal_says_when_to_come_back(site, backend):
-    backend.refused = errors.Refusal(
+    backend.stopped = errors.Refusal(
         errors.ErrorKind.OVERLOADED, "full", retry_after=2.4
     )
     response = _chat(site)
@@ -142,7 +143,7 @@
 
 
 def test_readiness_fails_while_health_does_not(site, backend):
-    backend.refused = errors.Refusal(errors.ErrorKind.SHUTTING_DOWN, "x")
+    backend.stopped = errors.Refusal(errors.ErrorKind.SHUTTING_DOWN, "x")
     assert builders_http.request(site, "GET", "/readyz").status == 503
     assert builders_http.request(site, "GET", "/healthz").status == 200
     assert builders_http.request(site, "GET", "/nowhere").status == 404
--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import json
-import socket
+import os
 import subprocess
 import sys
 import time
@@ -10,6 +10,7 @@
 import pytest
 
 from tests import builders_config
+from tools import deployment
 
 _OPTIONS = ("store_loads_per_s", "store_loads_at_once", "adapters_in_transit")
 
@@ -36,16 +37,16 @@
     )
 
 
-def _node(stack, folder, number, ports, url):
+def _node(stack, folder, number, url):
     """Starts a node that knows two others and returns its process."""
     settings = {
         "name": f"node-{number}",
-        "host": "127.0.0.1",
-        "port": ports[2 * number],
-        "link_port": ports[2 * number + 1],
+        "host": _host(number),
+        "port": deployment.NODE_PORT,
+        "link_port": deployment.LINK_PORT,
         "domain": "abc"[number % 3],
         "platform": {"url": url},
-        "seeds": [f"127.0.0.1:{ports[1]}", f"127.0.0.1:{ports[3]}"],
+        "seeds": [f"{_host(i)}:{deployment.LINK_PORT}" for i in range(2)],
     }
     path = folder / f"node-{number}.json"
     path.write_text(json.dumps(settings))
@@ -58,21 +59,21 @@
     return process
 
 
-def _free_ports(count):
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
+def _host(number):
+    """Returns a loopback address of a node's own, as VMs have."""
+    pid = os.getpid()
+    return f"127.{220 + number}.{pid // 250 % 250}.{pid % 250 + 1}"
 
 
-def _in_force_on(nodes, port):
+def _in_force_on(nodes):
     """Waits until version 1 is in force on a number of live VMs."""
     wanted = f"version 1 is in force on {nodes} of {nodes} live VMs"
     shown = ""
     give_up_at = time.monotonic() + 60
     while wanted not in shown and time.monotonic() < give_up_at:
-        status = _start("status", "--node", f"127.0.0.1:{port}")
+        status = _start(
+            "status", "--node", f"{_host(0)}:{deployment.NODE_PORT}"
+        )
         shown = status.communicate(timeout=60)[0]
     return wanted in shown, shown
 
@@ -82,19 +83,18 @@
     base = tmp_path / "base.json"
     base.write_text(json.dumps(builders_config.document()))
     (tmp_path / "site.json").write_text("{}")
-    ports = _free_ports(8)
     with contextlib.ExitStack() as stack:
         with _platform() as url:
-            nodes = [_node(stack, tmp_path, i, ports, url) for i in range(3)]
+            nodes = [_node(stack, tmp_path, i, url) for i in range(3)]
             files = (str(base), str(tmp_path / "site.json"))
             assert _start("apply", *files, "--platform", url).wait(60) == 0
-            assert _in_force_on(3, ports[0])[0]
-        _node(stack, tmp_path, 3, ports, url)
-        assert _in_force_on(4, ports[0])[0]
+            assert _in_force_on(3)[0]
+        _node(stack, tmp_path, 3, url)
+        assert _in_force_on(4)[0]
         nodes[0].kill()
         nodes[0].wait()
-        _node(stack, tmp_path, 0, ports, url)
-        assert _in_force_on(4, ports[0])[0]
+        _node(stack, tmp_path, 0, url)
+        assert _in_force_on(4)[0]
 
 
 @pytest.mark.processes
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import selectors
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +14,10 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 5.0
 POLL_S = 0.3
+# Below the range of ephemeral ports, so that nothing takes them by chance;
+# each VM has an address of its own.
+NODE_PORT = 8080
+LINK_PORT = 8081
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -74,12 +77,11 @@
     def node(self, name: str, domain: str, **settings: Any) -> str:
         """Starts a node and returns the URL of its callers' interface."""
         host = self._next_host()
-        port, link_port = free_port(host), free_port(host)
         document = {
             "name": name,
             "host": host,
-            "port": port,
-            "link_port": link_port,
+            "port": NODE_PORT,
+            "link_port": LINK_PORT,
             "domain": domain,
             "platform": {"url": self.urls["platform"]},
             "seeds": list(self._seeds),
@@ -89,8 +91,8 @@
         path.write_text(json.dumps(document, indent=2))
         command = [*self.program, "node", "--settings", str(path)]
         self._start(name, command, stdout=subprocess.DEVNULL)
-        self._seeds.append(f"{host}:{link_port}")
-        self.urls[name] = f"http://{host}:{port}"
+        self._seeds.append(f"{host}:{LINK_PORT}")
+        self.urls[name] = f"http://{host}:{NODE_PORT}"
         return self.urls[name]
 
     def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
@@ -133,20 +135,6 @@
         return f"{self._network}.{len(self._processes) + 1}"
 
 
-def free_port(host: str) -> int:
-    """Returns a port that is free for TCP and UDP at an address."""
-    while True:
-        with (
-            socket.socket(type=socket.SOCK_STREAM) as tcp,
-            socket.socket(type=socket.SOCK_DGRAM) as udp,
-        ):
-            tcp.bind((host, 0))
-            port = tcp.getsockname()[1]
-            with contextlib.suppress(OSError):
-                udp.bind((host, port))
-                return port
-
-
 def _arguments(options: dict[str, Any]) -> list[str]:
     arguments = []
     for name, value in options.items():
