--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -68,6 +68,7 @@
 def _in_force_on(nodes):
     """Waits until version 1 is in force on a number of live VMs."""
     wanted = f"version 1 is in force on {nodes} of {nodes} live VMs"
+    node = f"{_host(0)}:{deployment.NODE_PORT}"
     shown = ""
     give_up_at = time.monotonic() + 60
     while wanted not in shown and time.monotonic() < give_up_at:
