--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -72,9 +72,7 @@
     shown = ""
     give_up_at = time.monotonic() + 60
     while wanted not in shown and time.monotonic() < give_up_at:
-        status = _start(
-            "status", "--node", f"{_host(0)}:{deployment.NODE_PORT}"
-        )
+        status = _start("status", "--node", node)
         shown = status.communicate(timeout=60)[0]
     return wanted in shown, shown
 
