Spread service calls, and leave engines that left the configuration

Every node sent all calls of a service to the first server by name in its failure domain; an engine that was taken out of the configuration went on receiving requests; the report of another engine at a reused address was taken for the listed one's.

Ruled out: round robin (nodes that start together go in step).

Change: a random server among the near ones; candidates must be in the configuration in force; a report with another name counts as missed.

--- a/azureline/fleet/directory.py
+++ b/azureline/fleet/directory.py
@@ -148,8 +148,11 @@
         if self._config is None or model not in self._config.models:
             return []
         max_running = self._config.models[model].max_running
+        # An engine that left the configuration is nobody's to manage.
         holders = sorted(
-            name for name in self._holders.get(model, ()) if name in self._vms
+            name
+            for name in self._holders.get(model, ())
+            if name in self._vms and name in self._config.engines
         )
         adapters = self._adapters_by_engine(model, holders)
         return [
@@ -163,11 +166,13 @@
             for name in holders
         ]
 
-    def servers(self, service: str) -> list[str]:
-        """Returns the servers of a service that may take new work.
+    def is_near(self, server: str) -> bool:
+        """Returns whether a server is in this node's failure domain."""
+        vm = self._vms.get(server)
+        return vm is not None and vm.domain == self._domain
 
-        Those in this node's failure domain come first.
-        """
+    def servers(self, service: str) -> list[str]:
+        """Returns the servers of a service that may take new work, sorted."""
         if self._config is None or service not in self._config.services:
             return []
         entry = self._config.services[service]
@@ -179,9 +184,7 @@
             and not vm.leaving
             and vm.domain not in self._unreachable
         ]
-        return sorted(
-            names, key=lambda n: (self._vms[n].domain != self._domain, n)
-        )
+        return sorted(names)
 
     def _forget_models_of(self, engine: str) -> None:
         for model in _ready_models(self._views.get(engine)):
--- a/azureline/fleet/keeper.py
+++ b/azureline/fleet/keeper.py
@@ -238,7 +238,8 @@
         engine = self._engines.get(name)
         if engine is None:
             return
-        if isinstance(report, http.Failure):
+        # An address may have passed to another engine since it was listed.
+        if isinstance(report, http.Failure) or report.engine != name:
             engine.missed += 1
             self._tell(name, engine)
             return
--- a/azureline/node.py
+++ b/azureline/node.py
@@ -281,6 +281,7 @@
             breakers,
             self._retries,
             self._counters,
+            self._rng,
         )
 
     def _in_force(self, version: int, config: schema.Configuration) -> None:
--- a/azureline/serving/services.py
+++ b/azureline/serving/services.py
@@ -1,6 +1,7 @@
 """Calls to ledger engines and plain services."""
 
 import math
+import random
 from typing import Any
 from typing import NamedTuple
 
@@ -56,6 +57,7 @@
         breakers: breaker.Breakers,
         retries: retry.Retries,
         counters: metrics.Counters,
+        rng: random.Random,
     ):
         """Creates the sender.
 
@@ -67,6 +69,7 @@
           breakers: learns which servers fail.
           retries: decides on failed attempts of idempotent calls.
           counters: counts retries by reason.
+          rng: spreads calls over the servers of a service.
         """
         self._reactor = reactor
         self._clock = clock
@@ -75,6 +78,7 @@
         self._breakers = breakers
         self._retries = retries
         self._counters = counters
+        self._rng = rng
 
     async def repeatable(
         self, sent: site.ServiceRequest
@@ -130,17 +134,15 @@
     def _choose(
         self, service: str, tried: list[str], again: bool = True
     ) -> str | errors.Refusal:
-        """Picks a server: nearest first, untried before tried."""
+        """Picks a server: untried ones first, of these one that is near."""
         now = self._clock.now()
         servers = self._directory.servers(service)
         fresh = [s for s in servers if s not in tried]
         usable = [s for s in fresh if self._breakers.permits(now, s)]
-        if usable:
-            return usable[0]
-        if fresh:
-            return fresh[0]
-        if servers and again:
-            return servers[len(tried) % len(servers)]
+        near = [s for s in usable if self._directory.is_near(s)]
+        choices = near or usable or fresh or (servers if again else [])
+        if choices:
+            return self._rng.choice(choices)
         return errors.Refusal(
             errors.ErrorKind.NO_REPLICA,
             f"No server of {service} can be reached.",
--- a/tools/capacity_entry.py
+++ b/tools/capacity_entry.py
@@ -37,6 +37,7 @@
 CHANGE_EVERY_S = 20.0
 CHANGE_BYTES = 200
 CHANGES_PER_S = 530 / 86400
+LOOKUP_VIEWS = 200
 TOKENS_PER_STREAM = 125
 REPLICAS = (4, 8, 16, 32)
 ENGINE_SIZES = (6, 200, 450, 900)
@@ -115,7 +116,7 @@
 
 
 def _refresh_views(network: builders_network.Network, size: int) -> float:
-    """Tells each engine's view every 30 s; returns the share that is fresh.
+    """Tells each engine's view once a refresh; returns the share that is fresh.
 
     A view is fresh on a node if it is there 6 s after it was told.
     """
@@ -200,8 +201,17 @@
     rng = random.Random(SEED)
     directory = directories.Directory("d0")
     models = {f"model-{m}": {"memory_bytes": 20 * 2**30} for m in range(MODELS)}
+    listed = {
+        f"engine-{e}": {
+            "domain": f"d{e % DOMAINS}",
+            "memory_bytes": 320 * 2**30,
+        }
+        for e in range(engines)
+    }
     directory.configure(
-        builders_directory.configuration(models=models, adapters={})
+        builders_directory.configuration(
+            models=models, adapters={}, engines=listed
+        )
     )
     for engine in range(engines):
         name = f"engine-{engine}"
@@ -215,14 +225,18 @@
     spent = []
     for engines in ENGINE_SIZES:
         directory = full_directory(engines)
+        rng = random.Random(SEED)
         started = time.process_time()
-        for number in range(MODELS):
-            directory.candidates(f"model-{number}")
-        each = (time.process_time() - started) / MODELS
+        for number in range(LOOKUP_VIEWS):
+            engine = number % engines
+            directory.set_view(f"engine-{engine}", view(rng, engine))
+            for model in directory.models_of(f"engine-{engine}"):
+                directory.candidates(model)
+        each = (time.process_time() - started) / LOOKUP_VIEWS
         heard_per_s = engines / keeper.VIEW_REFRESH_S
-        spent.append(1000 * each * (heard_per_s * HELD_MODELS + REQUESTS_PER_S))
+        spent.append(1000 * each * heard_per_s)
     return _series(
-        "look-ups of replicas (each view and request)",
+        "look-ups of replicas (each view that is heard)",
         "ms/s",
         list(ENGINE_SIZES),
         spent,
