Wait for an approval to run before the node that sent it is killed

Ruled out: a false answer (the refusal said "not run", and the ledger never saw the key).

Change: the test sends approvals until one runs, checks that each refusal before it was true at the ledger, and only then kills the node. What it asserts of the kill is unchanged.

--- a/tests/test_processes_once.py
+++ b/tests/test_processes_once.py
@@ -27,6 +27,26 @@
     return NODES[0]
 
 
+def _under_way(fleet, node):
+    """Returns the key and the answer to come of an approval that runs.
+
+    Owners that are still coming back from an outage refuse as not run.
+    """
+    give_up_at = time.monotonic() + 60
+    while time.monotonic() < give_up_at:
+        key = caller.new_key()
+        sent = fleet.in_background(fleet.approve, node, key, 5)
+        while not sent.done():
+            if key in fleet.runs():
+                return key, sent
+            time.sleep(0.05)
+        refused = sent.result()
+        assert refused.document["ran"] == "no", refused
+        assert key not in fleet.runs()
+        time.sleep(refused.document["retry_after"])
+    raise AssertionError("no approval was run within 60 s")
+
+
 def test_an_answer_lost_by_the_ledger_is_never_repeated(fleet):
     fleet.fault("ledger-1", drop_answers=1)
     key = caller.new_key()
@@ -83,11 +103,7 @@
 
 def test_a_node_killed_with_a_request_under_way_leaves_the_truth(fleet):
     fleet.fault("ledger-1", delay_s=3.0)
-    key = caller.new_key()
-    lost = fleet.in_background(fleet.approve, "node-1", key, 5)
-    deadline = time.monotonic() + 10
-    while key not in fleet.runs() and time.monotonic() < deadline:
-        time.sleep(0.05)
+    key, lost = _under_way(fleet, "node-1")
     fleet.processes.kill("node-1")
     assert lost.result(timeout=30).status == 0
     fleet.fault("ledger-1", delay_s=0.0)
