Pass over descriptors that close while they are listed

Ruled out: the program (the descriptor was a connection, and nothing is open for writing). Change: the test passes over a descriptor that is gone; one that is open for writing is found as before.

--- a/tests/test_processes_binary.py
+++ b/tests/test_processes_binary.py
@@ -49,8 +49,11 @@
     """Returns the regular files that a process has open for writing."""
     found = []
     for entry in pathlib.Path(f"/proc/{pid}/fd").iterdir():
-        target = os.readlink(entry)
-        info = (entry.parent.parent / "fdinfo" / entry.name).read_text()
+        try:
+            target = os.readlink(entry)
+            info = (entry.parent.parent / "fdinfo" / entry.name).read_text()
+        except FileNotFoundError:  # A connection that was closed meanwhile.
+            continue
         flags = int(info.split("flags:")[1].split()[0], 8)
         if flags & os.O_ACCMODE and pathlib.Path(target).is_file():
             found.append(target)
