Meet the users' platform in azureline/platform

Cause: the users' platform speaks its own HTTP and JSON: a store with leases, watches and conditional changes, entries of backend servers, an operator's configuration, orders and reports of engines.

Ruled out: using the wire's names inside; several of them serve more than one call.

Change: names, formats and calls in azureline/platform, decoded once into types of azureline/relay. A malformed entry names no server; a configuration that cannot be read is told with its place.

Conclusion: nothing outside the folder knows the platform's names.

--- /dev/null
+++ b/azureline/platform/entries.py
@@ -0,0 +1,164 @@
+"""Backend servers' entries in the store, and their reports."""
+
+import json
+import math
+from typing import Any
+
+from azureline.platform import names
+from azureline.platform import operator
+from azureline.relay import orders
+from azureline.relay import servers
+from azureline.util import http1
+
+_STATES = {"ready": False, "draining": True}
+
+
+def server_id(key: str) -> str:
+    """Returns the id of the server whose entry lies under a key."""
+    return key.removeprefix(names.SERVERS_PREFIX)
+
+
+def decode(
+    key: str, value: bytes
+) -> servers.BackendServer | operator.Unreadable:
+    """Returns a server's entry, or what is wrong with it.
+
+    Entries may come from other writers: one that lacks a field, or has one of
+    another type, names no server.
+    """
+    entry = _object(value)
+    if not isinstance(entry, dict):
+        return operator.Unreadable(key, "not a JSON object")
+    address = _address(entry.get("address"))
+    state = entry.get("state")
+    if address is None:
+        return operator.Unreadable(f"{key}.address", "is no IP:PORT")
+    if not isinstance(state, str) or state not in _STATES:
+        return operator.Unreadable(f"{key}.state", "is no known state")
+    for name in ("service", "zone"):
+        if not isinstance(entry.get(name), str):
+            return operator.Unreadable(f"{key}.{name}", "is no text")
+    for name in ("slots", "sequence"):
+        if not _is_count(entry.get(name)):
+            return operator.Unreadable(f"{key}.{name}", "is no count")
+    born = entry.get("born", 0)
+    if not _is_count(born):
+        return operator.Unreadable(f"{key}.born", "is no count")
+    models = _residents(entry.get("models", []))
+    if models is None:
+        return operator.Unreadable(f"{key}.models", "is no list of models")
+    at_hand = entry.get("at_hand")
+    return servers.BackendServer(
+        server_id=server_id(key),
+        service=entry["service"],
+        address=address,
+        domain=entry["zone"],
+        slots=entry["slots"],
+        leaving=_STATES[state] or _is_count(entry.get("remaining_ms")),
+        born_ms=born,
+        # Here the name means the number of the entry; in a report it means
+        # the number of orders accepted.
+        beat=entry["sequence"],
+        models=models,
+        in_memory=_names(at_hand, "in_memory"),
+        on_disk=_names(at_hand, "on_disk"),
+    )
+
+
+def decode_report(value: bytes) -> orders.Report | operator.Unreadable:
+    """Returns an engine's report, or what is wrong with it."""
+    report = _object(value)
+    if not isinstance(report, dict):
+        return operator.Unreadable("report", "not a JSON object")
+    models = _residents(report.get("models"))
+    sequence = report.get("sequence")
+    if models is None or not _is_count(sequence):
+        return operator.Unreadable("report", "lacks models or sequence")
+    at_hand = report.get("at_hand")
+    return orders.Report(
+        born_ms=_number(report.get("born")),
+        sequence=sequence,
+        busy=report.get("busy") is True,
+        models=models,
+        coming=_coming(report.get("coming")),
+        in_memory=_names(at_hand, "in_memory"),
+        on_disk=_names(at_hand, "on_disk"),
+        running=_number(report.get("running_reqs")),
+        queued=_number(report.get("queued_reqs")),
+        cache_used=_number(report.get("kv_used")),
+        cache_total=_number(report.get("kv_total")),
+    )
+
+
+def _object(value: bytes) -> Any:
+    try:
+        return json.loads(value)
+    except (ValueError, RecursionError):
+        return None
+
+
+def _is_count(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+
+
+def _number(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return 0
+    return int(value) if math.isfinite(value) else 0
+
+
+def _address(value: Any) -> http1.Address | None:
+    if not isinstance(value, str):
+        return None
+    host, _, port = value.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        return None
+    return http1.Address(host, int(port))
+
+
+def _residents(value: Any) -> tuple[servers.Resident, ...] | None:
+    if not isinstance(value, list):
+        return None
+    found = []
+    for row in value:
+        if not isinstance(row, dict) or not isinstance(row.get("name"), str):
+            return None
+        adapters = row.get("adapters", [])
+        if not isinstance(adapters, list):
+            return None
+        found.append(
+            servers.Resident(
+                row["name"],
+                _number(row.get("version")),
+                tuple(_adapter(a) for a in adapters),
+            )
+        )
+    return tuple(found)
+
+
+def _adapter(value: Any) -> str:
+    """Returns an adapter's name from NAME, NAME@VERSION or an object."""
+    if isinstance(value, dict):
+        value = value.get("name", "")
+    return str(value).partition("@")[0].rpartition("/")[2]
+
+
+def _coming(value: Any) -> tuple[tuple[str, str], ...]:
+    """Reads a list of MODEL/ADAPTER@VERSION."""
+    if not isinstance(value, list):
+        return ()
+    pairs = []
+    for item in value:
+        model, _, adapter = str(item).partition("@")[0].partition("/")
+        pairs.append((model, adapter))
+    return tuple(pairs)
+
+
+def _names(value: Any, name: str) -> tuple[str, ...]:
+    listed = value.get(name) if isinstance(value, dict) else None
+    if not isinstance(listed, list):
+        return ()
+    return tuple(
+        str(v.get("name", "") if isinstance(v, dict) else v).partition("@")[0]
+        for v in listed
+    )
--- /dev/null
+++ b/azureline/platform/names.py
@@ -0,0 +1,39 @@
+"""Names on the wire of the users' platform, each in one place."""
+
+# Headers of requests and answers, in lower case.
+REQUEST_ID = b"azureline-request-id"
+# Milliseconds that the caller will wait, not a point in time.
+DEADLINE = b"azureline-request-deadline"
+PREFIX = b"azureline-prompt-prefix"
+MODEL = b"azureline-model"
+# "PROMPT,OUTPUT": tokens of the prompt and the most tokens of the answer.
+TOKENS = b"azureline-token-usage"
+# The backend server's checksum of the answer, to be passed on unchanged.
+SEAL = b"azureline-server-seal"
+NOT_RUN = b"azureline-not-executed"
+EXPECT_INSTANCE = b"azureline-expect-instance"
+INSTANCE = b"azureline-instance-id"
+PRIORITY = b"azureline-request-priority"
+LAST_EVENT = b"last-event-id"
+RETRY_AFTER = b"retry-after"
+
+# Headers that only this system may set towards an engine.
+RESERVED = frozenset(
+    {
+        EXPECT_INSTANCE,
+        PRIORITY,
+        b"azureline-expect-version",
+        b"azureline-pin-ms",
+        b"azureline-hold",
+        b"azureline-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    }
+)
+
+# Keys of the store.
+CONFIG_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
+SERVERS_PREFIX = "servers/"
+
+READY_PATH = b"/readyz"
--- /dev/null
+++ b/azureline/platform/operator.py
@@ -0,0 +1,182 @@
+"""The operators' configuration as it lies in the store."""
+
+import json
+import math
+from typing import Any
+from typing import NamedTuple
+
+from azureline.relay import routes
+
+_KINDS = {
+    "idempotent": routes.Kind.IDEMPOTENT,
+    "non_idempotent": routes.Kind.NON_IDEMPOTENT,
+    "streaming": routes.Kind.STREAMING,
+}
+
+
+class Unreadable(NamedTuple):
+    """Falsy sentinel: bytes that are no valid document.
+
+    Attributes:
+      where: path to the value, or "" for the whole.
+      reason: what is wrong with it.
+    """
+
+    where: str
+    reason: str
+
+    def __bool__(self) -> bool:
+        return False
+
+
+class _FieldError(ValueError):
+    def __init__(self, where: str, reason: str):
+        super().__init__(reason)
+        self.where = where
+
+
+def decode(data: bytes) -> routes.SiteConfig | Unreadable:
+    """Returns a configuration, or where it cannot be read."""
+    try:
+        document = json.loads(data)
+    except ValueError as e:
+        return Unreadable("", f"not JSON: {e}")
+    try:
+        top = _Fields(document, "")
+        return routes.SiteConfig(
+            version=top.integer("version"),
+            routes=tuple(_route(f) for f in top.rows("routes")),
+            services={
+                s.name: s for s in (_service(f) for f in top.rows("services"))
+            },
+            limits=_limits(top.table("limits")),
+        )
+    except _FieldError as e:
+        return Unreadable(e.where, str(e))
+
+
+class _Fields:
+    """Reads typed fields of one JSON object."""
+
+    def __init__(self, value: Any, where: str):
+        if not isinstance(value, dict):
+            raise _FieldError(where, "expected an object")
+        self._value = value
+        self._where = where
+
+    def has(self, name: str) -> bool:
+        return self._value.get(name) is not None
+
+    def text(self, name: str, default: str | None = None) -> str:
+        return self._get(name, str, default)
+
+    def integer(self, name: str, default: int | None = None) -> int:
+        return self._get(name, int, default)
+
+    def flag(self, name: str) -> bool:
+        return self._get(name, bool, False)
+
+    def number(self, name: str, default: float | None = None) -> float:
+        value = self._get(name, (int, float), default)
+        if not math.isfinite(value):
+            raise _FieldError(self._at(name), "expected a finite number")
+        return float(value)
+
+    def seconds(self, name: str, default_ms: float | None = None) -> float:
+        """Returns a field of milliseconds in seconds."""
+        return self.number(name, default_ms) / 1000
+
+    def table(self, name: str) -> "_Fields":
+        return _Fields(self._value.get(name, {}), self._at(name))
+
+    def rows(self, name: str) -> list["_Fields"]:
+        rows = self._get(name, list, [])
+        where = self._at(name)
+        return [_Fields(row, f"{where}[{i}]") for i, row in enumerate(rows)]
+
+    def _get(self, name: str, kind: Any, default: Any) -> Any:
+        value = self._value.get(name, default)
+        if isinstance(value, bool) and kind is not bool:
+            raise _FieldError(self._at(name), "has the wrong type")
+        if not isinstance(value, kind):
+            raise _FieldError(self._at(name), "is missing or of another type")
+        return value
+
+    def _at(self, name: str) -> str:
+        return f"{self._where}.{name}" if self._where else name
+
+
+def _route(fields: _Fields) -> routes.Route:
+    kind = _KINDS.get(fields.text("route_type"))
+    if kind is None:
+        raise _FieldError("route_type", "is no kind of route")
+    shares = [
+        routes.Share(f.text("service"), f.number("weight"))
+        for f in fields.rows("traffic_split")
+    ]
+    if not shares:
+        shares = [routes.Share(fields.text("service"), 1.0)]
+    return routes.Route(
+        name=fields.text("name"),
+        host=fields.text("host").lower(),
+        prefix=fields.text("prefix"),
+        kind=kind,
+        shares=tuple(s for s in shares if s.weight > 0) or tuple(shares),
+        timeout_s=fields.seconds("timeout_ms", 60000),
+        target_s=fields.seconds("target_latency_ms", 1000),
+        attempts=max(1, fields.integer("max_attempts", 1)),
+        rank=fields.integer("priority", 0),
+        sticky=fields.flag("sticky"),
+        resumable=fields.flag("can_resume"),
+        gap_s=fields.seconds("gap_aim_ms", 0),
+    )
+
+
+def _service(fields: _Fields) -> routes.Service:
+    engine = fields.table("engine") if fields.has("engine") else None
+    return routes.Service(
+        name=fields.text("name"),
+        health_path=fields.text("health_path", "/healthz"),
+        # All nodes together may open so many connections to one server.
+        connections=fields.integer("max_conns", 1 << 20),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(fields: _Fields) -> routes.EngineKind:
+    models = [_model(f) for f in fields.rows("models")]
+    return routes.EngineKind(
+        slots=fields.integer("slots", 1),
+        cache_tokens=fields.integer("kv_capacity_tokens", 0),
+        # Despite its name it bounds weights and adapters together.
+        memory_mb=fields.number("weights_mb", 0),
+        adapter_places=fields.integer("adapter_slots", 0),
+        host_mb=fields.number("host_mb", 0),
+        disk_mb=fields.number("disk_mb", 0),
+        loads_per_s=fields.number("loads_per_s", 0),
+        models={m.name: m for m in models},
+    )
+
+
+def _model(fields: _Fields) -> routes.Model:
+    store_s = fields.number("load_s", 0)
+    return routes.Model(
+        name=fields.text("name"),
+        size_mb=fields.number("weights_mb"),
+        # A number, not a list: the adapters are named a1, a2 and so on.
+        adapters=fields.integer("adapters", 0),
+        adapter_mb=fields.number("adapter_mb", 0),
+        store_s=store_s,
+        disk_s=fields.number("disk_s", store_s),
+        memory_s=fields.number("warm_s", store_s),
+    )
+
+
+def _limits(fields: _Fields) -> routes.Limits:
+    usual = routes.Limits()
+    return routes.Limits(
+        head_bytes=fields.integer("max_header_bytes", usual.head_bytes),
+        body_bytes=fields.integer("max_body_bytes", usual.body_bytes),
+        head_s=fields.seconds("header_timeout_ms", usual.head_s * 1000),
+        idle_s=fields.seconds("idle_timeout_ms", usual.idle_s * 1000),
+    )
--- /dev/null
+++ b/azureline/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relays callers' requests byte for byte to backend servers of a site."""
--- /dev/null
+++ b/azureline/relay/routes.py
@@ -0,0 +1,203 @@
+"""Routes of the operators' configuration and how a request finds its own."""
+
+import enum
+import random
+from typing import NamedTuple
+
+
+class Kind(enum.Enum):
+    """What a route's requests are, and so what may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+class Share(NamedTuple):
+    """A service and its weight among the services of one route."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """One route.
+
+    Attributes:
+      name: its name.
+      host: host name that a request must address.
+      prefix: how the path must begin; ends with a slash.
+      kind: what its requests are.
+      shares: the services that serve it.
+      timeout_s: longest time that a caller may be kept waiting.
+      target_s: time within which an answer is worth most.
+      attempts: backend servers to which one request may be sent.
+      rank: 0 is the most urgent.
+      sticky: whether requests share parts of prompts.
+      resumable: whether a stream may go on at another backend server.
+      gap_s: longest pause between the events of a stream that is on time.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    shares: tuple[Share, ...]
+    timeout_s: float
+    target_s: float
+    attempts: int
+    rank: int
+    sticky: bool
+    resumable: bool
+    gap_s: float
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is Kind.IDEMPOTENT or self.resumable
+
+
+class Model(NamedTuple):
+    """A model of a service.
+
+    Attributes:
+      name: its name.
+      size_mb: memory of its weights.
+      adapters: number of its adapters.
+      adapter_mb: memory of one adapter.
+      store_s: seconds to load it from the weight store.
+      disk_s: seconds to load it from an engine's disk.
+      memory_s: seconds to load it from an engine's host memory.
+    """
+
+    name: str
+    size_mb: float
+    adapters: int
+    adapter_mb: float
+    store_s: float
+    disk_s: float
+    memory_s: float
+
+
+class EngineKind(NamedTuple):
+    """What the engines of a service are like.
+
+    Attributes:
+      slots: requests that one runs at once.
+      cache_tokens: tokens that its accelerators keep.
+      memory_mb: memory for weights and adapters together.
+      adapter_places: adapters that it holds at once.
+      host_mb: host memory for copies of weights.
+      disk_mb: disk for copies of weights.
+      loads_per_s: loads from the weight store, over all engines.
+      models: the models by name.
+    """
+
+    slots: int
+    cache_tokens: int
+    memory_mb: float
+    adapter_places: int
+    host_mb: float
+    disk_mb: float
+    loads_per_s: float
+    models: dict[str, Model]
+
+
+class Service(NamedTuple):
+    """A service.
+
+    Attributes:
+      name: its name.
+      health_path: path that answers 200 while a server is healthy.
+      connections: connections that one server accepts from all nodes.
+      engine: what its engines are like; None for a plain service.
+    """
+
+    name: str
+    health_path: str
+    connections: int
+    engine: EngineKind | None
+
+
+class Limits(NamedTuple):
+    """Bounds on what a caller may send or how long it may take.
+
+    Attributes:
+      head_bytes: of a request's head.
+      body_bytes: of a request's body.
+      head_s: seconds for a request's head to arrive.
+      idle_s: seconds that a connection may stay idle.
+    """
+
+    head_bytes: int = 16384
+    body_bytes: int = 4 << 20
+    head_s: float = 10.0
+    idle_s: float = 60.0
+
+
+class SiteConfig(NamedTuple):
+    """One version of the operators' configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: Limits
+
+
+class RouteTable:
+    """Finds the route of a request; never goes back to an older version."""
+
+    def __init__(self, rng: random.Random):
+        """Creates a table that knows no configuration.
+
+        Args:
+          rng: source of the choice among a route's services.
+        """
+        self._rng = rng
+        self._config: SiteConfig | None = None
+        self._by_host: dict[str, list[Route]] = {}
+
+    @property
+    def config(self) -> SiteConfig | None:
+        """The configuration in force, or None before the first."""
+        return self._config
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before the first."""
+        return self._config.version if self._config else 0
+
+    def put_in_force(self, config: SiteConfig) -> bool:
+        """Takes a configuration unless it is older than the one in force.
+
+        Returns:
+          Whether it is now in force and was not before.
+        """
+        if config.version <= self.version:
+            return False
+        self._config = config
+        self._by_host = {}
+        for route in config.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda r: len(r.prefix), reverse=True)
+        return True
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix that begins the path."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def service_of(self, route: Route) -> Service | None:
+        """Draws one of a route's services by weight."""
+        if self._config is None or not route.shares:
+            return None
+        if len(route.shares) == 1:
+            name = route.shares[0].service
+        else:
+            weights = [share.weight for share in route.shares]
+            (share,) = self._rng.choices(route.shares, weights)
+            name = share.service
+        return self._config.services.get(name)
