Relay callers' requests on the users' platform

Cause: nothing served requests there.

Ruled out: one holder for all engines (a fault at it stops every adapter); tables of prompts learnt by each node (a node sees a seventh of the traffic).

Change: azureline relay, a process per VM.

--- /dev/null
+++ b/azureline/relay/exchange.py
@@ -0,0 +1,388 @@
+"""The way of one request: a place, an attempt, perhaps another, an answer."""
+
+from typing import Any
+from typing import NamedTuple
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from azureline.callers import relay as caller_side
+from azureline.core import clock as clocks
+from azureline.core import errors
+from azureline.metrics import counters as metrics
+from azureline.metrics import exposition
+from azureline.platform import requests as wire
+from azureline.relay import attempt as attempts
+from azureline.relay import budget
+from azureline.relay import patience
+from azureline.relay import pieces
+from azureline.relay import places
+from azureline.relay import requests
+from azureline.relay import routes
+from azureline.util import events
+from azureline.util import http1
+
+# Servers whose connections failed are not tried without end.
+_MAX_UNSENT = 4
+# A server that refused because something is being loaded is asked again.
+_SAME_SERVER_S = 0.03
+_MAX_NOT_RUN = 4
+
+
+class Tools(NamedTuple):
+    """What exchanges share.
+
+    Attributes:
+      reactor: the Twisted reactor.
+      clock: source of time.
+      client: owner of connections to backend servers.
+      table: the routes.
+      places: finds the servers of requests.
+      repeats: bounds what is sent more than once.
+      counters: counts refusals and repeats by reason.
+      exposition: takes latencies.
+      log: takes a line for each decision.
+    """
+
+    reactor: Any
+    clock: clocks.Clock
+    client: http1.Client
+    table: routes.RouteTable
+    places: places.Places
+    repeats: budget.RepeatBudget
+    counters: metrics.Counters
+    exposition: exposition.Exposition
+    log: events.Log
+
+
+class Exchange:
+    """Serves one request."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        received: caller_side.Received,
+        request: requests.CallerRequest,
+    ):
+        """Creates an exchange.
+
+        Args:
+          tools: what exchanges share.
+          received: the caller's side.
+          request: the caller's request.
+        """
+        self._tools = tools
+        self._received = received
+        self._request = request
+        self._began = tools.clock.now()
+        self._attempt: attempts.Attempt | None = None
+        self._reader = pieces.EventReader(request.last_event)
+        self._route: routes.Route | None = None
+        self._deadline = self._began
+        self._sends = 0
+        self._not_run = 0
+        self._unsent = 0
+        self._broken = False
+        self._tried: list[str] = []
+        self._running: defer.Deferred[Any] | None = None
+        self._timer: Any = None
+        self._over = False
+
+    def start(self) -> defer.Deferred[Any]:
+        """Begins; the deferred fires when the request has its end."""
+        self._received.on_gone(self._gone)
+        self._running = defer.ensureDeferred(self._run())
+        return self._running.addErrback(self._crashed).addBoth(self._ended)
+
+    async def _run(self) -> None:
+        tools, request = self._tools, self._request
+        if tools.table.config is None:
+            self._refuse(
+                errors.Refusal(errors.ErrorKind.NOT_READY, "No configuration.")
+            )
+            return
+        route = tools.table.match(request.host, request.path)
+        if route is None:
+            self._refuse(
+                errors.Refusal(errors.ErrorKind.NOT_FOUND, "No route.")
+            )
+            return
+        self._route = route
+        patience_s = request.patience_s
+        if patience_s is None:
+            patience_s = route.timeout_s
+        self._deadline = self._began + min(route.timeout_s, patience_s)
+        self._timer = tools.reactor.callLater(
+            max(0.0, self._deadline - self._began), self._expired
+        )
+        service = tools.table.service_of(route)
+        if service is None:
+            self._refuse(
+                errors.Refusal(errors.ErrorKind.NO_REPLICA, "No service.")
+            )
+            return
+        while not await self._once(route, service):
+            pass
+
+    async def _once(self, route: routes.Route, service: routes.Service) -> bool:
+        """Finds a place and sends; returns whether the request has its end."""
+        place = await self._tools.places.find(
+            self._request, route, service, self._deadline, tuple(self._tried)
+        )
+        if isinstance(place, errors.Refusal):
+            self._refuse(self._truthful(place))
+            return True
+        if not self._may_send(service):
+            self._tools.places.done(place)
+            self._refuse(self._no_budget())
+            return True
+        result = await self._send(place, route)
+        match result.end:
+            case attempts.End.DELIVERED | attempts.End.CANCELLED:
+                return True
+            case attempts.End.NOT_RUN:
+                return await self._after_not_run(place, result)
+            case attempts.End.NOT_SENT:
+                self._unsent += 1
+                self._sends -= 1
+                self._tried.append(place.server.server_id)
+                if self._unsent < _MAX_UNSENT:
+                    return False
+                self._refuse(self._truthful(self._unreachable()))
+                return True
+            case _:
+                return self._after_broken(route, result)
+
+    def _may_send(self, service: routes.Service) -> bool:
+        """Pays for a send; every send but the first is a repeat."""
+        now = self._tools.clock.now()
+        if self._sends + self._not_run == 0:
+            self._tools.repeats.sent_first(service.name, now)
+            return True
+        if self._tools.repeats.spend(service.name, now):
+            self._tools.counters.count("repeats.sent")
+            return True
+        self._tools.counters.count("repeats.over_budget")
+        return False
+
+    async def _send(
+        self, place: places.Place, route: routes.Route
+    ) -> attempts.Result:
+        tools, now = self._tools, self._tools.clock.now()
+        self._sends += 1
+        attempt = attempts.Attempt(
+            self._received, self._request.request_id, route, self._reader
+        )
+        self._attempt = attempt
+        resumed = self._reader.passed > 0
+        last_event = self._reader.last_event if resumed else None
+        request = wire.encode(
+            self._request,
+            self._deadline - now,
+            place.server.server_id,
+            place.priority,
+            last_event,
+        )
+        attempt.begin(
+            tools.client,
+            place.server.address,
+            request,
+            fresh=not route.repeatable,
+        )
+        result = await attempt.done
+        self._attempt = None
+        took = tools.clock.now() - now
+        tools.places.done(place, result, took)
+        tools.log.info(
+            "attempt",
+            request=self._request.request_id,
+            route=route.name,
+            server=place.server.server_id,
+            beat=place.server.beat,
+            model=self._request.model,
+            adapter=self._request.adapter,
+            send=self._sends,
+            left_s=round(self._deadline - now, 3),
+            took_s=round(took, 3),
+            waited_s=round(now - self._began, 3),
+            outcome=result.end.value,
+            status=result.status,
+            reason=result.reason,
+        )
+        return result
+
+    async def _after_not_run(
+        self, place: places.Place, result: attempts.Result
+    ) -> bool:
+        self._tools.counters.count("repeats.not_run")
+        self._sends -= 1
+        self._not_run += 1
+        now = self._tools.clock.now()
+        if result.wrong_server:
+            self._tools.places.denied(place, self._request)
+        elif result.status == 503 and place.loads:
+            # The adapter that was just ordered is not there yet.
+            await task.deferLater(
+                self._tools.reactor, _SAME_SERVER_S, lambda: None
+            )
+        else:
+            self._tried.append(place.server.server_id)
+        if self._not_run <= _MAX_NOT_RUN and now < self._deadline:
+            return False
+        self._refuse(
+            self._truthful(
+                errors.Refusal(
+                    errors.ErrorKind.OVERLOADED,
+                    "Backend servers refused the request.",
+                    retry_after=patience.return_after(
+                        now, self._deadline, result.retry_after_s or 0.5
+                    ),
+                    ran=errors.Ran.NO,
+                )
+            )
+        )
+        return True
+
+    def _after_broken(
+        self, route: routes.Route, result: attempts.Result
+    ) -> bool:
+        self._broken = True
+        now = self._tools.clock.now()
+        again = (
+            route.repeatable
+            and self._sends < route.attempts
+            and now + 0.05 < self._deadline
+            and (self._reader.passed == 0 or route.resumable)
+        )
+        if again:
+            self._tools.counters.count("repeats.broken")
+            return False
+        if result.kept is not None and not self._received.begun:
+            attempts.pass_on(self._received, result.kept)
+            self._count_end("failed")
+        elif self._received.begun:
+            self._tools.counters.count("cut.broken")
+            self._received.abort()
+        else:
+            self._refuse(
+                errors.Refusal(
+                    errors.ErrorKind.BACKEND_FAILED,
+                    f"The backend server failed: {result.reason}.",
+                )
+            )
+        return True
+
+    def _truthful(self, refusal: errors.Refusal) -> errors.Refusal:
+        """Returns a refusal that promises nothing untrue."""
+        if not self._broken:
+            return refusal
+        return errors.Refusal(
+            errors.ErrorKind.BACKEND_FAILED, "It may have run."
+        )
+
+    def _no_budget(self) -> errors.Refusal:
+        now = self._tools.clock.now()
+        return self._truthful(
+            errors.Refusal(
+                errors.ErrorKind.OVERLOADED,
+                "The budget for repeats is used up.",
+                retry_after=patience.return_after(now, self._deadline, 1.0),
+                ran=errors.Ran.NO,
+            )
+        )
+
+    def _unreachable(self) -> errors.Refusal:
+        now = self._tools.clock.now()
+        return errors.Refusal(
+            errors.ErrorKind.DID_NOT_RUN,
+            "No backend server could be reached.",
+            retry_after=patience.return_after(now, self._deadline, 0.5),
+            ran=errors.Ran.NO,
+        )
+
+    def _expired(self) -> None:
+        """Gives the final answer when the time is over."""
+        if self._over:
+            return
+        attempt = self._attempt
+        begun = self._received.begun
+        sent = attempt is not None or self._broken
+        if begun:
+            self._tools.counters.count("cut.deadline")
+            self._received.abort()
+        elif sent:
+            self._refuse(
+                errors.Refusal(
+                    errors.ErrorKind.DEADLINE_EXCEEDED, "Out of time."
+                )
+            )
+        else:
+            self._refuse(
+                errors.Refusal(
+                    errors.ErrorKind.DID_NOT_RUN,
+                    "Out of time before it could be sent.",
+                    retry_after=0.1,
+                    ran=errors.Ran.NO,
+                )
+            )
+        self._stop()
+
+    def _gone(self) -> None:
+        """Cancels everything, as nobody waits for the answer."""
+        if self._over:
+            return
+        self._tools.counters.count("callers.gone")
+        self._stop()
+
+    def _stop(self) -> None:
+        self._over = True
+        if self._attempt is not None:
+            self._attempt.cancel()
+        if self._running is not None:
+            self._running.cancel()
+
+    def _refuse(self, refusal: errors.Refusal) -> None:
+        self._over = True
+        if self._received.begun:
+            self._received.abort()
+            return
+        self._tools.counters.count(refusal.counter)
+        answer = refusal.answer
+        self._tools.log.info(
+            "refused",
+            request=self._request.request_id,
+            route=self._route.name if self._route else "",
+            version=self._tools.table.version,
+            model=self._request.model,
+            adapter=self._request.adapter,
+            kind=refusal.kind.value,
+            status=answer.status,
+            retry_after_s=answer.retry_after_s,
+            detail=refusal.detail,
+            waited_s=round(self._tools.clock.now() - self._began, 3),
+            left_s=round(self._deadline - self._tools.clock.now(), 3),
+            sends=self._sends,
+        )
+        self._received.refuse(refusal)
+
+    def _count_end(self, end: str) -> None:
+        self._tools.counters.count(f"answers.{end}")
+
+    def _crashed(self, failure: Any) -> None:
+        if failure.check(defer.CancelledError):
+            return
+        self._tools.log.error(
+            "exchange_failed",
+            request=self._request.request_id,
+            reason=failure.getTraceback(),
+        )
+        self._refuse(errors.Refusal(errors.ErrorKind.INTERNAL, "Failed."))
+
+    def _ended(self, result: Any) -> Any:
+        self._over = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        if self._route is not None:
+            took = self._tools.clock.now() - self._began
+            self._tools.exposition.whole.labels(self._route.name).observe(took)
+        return result
--- /dev/null
+++ b/azureline/relay/holding.py
@@ -0,0 +1,277 @@
+"""Gives the orders of one engine, one after another."""
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+from twisted.internet import defer
+
+from azureline.core import clock as clocks
+from azureline.metrics import counters as metrics
+from azureline.platform import entries
+from azureline.platform import operator
+from azureline.platform import orders as order_calls
+from azureline.relay import book as books
+from azureline.relay import messages
+from azureline.relay import orders
+from azureline.relay import routes
+from azureline.relay import servers
+from azureline.util import events
+from azureline.util import http1
+
+# Engines answer orders within milliseconds; one without an answer is given
+# again.
+_ORDER_S = 0.5
+_REPORT_S = 0.8
+# An adapter is not waited for longer: the request could not be on time.
+_ADAPTER_PATIENCE_S = 1.0
+# Longer work on a model is not waited for: another engine may be free.
+_BUSY_PATIENCE_S = 0.25
+# Reports are asked for no more often, as each costs a probe.
+_REPORT_EVERY_S = 0.4
+# Also without need, for the load figures that nodes route by.
+_LOAD_EVERY_S = 2.0
+
+
+class Tools(NamedTuple):
+    """What holders share.
+
+    Attributes:
+      reactor: the Twisted reactor.
+      clock: source of time.
+      client: owner of connections.
+      node: name of this VM.
+      counters: counts orders by outcome.
+      log: takes a line for each order.
+      tell: takes an engine's state for all nodes.
+    """
+
+    reactor: Any
+    clock: clocks.Clock
+    client: http1.Client
+    node: str
+    counters: metrics.Counters
+    log: events.Log
+    tell: Callable[[messages.EngineState], None]
+
+
+class _Wish(NamedTuple):
+    adapter: books.Adapter
+    since: float
+    answer: defer.Deferred[tuple[bool, float, str]]
+
+
+class EngineHolder:
+    """Holds one engine: its book, its target and the wishes for adapters."""
+
+    def __init__(
+        self,
+        tools: Tools,
+        server: servers.BackendServer,
+        kind: routes.EngineKind,
+        token: int,
+        may_act: Callable[[], bool],
+    ):
+        """Creates a holder that has given no order.
+
+        Args:
+          tools: what holders share.
+          server: the engine's entry.
+          kind: what the engines of its service are like.
+          token: fencing token of this node's turn.
+          may_act: whether an order may be sent at this moment.
+        """
+        self._tools = tools
+        self._server = server
+        self._token = token
+        self._may_act = may_act
+        self.book = books.EngineBook(server, kind, tools.clock.now())
+        self._wishes: list[_Wish] = []
+        self._calling = False
+        self._reporting = False
+        self._reported_at = float("-inf")
+        self._plan = -1
+        self._told: messages.EngineState | None = None
+
+    @property
+    def server(self) -> servers.BackendServer:
+        """The engine's newest entry."""
+        return self._server
+
+    def update(self, server: servers.BackendServer) -> None:
+        """Takes a newer entry of the same start of the engine."""
+        self._server = server
+        now = self._tools.clock.now()
+        if server.in_memory or server.on_disk:
+            self.book.copies(server.in_memory, server.on_disk)
+        self.book.observe(server.models, now)
+        # Told again, so that nodes prefer it to the entry.
+        self._told = None
+        self.step()
+
+    def set_target(self, target: messages.Target) -> None:
+        """Takes the models that the engine shall hold."""
+        if target.born_ms != self._server.born_ms or target.plan < self._plan:
+            return
+        self._plan = target.plan
+        self.book.set_target(target.models)
+        self.step()
+
+    def wish(
+        self, adapter: books.Adapter
+    ) -> defer.Deferred[tuple[bool, float, str]]:
+        """Asks for an adapter.
+
+        Returns:
+          A deferred of (granted, seconds to wait, reason).
+        """
+        now = self._tools.clock.now()
+        left = self.book.adapter_ready(adapter, now)
+        if left is not None:
+            return defer.succeed((True, left, ""))
+        wish = _Wish(adapter, now, defer.Deferred())
+        self._wishes.append(wish)
+        self.step()
+        return wish.answer
+
+    def step(self) -> None:
+        """Sends the next order if there is one and none is on its way."""
+        now = self._tools.clock.now()
+        self._answer_wishes(now)
+        self._tell(now)
+        if self._calling:
+            return
+        if self.book.overdue(now) or (now - self._reported_at > _LOAD_EVERY_S):
+            self._ask_report(now)
+        order = self._next(now)
+        if order is not None and self._may_act():
+            self._send(order, now)
+
+    def close(self) -> None:
+        """Ends the waiting for adapters."""
+        for wish in self._wishes:
+            wish.answer.callback((False, 0.0, "holder ended"))
+        self._wishes = []
+
+    def _next(self, now: float) -> orders.Order | None:
+        if self.book.open_order is not None:
+            return self.book.open_order
+        for wish in self._wishes:
+            order = self.book.adapter_order(wish.adapter, now)
+            if order is not None:
+                return order
+        return self.book.next_order()
+
+    def _send(self, order: orders.Order, now: float) -> None:
+        self._calling = True
+        self.book.sent(order)
+        # Nodes stop sending to a model before it goes.
+        self._tell(now)
+        server = self._server
+        request = order_calls.encode(
+            order,
+            server.server_id,
+            self._tools.node,
+            self._token,
+            server.address,
+        )
+        calling = self._tools.client.fetch(server.address, request, _ORDER_S)
+        calling.addCallback(self._answered, order)
+
+    def _answered(
+        self, answer: http1.Answer | http1.Failed, order: orders.Order
+    ) -> None:
+        self._calling = False
+        now = self._tools.clock.now()
+        outcome = order_calls.outcome(answer)
+        self.book.answered(order, outcome, now)
+        self._tools.counters.count(f"orders.{outcome.value}")
+        self._tools.log.info(
+            "order",
+            server=self._server.server_id,
+            verb=order.verb.value,
+            model=order.model,
+            adapter=order.adapter,
+            expected=order.expected,
+            token=self._token,
+            outcome=outcome.value,
+        )
+        if outcome in (orders.Outcome.ACCEPTED, orders.Outcome.HOLDS):
+            self.step()
+        else:
+            self._tell(now)
+
+    def _ask_report(self, now: float) -> None:
+        if self._reporting or now - self._reported_at < _REPORT_EVERY_S:
+            return
+        self._reporting = True
+        self._reported_at = now
+        server = self._server
+        request = order_calls.report_request(server.address, server.server_id)
+        asking = self._tools.client.fetch(server.address, request, _REPORT_S)
+        asking.addCallback(self._report_came, now)
+
+    def _report_came(
+        self, answer: http1.Answer | http1.Failed, asked_at: float
+    ) -> None:
+        self._reporting = False
+        if isinstance(answer, http1.Failed) or answer.head.status != 200:
+            return
+        report = entries.decode_report(answer.body)
+        if isinstance(report, operator.Unreadable):
+            self._tools.log.warning(
+                "report_unreadable",
+                server=self._server.server_id,
+                where=report.where,
+                reason=report.reason,
+            )
+            return
+        if report.born_ms != self._server.born_ms:
+            return
+        self.book.running, self.book.queued = report.running, report.queued
+        self.book.copies(report.in_memory, report.on_disk)
+        self.book.settle(
+            report.sequence,
+            report.models,
+            report.busy,
+            asked_at - books.REPORT_LAG_S,
+            self._tools.clock.now(),
+        )
+        self.step()
+
+    def _answer_wishes(self, now: float) -> None:
+        waiting = []
+        for wish in self._wishes:
+            left = self.book.adapter_ready(wish.adapter, now)
+            if left is not None:
+                wish.answer.callback((True, left, ""))
+            elif wish.adapter.model not in self.book.models:
+                wish.answer.callback((False, 0.0, "model absent"))
+            elif self.book.busy and self.book.free_s(now) > _BUSY_PATIENCE_S:
+                wish.answer.callback((False, 0.0, "engine busy"))
+            elif wish.since + _ADAPTER_PATIENCE_S < now:
+                wish.answer.callback((False, 0.0, "no place"))
+            else:
+                waiting.append(wish)
+        self._wishes = waiting
+
+    def _tell(self, now: float) -> None:
+        model, left = self.book.upcoming(now)
+        state = messages.EngineState(
+            server_id=self._server.server_id,
+            born_ms=self._server.born_ms,
+            sequence=self.book.sequence,
+            models=self.book.usable(now),
+            coming=model,
+            coming_ms=int(left * 1000),
+            busy=self.book.busy,
+            running=self.book.running,
+            queued=self.book.queued,
+        )
+        told = self._told
+        if told is not None and told._replace(
+            coming_ms=0, sequence=0
+        ) == state._replace(coming_ms=0, sequence=0):
+            return
+        self._told = state
+        self._tools.tell(state)
--- /dev/null
+++ b/azureline/relay/keys.py
@@ -0,0 +1,74 @@
+"""Where this system keeps what it agrees on in the platform's store."""
+
+from typing import NamedTuple
+
+import msgpack
+
+ROOT = "azureline/"
+NODES = ROOT + "nodes/"
+# Leased: who gives an engine's orders now.
+HOLDERS = ROOT + "holders/"
+# Without a lease: that an engine had a holder at some time.
+TURNS = ROOT + "turns/"
+# Name under HOLDERS of the planner of a service.
+PLANNER = "plan:"
+
+
+class NodeRecord(NamedTuple):
+    """Where a node takes other nodes' datagrams.
+
+    Attributes:
+      name: its VM's name.
+      host: its IP address.
+      port: its UDP port.
+      domain: its failure domain.
+    """
+
+    name: str
+    host: str
+    port: int
+    domain: str
+
+
+class HolderRecord(NamedTuple):
+    """Who holds something.
+
+    Attributes:
+      node: name of the holder's VM.
+      identity: identity of the holder's process.
+    """
+
+    node: str
+    identity: str
+
+
+def pack(record: NodeRecord | HolderRecord) -> bytes:
+    """Returns the bytes of a record."""
+    return msgpack.packb(list(record))
+
+
+def node_record(value: bytes) -> NodeRecord | None:
+    """Returns a node's record, or None if it cannot be read."""
+    fields = _fields(value)
+    match fields:
+        case [str(), str(), int(), str()]:
+            return NodeRecord(*fields)
+        case _:
+            return None
+
+
+def holder_record(value: bytes) -> HolderRecord | None:
+    """Returns a holder's record, or None if it cannot be read."""
+    fields = _fields(value)
+    match fields:
+        case [str(), str()]:
+            return HolderRecord(*fields)
+        case _:
+            return None
+
+
+def _fields(value: bytes) -> object:
+    try:
+        return msgpack.unpackb(value)
+    except (ValueError, msgpack.exceptions.UnpackException):
+        return None
--- /dev/null
+++ b/azureline/relay/messages.py
@@ -0,0 +1,131 @@
+"""Datagrams between nodes of the relay, and their codec."""
+
+from typing import NamedTuple
+
+from azureline.core import wire
+
+
+class EngineState(NamedTuple):
+    """What an engine's holder tells every node about it.
+
+    Attributes:
+      server_id: the engine.
+      born_ms: Unix time of its start, or 0.
+      sequence: orders that it has accepted.
+      models: (model, adapters) that requests may use.
+      coming: model that is being loaded, or "".
+      coming_ms: milliseconds until it can be used.
+      busy: whether an order about a model is under way.
+      running: requests that it ran when asked last.
+      queued: requests that waited there.
+    """
+
+    server_id: str
+    born_ms: int
+    sequence: int
+    models: tuple[tuple[str, tuple[str, ...]], ...]
+    coming: str
+    coming_ms: int
+    busy: bool
+    running: int
+    queued: int
+
+
+class AdapterAsk(NamedTuple):
+    """Asks an engine's holder for an adapter.
+
+    Attributes:
+      ask: number that the answer repeats.
+      server_id: the engine.
+      model: the model.
+      adapter: the adapter of it.
+    """
+
+    ask: int
+    server_id: str
+    model: str
+    adapter: str
+
+
+class AdapterAnswer(NamedTuple):
+    """Answers an `AdapterAsk`.
+
+    Attributes:
+      ask: number of the question.
+      granted: whether a request may be sent.
+      wait_ms: milliseconds to wait before it is sent.
+      reason: why it is not granted, or "".
+    """
+
+    ask: int
+    granted: bool
+    wait_ms: int
+    reason: str
+
+
+class ModelDemand(NamedTuple):
+    """Requests for a model at one node.
+
+    Attributes:
+      service: the service.
+      model: the model.
+      arrived: requests since the last message.
+      waiting: requests that wait for the model now.
+      refused: requests refused for want of it since the last message.
+      rank: the most urgent rank among them.
+    """
+
+    service: str
+    model: str
+    arrived: int
+    waiting: int
+    refused: int
+    rank: int
+
+
+class Demand(NamedTuple):
+    """Tells the planner what callers ask one node for."""
+
+    rows: tuple[ModelDemand, ...]
+
+
+class Target(NamedTuple):
+    """Tells a holder which models its engine shall hold.
+
+    Attributes:
+      server_id: the engine.
+      born_ms: Unix time of the start for which it holds.
+      plan: number of the plan; a lower one is older.
+      models: the models, the most wanted first.
+    """
+
+    server_id: str
+    born_ms: int
+    plan: int
+    models: tuple[str, ...]
+
+
+class Suspects(NamedTuple):
+    """Requests that ran at engines when these crashed.
+
+    Attributes:
+      prints: digests of the requests' contents.
+    """
+
+    prints: tuple[bytes, ...]
+
+
+_MESSAGES: dict[int, type] = {
+    1: EngineState,
+    2: AdapterAsk,
+    3: AdapterAnswer,
+    4: ModelDemand,
+    5: Demand,
+    6: Target,
+    7: Suspects,
+}
+
+
+def codec() -> wire.Codec:
+    """Returns the codec of the relay's datagrams."""
+    return wire.Codec(_MESSAGES)
--- /dev/null
+++ b/azureline/relay/patience.py
@@ -0,0 +1,58 @@
+"""Whether a request waits for a model or is refused at once."""
+
+from typing import NamedTuple
+
+from azureline.core import errors
+
+# A load that was just asked for is announced within this time.
+ANNOUNCE_S = 0.35
+# A request needs this long after the model is there to begin its answer.
+_SERVE_S = 0.25
+# Callers come back after at most this part of the time they have left.
+_RETURN_PART = 1 / 3
+_SOONEST_S = 0.1
+
+
+class Wait(NamedTuple):
+    """Wait for the model.
+
+    Attributes:
+      until: monotonic time in seconds at which to decide anew.
+    """
+
+    until: float
+
+
+def decide(
+    now: float, since: float, deadline: float, ready_at: float | None
+) -> Wait | errors.Refusal:
+    """Decides on a request whose model no engine can serve now.
+
+    Args:
+      now: monotonic time in seconds.
+      since: when it began to wait.
+      deadline: when its answer is worth nothing any more.
+      ready_at: when the model can be used, or None if nobody loads it.
+
+    Returns:
+      How long to wait, or the refusal with the time to come back.
+    """
+    if ready_at is not None and ready_at + _SERVE_S < deadline:
+        # A load may end a little later than announced.
+        return Wait(min(max(ready_at, now) + 0.5, deadline - _SERVE_S))
+    announced_by = min(since + ANNOUNCE_S, deadline - _SERVE_S)
+    if ready_at is None and now < announced_by:
+        return Wait(announced_by)
+    wanted = ANNOUNCE_S if ready_at is None else max(0.0, ready_at - now)
+    return errors.Refusal(
+        errors.ErrorKind.NO_REPLICA,
+        "No engine holds the model.",
+        retry_after=return_after(now, deadline, wanted),
+        ran=errors.Ran.NO,
+    )
+
+
+def return_after(now: float, deadline: float, wanted_s: float) -> float:
+    """Returns seconds after which a caller shall come back."""
+    most = max(_SOONEST_S, (deadline - now) * _RETURN_PART)
+    return min(max(wanted_s, _SOONEST_S), most)
--- /dev/null
+++ b/azureline/relay/peers.py
@@ -0,0 +1,98 @@
+"""Other nodes: who they are, who holds what, and datagrams to them."""
+
+from collections.abc import Callable
+from typing import Any
+
+from azureline.core import clock as clocks
+from azureline.metrics import counters as metrics
+from azureline.nodes import datagrams
+from azureline.relay import keys
+from azureline.relay import messages
+
+
+class Peers:
+    """The nodes of the store's list, and the holders among them."""
+
+    def __init__(
+        self,
+        record: keys.NodeRecord,
+        clock: clocks.Clock,
+        counters: metrics.Counters,
+    ):
+        """Creates the peers of a node that knows only itself."""
+        self._record = record
+        self._clock = clock
+        self._nodes: dict[str, keys.NodeRecord] = {record.name: record}
+        self._holders: dict[str, keys.HolderRecord] = {}
+        self._handlers: dict[type, Callable[[Any, str, int], None]] = {}
+        self._datagrams = datagrams.Datagrams(self, counters, messages.codec())
+
+    @property
+    def nodes(self) -> dict[str, keys.NodeRecord]:
+        """The nodes by name, this one among them."""
+        return self._nodes
+
+    @property
+    def holders(self) -> dict[str, keys.HolderRecord]:
+        """The holders by what they hold."""
+        return self._holders
+
+    def listen(self, reactor: Any) -> Any:
+        """Opens the socket; returns its port."""
+        return reactor.listenUDP(
+            self._record.port, self._datagrams, interface=self._record.host
+        )
+
+    def on(self, kind: type, handler: Callable[[Any, str, int], None]) -> None:
+        """Names what takes messages of a kind: (message, host, port)."""
+        self._handlers[kind] = handler
+
+    def datagram(self, host: str, port: int, message: Any) -> None:
+        """Takes a message of another node."""
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message, host, port)
+
+    def set_node(self, record: keys.NodeRecord) -> None:
+        """Takes a node's record."""
+        self._nodes[record.name] = record
+
+    def drop_node(self, name: str) -> None:
+        """Forgets a node that is gone."""
+        if name != self._record.name:
+            self._nodes.pop(name, None)
+
+    def set_holder(self, name: str, record: keys.HolderRecord | None) -> None:
+        """Takes who holds something; None if nobody does."""
+        if record is None:
+            self._holders.pop(name, None)
+        else:
+            self._holders[name] = record
+
+    def holder_of(self, name: str) -> keys.NodeRecord | None:
+        """Returns the node that holds something, if it is known."""
+        holder = self._holders.get(name)
+        return self._nodes.get(holder.node) if holder else None
+
+    def is_self(self, record: keys.NodeRecord) -> bool:
+        """Returns whether a record is this node's."""
+        return record.name == self._record.name
+
+    def send(self, record: keys.NodeRecord, message: Any) -> None:
+        """Sends a message to a node, also to this one; it may be lost."""
+        if self.is_self(record):
+            self.datagram(record.host, record.port, message)
+        else:
+            self._datagrams.send(record.host, record.port, message)
+
+    def reply(self, host: str, port: int, message: Any) -> None:
+        """Answers a message."""
+        if (host, port) == (self._record.host, self._record.port):
+            self.datagram(host, port, message)
+        else:
+            self._datagrams.send(host, port, message)
+
+    def broadcast(self, message: Any) -> None:
+        """Sends a message to every node."""
+        for record in list(self._nodes.values()):
+            self.send(record, message)
--- /dev/null
+++ b/azureline/relay/places.py
@@ -0,0 +1,282 @@
+"""Finds a backend server for a request, waiting for a model if that pays."""
+
+import random
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+
+from twisted.internet import defer
+
+from azureline.core import clock as clocks
+from azureline.core import errors
+from azureline.metrics import counters as metrics
+from azureline.relay import attempt as attempts
+from azureline.relay import health as healths
+from azureline.relay import patience
+from azureline.relay import placement
+from azureline.relay import requests
+from azureline.relay import residency as residencies
+from azureline.relay import routes
+from azureline.relay import servers
+
+# Priorities of engines go from 0 to 9; 5 is that of requests without one.
+_LOWEST_PRIORITY = 9
+
+
+class Place(NamedTuple):
+    """A server that was chosen for a request.
+
+    Attributes:
+      server: the server.
+      priority: rank at an engine; None at plain servers.
+      loads: whether an adapter was ordered for the request.
+    """
+
+    server: servers.BackendServer
+    priority: int | None = None
+    loads: bool = False
+
+
+class Adapters(Protocol):
+    """Asks holders for adapters."""
+
+    def ask(
+        self, server: servers.BackendServer, model: str, adapter: str
+    ) -> defer.Deferred[tuple[bool, float, str]]:
+        """Returns (granted, seconds to wait, reason)."""
+
+
+class Demand(Protocol):
+    """Learns what callers ask for."""
+
+    def arrived(self, service: str, model: str, rank: int) -> None:
+        """Counts a request."""
+
+    def waiting(self, service: str, model: str, rank: int, by: int) -> None:
+        """Counts requests that begin (1) or cease (-1) to wait."""
+
+    def refused(self, service: str, model: str, rank: int) -> None:
+        """Counts a request that was refused for want of its model."""
+
+
+class Places:
+    """Chooses servers; owns the counts of what this node has under way."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clocks.Clock,
+        rng: random.Random,
+        domain: str,
+        catalogue: servers.Catalogue,
+        residency: residencies.Residency,
+        adapters: Adapters,
+        demand: Demand,
+        counters: metrics.Counters,
+    ):
+        """Creates a chooser with nothing under way."""
+        self._reactor = reactor
+        self._clock = clock
+        self._rng = rng
+        self._domain = domain
+        self._catalogue = catalogue
+        self._residency = residency
+        self._adapters = adapters
+        self._demand = demand
+        self._counters = counters
+        self._health = healths.Health()
+        self._under_way: dict[str, int] = {}
+        self._waiting: set[defer.Deferred[None]] = set()
+
+    async def find(
+        self,
+        request: requests.CallerRequest,
+        route: routes.Route,
+        service: routes.Service,
+        deadline: float,
+        tried: tuple[str, ...],
+    ) -> Place | errors.Refusal:
+        """Returns a place, or why there is none.
+
+        Args:
+          request: the request.
+          route: its route.
+          service: the service that serves it.
+          deadline: when its answer is worth nothing any more.
+          tried: ids of servers that it shall not go to.
+        """
+        if service.engine is None or not request.model:
+            return self._plain(service, tried)
+        self._demand.arrived(service.name, request.model, route.rank)
+        candidates = await self._holders(request, route, service, deadline)
+        if isinstance(candidates, errors.Refusal):
+            return candidates
+        fresh = [c for c in candidates if c.server_id not in tried]
+        return await self._engine(request, route, fresh or candidates)
+
+    def done(
+        self,
+        place: Place,
+        result: attempts.Result | None = None,
+        took_s: float = 0.0,
+    ) -> None:
+        """Learns that a place is free again, and how it went."""
+        server = place.server
+        left = self._under_way.get(server.server_id, 1) - 1
+        if left > 0:
+            self._under_way[server.server_id] = left
+        else:
+            self._under_way.pop(server.server_id, None)
+        if result is None or result.end is attempts.End.CANCELLED:
+            return
+        good = result.end is attempts.End.DELIVERED
+        if result.wrong_server:
+            return
+        self._health.note(server.incarnation, good, took_s, self._clock.now())
+
+    def denied(self, place: Place, request: requests.CallerRequest) -> None:
+        """Learns that a server does not have what a request needs."""
+        self._residency.deny(
+            place.server.server_id, request.model, self._clock.now()
+        )
+
+    def changed(self) -> None:
+        """Lets waiting requests look again."""
+        waiting, self._waiting = self._waiting, set()
+        for waiter in waiting:
+            waiter.callback(None)
+
+    def _plain(
+        self, service: routes.Service, tried: tuple[str, ...]
+    ) -> Place | errors.Refusal:
+        known = self._catalogue.of_service(service.name)
+        fresh = [s for s in known if s.server_id not in tried]
+        candidates = [self._candidate(s) for s in fresh or known]
+        if not candidates:
+            return errors.Refusal(
+                errors.ErrorKind.NO_REPLICA, "The service has no server."
+            )
+        best = placement.by_load(candidates, self._rng.random)[0]
+        return self._take(Place(best.server))
+
+    async def _engine(
+        self,
+        request: requests.CallerRequest,
+        route: routes.Route,
+        holders: list[servers.BackendServer],
+    ) -> Place | errors.Refusal:
+        candidates = [self._engine_candidate(s, request) for s in holders]
+        ordered = placement.by_affinity(candidates, _affinity(request))
+        priority = min(_LOWEST_PRIORITY, route.rank)
+        if not request.adapter:
+            return self._take(Place(ordered[0].server, priority))
+        reason = ""
+        for candidate in ordered[:3]:
+            place = self._take(Place(candidate.server, priority, True))
+            try:
+                granted, wait_s, reason = await self._adapters.ask(
+                    candidate.server, request.model, request.adapter
+                )
+                if granted:
+                    if wait_s > 0:
+                        await self._sleep(wait_s)
+                    return place
+            except defer.CancelledError:
+                self.done(place)
+                raise
+            self.done(place)
+        return errors.Refusal(
+            errors.ErrorKind.NO_REPLICA,
+            f"No engine can load the adapter: {reason}.",
+            retry_after=0.5,
+            ran=errors.Ran.NO,
+        )
+
+    async def _holders(
+        self,
+        request: requests.CallerRequest,
+        route: routes.Route,
+        service: routes.Service,
+        deadline: float,
+    ) -> list[servers.BackendServer] | errors.Refusal:
+        """Returns the engines with the request's model, once there are any."""
+        model, since = request.model, self._clock.now()
+        waits = False
+        try:
+            while True:
+                now = self._clock.now()
+                holders = self._residency.holders_of(service.name, model, now)
+                if holders:
+                    return holders
+                if not waits:
+                    waits = True
+                    self._demand.waiting(service.name, model, route.rank, 1)
+                coming = self._residency.coming(service.name, model)
+                decision = patience.decide(
+                    now, since, deadline, coming.at if coming else None
+                )
+                if isinstance(decision, errors.Refusal):
+                    self._demand.refused(service.name, model, route.rank)
+                    return decision
+                await self._wait(decision.until - now)
+        finally:
+            if waits:
+                self._demand.waiting(service.name, model, route.rank, -1)
+
+    async def _wait(self, seconds: float) -> None:
+        """Waits for a change of what engines hold, or for a time."""
+        waiter: defer.Deferred[None] = defer.Deferred()
+        self._waiting.add(waiter)
+
+        def expired() -> None:
+            self._waiting.discard(waiter)
+            waiter.callback(None)
+
+        timer = self._reactor.callLater(max(0.0, seconds), expired)
+        try:
+            await waiter
+        finally:
+            self._waiting.discard(waiter)
+            if timer.active():
+                timer.cancel()
+
+    async def _sleep(self, seconds: float) -> None:
+        waiter: defer.Deferred[None] = defer.Deferred()
+        timer = self._reactor.callLater(seconds, waiter.callback, None)
+        try:
+            await waiter
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    def _candidate(self, server: servers.BackendServer) -> placement.Candidate:
+        own = self._under_way.get(server.server_id, 0)
+        return placement.Candidate(
+            server,
+            load=max(own, self._residency.load_of(server)),
+            penalty=self._health.penalty(server.incarnation, self._clock.now()),
+            far=server.domain != self._domain,
+        )
+
+    def _engine_candidate(
+        self, server: servers.BackendServer, request: requests.CallerRequest
+    ) -> placement.Candidate:
+        ready = not request.adapter or self._residency.has_adapter(
+            server, request.model, request.adapter
+        )
+        return self._candidate(server)._replace(
+            ready=ready, busy=self._residency.busy(server)
+        )
+
+    def _take(self, place: Place) -> Place:
+        name = place.server.server_id
+        self._under_way[name] = self._under_way.get(name, 0) + 1
+        return place
+
+
+def _affinity(request: requests.CallerRequest) -> str:
+    """Returns what requests have in common that should meet."""
+    if request.adapter:
+        return f"{request.model}/{request.adapter}"
+    shared = ",".join(part.name for part in request.shared_parts)
+    return f"{request.model} {shared}"
--- /dev/null
+++ b/azureline/relay/planning.py
@@ -0,0 +1,158 @@
+"""Carries the planner's view in and its plans out."""
+
+from typing import NamedTuple
+
+from azureline.core import clock as clocks
+from azureline.metrics import counters as metrics
+from azureline.relay import messages
+from azureline.relay import peers as peers_lib
+from azureline.relay import planner as planners
+from azureline.relay import routes
+from azureline.relay import servers
+from azureline.util import events
+
+# A plan is sent again until the engine's state shows it.
+_REPEAT_S = 0.5
+
+
+# An engine that is busy is taken to be so for at least this long.
+_BUSY_S = 0.2
+
+
+class _Told(NamedTuple):
+    state: messages.EngineState
+    at: float
+
+
+class _Sent:
+    def __init__(self, target: messages.Target, load_s: float, at: float):
+        self.target = target
+        self.load_s = load_s
+        self.at = at
+
+
+class Planning:
+    """The planners of the services that this node plans for."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        catalogue: servers.Catalogue,
+        peers: peers_lib.Peers,
+        log: events.Log,
+        counters: metrics.Counters,
+    ):
+        """Creates planning for no service."""
+        self._clock = clock
+        self._catalogue = catalogue
+        self._peers = peers
+        self._log = log
+        self._counters = counters
+        self._planners: dict[str, planners.Planner] = {}
+        self._states: dict[str, _Told] = {}
+        self._sent: dict[str, _Sent] = {}
+        self._serial = 0
+        peers.on(messages.Demand, self._demanded)
+
+    def state(self, state: messages.EngineState) -> None:
+        """Takes what a holder tells of its engine."""
+        self._states[state.server_id] = _Told(state, self._clock.now())
+
+    def cease(self, service: str) -> None:
+        """Plans for a service no more."""
+        if self._planners.pop(service, None) is not None:
+            self._sent.clear()
+
+    def plan(
+        self, service: str, kind: routes.EngineKind, term: int, now: float
+    ) -> None:
+        """Makes and sends the plans that are due.
+
+        Args:
+          service: the service.
+          kind: what its engines are like.
+          term: grows from one planner to the next.
+          now: monotonic time in seconds.
+        """
+        planner = self._planners.get(service)
+        if planner is None:
+            planner = planners.Planner(kind, now)
+            self._planners[service] = planner
+        planner.set_kind(kind)
+        views = [
+            self._view(server, now)
+            for server in self._catalogue.of_service(service)
+        ]
+        for move in planner.plan(views, now):
+            server = self._catalogue.get(move.server_id)
+            if server is None:
+                continue
+            self._serial += 1
+            target = messages.Target(
+                move.server_id,
+                server.born_ms,
+                term * 100000 + self._serial,
+                move.models,
+            )
+            self._counters.count("plans.made")
+            self._log.info(
+                "planned",
+                server=move.server_id,
+                load=move.load,
+                unload=move.victim,
+                rate=round(planner.demand.rate(move.load, now), 2),
+                waiting=planner.demand.waiting(move.load, now),
+                load_s=move.load_s,
+                models=list(move.models),
+            )
+            self._sent[move.server_id] = _Sent(target, move.load_s, now)
+            self._send(target)
+        self._repeat(now)
+
+    def _view(
+        self, server: servers.BackendServer, now: float
+    ) -> planners.EngineView:
+        told = self._states.get(server.server_id)
+        models = tuple(r.name for r in server.models)
+        free_s = 0.0
+        if told is not None and told.state.born_ms == server.born_ms:
+            models = tuple(name for name, _ in told.state.models)
+            left_s = told.at + told.state.coming_ms / 1000 - now
+            if told.state.busy:
+                free_s = max(left_s, _BUSY_S)
+        sent = self._sent.get(server.server_id)
+        if sent is not None:
+            other_start = sent.target.born_ms != server.born_ms
+            if other_start or set(sent.target.models) <= set(models):
+                del self._sent[server.server_id]
+            else:
+                # Under way: it counts as holding what it shall hold.
+                models = sent.target.models
+                free_s = max(free_s, sent.load_s, _BUSY_S)
+        return planners.EngineView(
+            server.server_id,
+            server.born_ms,
+            server.domain,
+            models,
+            server.in_memory,
+            server.on_disk,
+            free_s,
+        )
+
+    def _repeat(self, now: float) -> None:
+        for sent in self._sent.values():
+            if sent.at + _REPEAT_S <= now:
+                sent.at = now
+                self._send(sent.target)
+
+    def _send(self, target: messages.Target) -> None:
+        holder = self._peers.holder_of(target.server_id)
+        if holder is not None:
+            self._peers.send(holder, target)
+
+    def _demanded(self, message: messages.Demand, host: str, port: int) -> None:
+        now = self._clock.now()
+        for row in message.rows:
+            planner = self._planners.get(row.service)
+            if planner is not None:
+                planner.demand.take(f"{host}:{port}", row, now)
--- /dev/null
+++ b/azureline/relay/tenancy.py
@@ -0,0 +1,233 @@
+"""This node's lease, and what it holds by it in the platform's store."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+import uuid
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from azureline.core import clock as clocks
+from azureline.metrics import counters as metrics
+from azureline.platform import store as store_lib
+from azureline.relay import claims
+from azureline.relay import keys
+from azureline.util import events
+
+_RETRY_S = 0.2
+
+
+class Tenancy:
+    """Keeps a lease, the node's own record, and claims under it."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clocks.Clock,
+        rng: random.Random,
+        store: store_lib.Store,
+        record: keys.NodeRecord,
+        terms: claims.Terms,
+        counters: metrics.Counters,
+        log: events.Log,
+    ):
+        """Creates a tenancy without a lease."""
+        self._reactor = reactor
+        self._clock = clock
+        self._rng = rng
+        self._store = store
+        self._record = record
+        self._terms = terms
+        self._counters = counters
+        self._log = log
+        self._identity = uuid.uuid4().hex
+        self._lease: store_lib.Lease | None = None
+        self._tenure = claims.Tenure(terms)
+        self._turns: dict[str, claims.Turn] = {}
+        self._claiming: set[str] = set()
+        self._running: defer.Deferred[Any] | None = None
+        self._on_lost: Callable[[str], None] | None = None
+        self._stopping = False
+
+    @property
+    def identity(self) -> str:
+        """Identity of this process."""
+        return self._identity
+
+    @property
+    def held(self) -> dict[str, claims.Turn]:
+        """What this node holds, with its turn."""
+        return dict(self._turns)
+
+    def on_lost(self, tell: Callable[[str], None]) -> None:
+        """Tells when something is held no more."""
+        self._on_lost = tell
+
+    def start(self) -> None:
+        """Begins to keep the lease."""
+        self._running = defer.ensureDeferred(self._run())
+        self._running.addErrback(self._ended)
+
+    def may_act(self, name: str) -> bool:
+        """Returns whether an order may be sent at this moment."""
+        turn = self._turns.get(name)
+        now = self._clock.now()
+        return (
+            turn is not None and now >= turn.from_s and self._tenure.covers(now)
+        )
+
+    def claim(self, name: str, urgent: bool = False) -> None:
+        """Tries to become the holder of something that has none.
+
+        Args:
+          name: what to hold.
+          urgent: whether no other holder's orders need to be waited for.
+        """
+        if name in self._claiming or name in self._turns:
+            return
+        if self._lease is None or self._stopping:
+            return
+        self._claiming.add(name)
+        claiming = defer.ensureDeferred(self._claim(name, urgent))
+        claiming.addErrback(self._ended)
+
+    def taken(
+        self, name: str, record: keys.HolderRecord | None, revision: int
+    ) -> None:
+        """Learns from the store who holds something now.
+
+        Args:
+          name: what is held.
+          record: the holder; None if there is none.
+          revision: revision of the holder's key.
+        """
+        own = record is not None and record.identity == self._identity
+        if name in self._turns:
+            if not own:
+                self._drop(name, "taken" if record else "removed")
+        elif own and name not in self._claiming and self._lease is not None:
+            # The answer to this node's claim was lost.
+            from_s = self._clock.now() + self._terms.wait_s
+            self._turns[name] = claims.Turn(revision, from_s)
+            self._log.info("claim_found", held=name, token=revision)
+
+    def node_removed(self, name: str) -> None:
+        """Learns that a node's record is gone; its own is written anew."""
+        lease = self._lease
+        if name != self._record.name or lease is None or self._stopping:
+            return
+        self._log.warning("own_record_removed", lease=lease.lease_id)
+        # Its lease may be as good as ended: begin another one.
+        self._lease = None
+        self._tenure.ended()
+        for name in list(self._turns):
+            self._drop(name, "own record removed")
+
+    async def release(self) -> None:
+        """Gives up the lease, so that others can claim at once."""
+        self._stopping = True
+        if self._running is not None:
+            self._running.cancel()
+        lease, self._lease = self._lease, None
+        self._tenure.ended()
+        for name in list(self._turns):
+            self._drop(name, "stopping")
+        if lease is not None:
+            await self._store.end(lease.lease_id)
+
+    def _ended(self, failure: Any) -> None:
+        if not failure.check(defer.CancelledError):
+            self._log.error("tenancy_failed", reason=repr(failure))
+
+    async def _run(self) -> None:
+        while True:
+            if self._lease is None:
+                done = await self._begin()
+            else:
+                done = await self._renew(self._lease)
+            pause = self._terms.renew_s if done else _RETRY_S
+            pause *= self._rng.uniform(0.9, 1.1)
+            await task.deferLater(self._reactor, pause, lambda: None)
+
+    async def _begin(self) -> bool:
+        sent_at = self._clock.now()
+        lease = await self._store.grant(self._terms.ttl_s)
+        if isinstance(lease, store_lib.Unavailable):
+            self._counters.count("lease.unavailable")
+            return False
+        key = keys.NODES + self._record.name
+        put = store_lib.Put(key, keys.pack(self._record), lease.lease_id)
+        written = await self._store.change({}, (put,))
+        if not isinstance(written, store_lib.Committed):
+            self._counters.count("lease.unavailable")
+            return False
+        self._lease = lease
+        self._tenure.renewed(sent_at)
+        self._log.info("lease_begun", lease=lease.lease_id, ttl_s=lease.ttl_s)
+        return True
+
+    async def _renew(self, lease: store_lib.Lease) -> bool:
+        sent_at = self._clock.now()
+        renewed = await self._store.renew(lease.lease_id)
+        if isinstance(renewed, store_lib.Unavailable):
+            self._counters.count("lease.unavailable")
+            return False
+        if renewed:
+            self._tenure.renewed(sent_at)
+            return True
+        self._counters.count("lease.ended")
+        self._log.warning("lease_ended", lease=lease.lease_id)
+        self._lease = None
+        self._tenure.ended()
+        for name in list(self._turns):
+            self._drop(name, "lease ended")
+        return False
+
+    async def _claim(self, name: str, urgent: bool) -> None:
+        lease = self._lease
+        assert lease is not None
+        holder, turn = keys.HOLDERS + name, keys.TURNS + name
+        record = keys.HolderRecord(self._record.name, self._identity)
+        puts = (
+            store_lib.Put(holder, keys.pack(record), lease.lease_id),
+            store_lib.Put(turn, self._record.name.encode()),
+        )
+        try:
+            first = {holder: 0, turn: 0}
+            result = await self._store.change(first, puts)
+            waits = not urgent and not isinstance(result, store_lib.Committed)
+            if isinstance(result, store_lib.Conflict) and not any(
+                item.key == holder for item in result.items
+            ):
+                result = await self._store.change({holder: 0}, puts)
+            self._claimed(name, lease, waits, result)
+        finally:
+            self._claiming.discard(name)
+
+    def _claimed(
+        self, name: str, lease: store_lib.Lease, waits: bool, result: Any
+    ) -> None:
+        if not isinstance(result, store_lib.Committed):
+            # After a lost answer the key shows whose it is; until its lease
+            # ends nobody gives orders, which is safe.
+            self._counters.count("claims.failed")
+            return
+        if self._lease is not lease:
+            return
+        now = self._clock.now()
+        from_s = now + (self._terms.wait_s if waits else 0.0)
+        self._turns[name] = claims.Turn(result.revision, from_s)
+        self._counters.count("claims.won")
+        self._log.info(
+            "claimed",
+            held=name,
+            token=result.revision,
+            wait_s=round(from_s - now, 3),
+        )
+
+    def _drop(self, name: str, reason: str) -> None:
+        turn = self._turns.pop(name)
+        self._log.info("unclaimed", held=name, token=turn.token, reason=reason)
+        if self._on_lost is not None:
+            self._on_lost(name)
--- a/azureline/ui/app.py
+++ b/azureline/ui/app.py
@@ -8,6 +8,7 @@
 from azureline.ui import config_show
 from azureline.ui import config_status
 from azureline.ui import node
+from azureline.ui import relay
 from azureline.ui import status
 from azureline.ui import version
 
@@ -22,7 +23,7 @@
 A configuration is a base file shared by all sites and an overlay that states
 a site's differences, both in JSON with comments.
 """
-_COMMANDS = (node.COMMAND, status.COMMAND, version.COMMAND)
+_COMMANDS = (node.COMMAND, relay.COMMAND, status.COMMAND, version.COMMAND)
 _CONFIG_COMMANDS = (
     config_check.COMMAND,
     config_diff.COMMAND,
