Plan moves by gain and time to ready, and end connections on a stop

Ruled out: weighing waiting requests as a rate that every message adds to (it counted one request many times); ordering first replicas before all others.

Change: moves are ordered by what they bring, with the time until the engine is free, the tier of its copy, the adapters that it would hold up and the last copy on a disk in the balance. A draining node closes idle connections after the balancer's notice and ends when none is left. A process takes over at once what an earlier process of its VM held.

--- a/azureline/relay/adapters.py
+++ b/azureline/relay/adapters.py
@@ -35,6 +35,7 @@
         reactor: Any,
         clock: clocks.Clock,
         peers: peers_lib.Peers,
+        catalogue: servers.Catalogue,
         residency: residencies.Residency,
         counters: metrics.Counters,
     ):
@@ -42,6 +43,7 @@
         self._reactor = reactor
         self._clock = clock
         self._peers = peers
+        self._catalogue = catalogue
         self._residency = residency
         self._counters = counters
         self._numbers = itertools.count(1)
@@ -103,6 +105,11 @@
     ) -> tuple[bool, float, str]:
         """Returns the answer in place of a holder that says nothing."""
         self._counters.count("adapters.unanswered")
+        server = self._catalogue.get(question.server_id)
+        if server is not None and self._residency.has_adapter(
+            server, question.model, question.adapter
+        ):
+            return True, 0.0, ""
         return False, 0.0, "holder does not answer"
 
     def _answered(
--- a/azureline/relay/duties.py
+++ b/azureline/relay/duties.py
@@ -96,15 +96,26 @@
         now = self._clock.now()
         engines = {s.server_id: s for s in self._engines()}
         wanted = [*engines, *(keys.PLANNER + s for s in self._services())]
-        for name in self._vacancies.due(
-            wanted, self._peers.holders, self._peers.nodes, now
-        ):
+        held = {
+            name
+            for name, record in self._peers.holders.items()
+            if not self._left_behind(record)
+        }
+        due = self._vacancies.due(wanted, held, self._peers.nodes, now)
+        for name in due:
             self._tenancy.claim(name, urgent=name.startswith(keys.PLANNER))
         self._hold_claimed()
         for holder in list(self._holders.values()):
             holder.step()
         self._plan(now)
 
+    def _left_behind(self, record: keys.HolderRecord) -> bool:
+        """Returns whether an earlier process of this VM is the holder."""
+        return (
+            record.node == self._tools.node
+            and record.identity != self._tenancy.identity
+        )
+
     def _hold_claimed(self) -> None:
         for name, turn in self._tenancy.held.items():
             server = self._catalogue.get(name)
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -102,6 +102,7 @@
                 reactor,
                 self._clock,
                 self._peers,
+                self._catalogue,
                 self._residency,
                 self._counters,
             ),
@@ -260,7 +261,10 @@
             await self._sleep(_DRAIN_POLL_S)
         for port in self._ports:
             port.stopListening()
-        while self.active and self._clock.now() < latest:
+        while self._clock.now() < latest:
+            self._factory.close_idle()
+            if not self.active and not self._factory.channels:
+                break
             await self._sleep(_DRAIN_POLL_S)
         self._log.info(
             "stopped",
--- a/azureline/relay/patience.py
+++ b/azureline/relay/patience.py
@@ -4,8 +4,10 @@
 
 from azureline.core import errors
 
-# A load that was just asked for is announced within this time.
+# A load that was just asked for is announced within this time, unless the
+# engines are busy; a request waits for that by its own target.
 ANNOUNCE_S = 0.35
+_ANNOUNCE_PART = 0.3
 # A request needs this long after the model is there to begin its answer.
 _SERVE_S = 0.25
 # Callers come back after at most this part of the time they have left.
@@ -24,7 +26,11 @@
 
 
 def decide(
-    now: float, since: float, deadline: float, ready_at: float | None
+    now: float,
+    since: float,
+    deadline: float,
+    target_s: float,
+    ready_at: float | None,
 ) -> Wait | errors.Refusal:
     """Decides on a request whose model no engine can serve now.
 
@@ -32,6 +38,7 @@
       now: monotonic time in seconds.
       since: when it began to wait.
       deadline: when its answer is worth nothing any more.
+      target_s: seconds within which its answer is worth most.
       ready_at: when the model can be used, or None if nobody loads it.
 
     Returns:
@@ -40,7 +47,8 @@
     if ready_at is not None and ready_at + _SERVE_S < deadline:
         # A load may end a little later than announced.
         return Wait(min(max(ready_at, now) + 0.5, deadline - _SERVE_S))
-    announced_by = min(since + ANNOUNCE_S, deadline - _SERVE_S)
+    announce_s = max(ANNOUNCE_S, _ANNOUNCE_PART * target_s)
+    announced_by = min(since + announce_s, deadline - _SERVE_S)
     if ready_at is None and now < announced_by:
         return Wait(announced_by)
     wanted = ANNOUNCE_S if ready_at is None else max(0.0, ready_at - now)
--- a/azureline/relay/places.py
+++ b/azureline/relay/places.py
@@ -213,7 +213,11 @@
                     self._demand.waiting(service.name, model, route.rank, 1)
                 coming = self._residency.coming(service.name, model)
                 decision = patience.decide(
-                    now, since, deadline, coming.at if coming else None
+                    now,
+                    since,
+                    deadline,
+                    route.target_s,
+                    coming.at if coming else None,
                 )
                 if isinstance(decision, errors.Refusal):
                     self._demand.refused(service.name, model, route.rank)
--- a/azureline/relay/planner.py
+++ b/azureline/relay/planner.py
@@ -24,10 +24,20 @@
 _SPREAD = 0.75
 # Seconds that an unload takes while the model runs nothing.
 _UNLOAD_S = 0.1
-# Requests a second that one replica is worth before another one pays.
-_EXTRA_RATE = 0.8
-# Seconds of a replica's work that are lost when it is the last one.
-_LAST_WEIGHT = 2.0
+# Requests a second that one replica serves without a queue.
+_COMFORT_RATE = 4.0
+# Replicas are wanted so that none has more requests a second than this.
+_REPLICA_RATE = 2.0
+# What a waiting request is worth against a request a second.
+_WAITING_WEIGHT = 1.5
+# A load from the weight store must bring this much: it costs one there and
+# holds up the engine's adapters for seconds.
+_STORE_GAIN = 1.0
+# Part of the requests for a model with adapters that name one which the
+# engine does not hold yet.
+_ADAPTER_PART = 0.3
+# Loss of the only copy on any disk, in requests a second.
+_ONLY_COPY = 0.4
 
 
 class EngineView(NamedTuple):
@@ -186,14 +196,12 @@
         """Returns the moves to make now, at most one an engine."""
         engines = list(engines)
         moves: list[Move] = []
-        for model in self._wanted(engines, now):
-            option = self._best(model, engines, now)
+        for gain, model in self._wanted(engines, now):
+            option = self._best(model, gain, engines, now)
             if option is None or option.engine.free_s > 0:
                 # An engine that is busy may still be the soonest.
                 continue
-            if option.load_s >= self._kind.models[model].store_s and (
-                not self._allowance.spend(now)
-            ):
+            if not self._affordable(model, gain, option, now):
                 continue
             move = self._move(model, option, now)
             moves.append(move)
@@ -206,6 +214,13 @@
             ]
         return moves
 
+    def _affordable(
+        self, model: str, gain: float, option: _Option, now: float
+    ) -> bool:
+        if not _from_store(model, option.engine):
+            return True
+        return gain >= _STORE_GAIN and self._allowance.spend(now)
+
     def _move(self, model: str, option: _Option, now: float) -> Move:
         kept = [m for m in option.engine.models if m != option.victim]
         kept.sort(key=lambda m: -self.demand.rate(m, now))
@@ -217,8 +232,10 @@
             option.load_s,
         )
 
-    def _wanted(self, engines: list[EngineView], now: float) -> list[str]:
-        """Returns models that lack replicas, the most pressing first."""
+    def _wanted(
+        self, engines: list[EngineView], now: float
+    ) -> list[tuple[float, str]]:
+        """Returns (gain, model) of replicas that lack, the best first."""
         counts = _replicas(engines)
         total = sum(self.demand.rate(m, now) for m in self._kind.models)
         places = self.places * len(engines)
@@ -227,9 +244,8 @@
             have = counts.get(model, 0)
             want = min(self._target(model, total, places, now), len(engines))
             if have < want:
-                gain = self._gain(model, have, now)
-                short.append((have > 0, -gain, model))
-        return [model for _, _, model in sorted(short)]
+                short.append((self._gain(model, have, now), model))
+        return sorted(short, key=lambda pair: (-pair[0], pair[1]))
 
     def _target(self, model: str, total: float, places: int, now: float) -> int:
         """Returns the replicas that a model should have."""
@@ -238,37 +254,38 @@
         rate = self.demand.rate(model, now)
         part = rate / total if total > 0 else 0.0
         by_share = round(part * places * _SPREAD)
-        by_rate = math.ceil(rate / _EXTRA_RATE)
+        by_rate = math.ceil(rate / _REPLICA_RATE)
         return max(1, min(by_share, by_rate))
 
     def _gain(self, model: str, have: int, now: float) -> float:
         """Returns what one more replica brings, in requests a second."""
         rate = self.demand.rate(model, now)
         if have == 0:
-            return 1.0 + self.demand.waiting(model, now) + rate
-        return rate / (have + 1)
+            waiting = self.demand.waiting(model, now)
+            return _WAITING_WEIGHT * waiting + 2.0 * rate
+        return rate / (have + 1) * min(1.0, rate / have / _COMFORT_RATE)
 
     def _loss(self, model: str, have: int, now: float) -> float:
         """Returns what a replica is worth, in requests a second."""
         rate = self.demand.rate(model, now)
-        waiting = self.demand.waiting(model, now)
         if have > 1:
-            return rate / have
+            crowd = rate / (have - 1) / _COMFORT_RATE
+            return rate / have * min(1.0, crowd)
         idle_s = self.demand.idle_s(model, now)
         recent = math.exp(-idle_s / _IN_USE_S) if idle_s < math.inf else 0.0
-        return _LAST_WEIGHT * (rate + waiting) + 0.5 * recent
+        waiting = self.demand.waiting(model, now)
+        return 2.0 * rate + _WAITING_WEIGHT * waiting + 0.3 * recent
 
     def _best(
-        self, model: str, engines: list[EngineView], now: float
+        self, model: str, gain: float, engines: list[EngineView], now: float
     ) -> _Option | None:
         """Returns the option that brings a replica soonest at least loss."""
-        counts = _replicas(engines)
-        gain = self._gain(model, counts.get(model, 0), now)
+        fleet = _Fleet(engines)
         options = []
         for engine in engines:
             if model in engine.models:
                 continue
-            option = self._option(model, engine, counts, gain, now)
+            option = self._option(model, engine, fleet, gain, now)
             if option is not None:
                 options.append(option)
         return min(options, key=lambda o: (o.cost, o.tie), default=None)
@@ -277,14 +294,14 @@
         self,
         model: str,
         engine: EngineView,
-        counts: dict[str, int],
+        fleet: "_Fleet",
         gain: float,
         now: float,
     ) -> _Option | None:
         victim, loss = "", 0.0
         if len(engine.models) >= self.places:
             fit = [
-                (self._loss(m, counts.get(m, 0), now), m)
+                (self._loss(m, fleet.replicas.get(m, 0), now), m)
                 for m in engine.models
                 if self._may_go(engine, m, now)
             ]
@@ -295,8 +312,33 @@
                 return None
         load_s = self._load_s(model, engine)
         ready_s = engine.free_s + load_s + (_UNLOAD_S if victim else 0.0)
+        cost = ready_s * gain + loss
+        cost += load_s * self._held_up(engine, victim, fleet, now)
+        if _from_store(model, engine) and fleet.only_copy(
+            engine, self._disk_places
+        ):
+            cost += _ONLY_COPY
         tie = placement.rank(model, engine.server_id)
-        return _Option(ready_s * gain + loss, tie, engine, victim, load_s)
+        return _Option(cost, tie, engine, victim, load_s)
+
+    def _held_up(
+        self, engine: EngineView, victim: str, fleet: "_Fleet", now: float
+    ) -> float:
+        """Returns requests a second whose adapters an engine's load delays."""
+        held_up = 0.0
+        for model in engine.models:
+            spec = self._kind.models.get(model)
+            if model == victim or spec is None or not spec.adapters:
+                continue
+            others = fleet.free_with(model) - 1
+            rate = self.demand.rate(model, now) * _ADAPTER_PART
+            held_up += rate if others <= 0 else rate * 0.1 / others
+        return held_up
+
+    @property
+    def _disk_places(self) -> int:
+        sizes = [m.size_mb for m in self._kind.models.values()]
+        return int(self._kind.disk_mb // max(sizes)) if sizes else 0
 
     def _load_s(self, model: str, engine: EngineView) -> float:
         spec = self._kind.models[model]
@@ -309,6 +351,36 @@
         return placed + _STAY_S <= now
 
 
+class _Fleet:
+    """Counts over all engines."""
+
+    def __init__(self, engines: list[EngineView]):
+        self.replicas = _replicas(engines)
+        self._free: dict[str, int] = {}
+        self._copies: dict[str, int] = {}
+        for engine in engines:
+            for model in engine.on_disk:
+                self._copies[model] = self._copies.get(model, 0) + 1
+            if engine.free_s <= 0:
+                for model in engine.models:
+                    self._free[model] = self._free.get(model, 0) + 1
+
+    def free_with(self, model: str) -> int:
+        """Returns the engines with a model that can load adapters now."""
+        return self._free.get(model, 0)
+
+    def only_copy(self, engine: EngineView, places: int) -> bool:
+        """Returns whether one more copy drops the last one of a model."""
+        if len(engine.on_disk) < places:
+            return False
+        oldest = engine.on_disk[0]
+        return self._copies.get(oldest, 0) <= 1
+
+
+def _from_store(model: str, engine: EngineView) -> bool:
+    return model not in engine.in_memory and model not in engine.on_disk
+
+
 def _replicas(engines: list[EngineView]) -> dict[str, int]:
     counts: dict[str, int] = {}
     for engine in engines:
--- a/azureline/relay/planning.py
+++ b/azureline/relay/planning.py
@@ -103,6 +103,7 @@
                 rate=round(planner.demand.rate(move.load, now), 2),
                 waiting=planner.demand.waiting(move.load, now),
                 load_s=move.load_s,
+                on_disk=list(server.on_disk),
                 models=list(move.models),
             )
             self._sent[move.server_id] = _Sent(target, move.load_s, now)
--- a/azureline/relay/tenancy.py
+++ b/azureline/relay/tenancy.py
@@ -194,23 +194,37 @@
             store_lib.Put(turn, self._record.name.encode()),
         )
         try:
-            first = {holder: 0, turn: 0}
-            result = await self._store.change(first, puts)
-            waits = not urgent and not isinstance(result, store_lib.Committed)
-            if isinstance(result, store_lib.Conflict) and not any(
-                item.key == holder for item in result.items
-            ):
-                result = await self._store.change({holder: 0}, puts)
+            result = await self._store.change({holder: 0, turn: 0}, puts)
+            waits = False
+            if isinstance(result, store_lib.Conflict):
+                found = {item.key: item for item in result.items}
+                current = found.get(holder)
+                if current is not None and not self._left_behind(current):
+                    return
+                last = found.get(turn)
+                # Orders of an earlier process of this VM are its own.
+                own = last is not None and last.value == puts[1].value
+                waits = not urgent and not own
+                revision = current.revision if current else 0
+                result = await self._store.change({holder: revision}, puts)
             self._claimed(name, lease, waits, result)
         finally:
             self._claiming.discard(name)
 
+    def _left_behind(self, item: store_lib.Item) -> bool:
+        """Returns whether an earlier process of this VM was the holder."""
+        record = keys.holder_record(item.value)
+        return (
+            record is not None
+            and record.node == self._record.name
+            and record.identity != self._identity
+        )
+
     def _claimed(
         self, name: str, lease: store_lib.Lease, waits: bool, result: Any
     ) -> None:
         if not isinstance(result, store_lib.Committed):
-            # After a lost answer the key shows whose it is; until its lease
-            # ends nobody gives orders, which is safe.
+            # After a lost answer the follower finds whose the key is.
             self._counters.count("claims.failed")
             return
         if self._lease is not lease:
--- a/azureline/util/http_service.py
+++ b/azureline/util/http_service.py
@@ -3,6 +3,18 @@
 from twisted.web import http
 
 
+class _Channel(http.HTTPChannel):
+    """A connection that its factory knows."""
+
+    def connectionMade(self):  # noqa: D102, N802
+        super().connectionMade()
+        self.factory.channels.add(self)
+
+    def connectionLost(self, reason):  # noqa: D102, N802
+        self.factory.channels.discard(self)
+        super().connectionLost(reason)
+
+
 class Factory(http.HTTPFactory):
     """Makes connections that hand each request to its own class."""
 
@@ -14,12 +26,20 @@
           idle_s: seconds that a connection may stay idle.
         """
         super().__init__(timeout=idle_s)
+        self.protocol = _Channel
+        self.channels: set[_Channel] = set()
         self._request = request
 
     def set_idle_s(self, idle_s: float) -> None:
         """Takes another bound for new connections."""
         self.timeOut = idle_s
 
+    def close_idle(self) -> None:
+        """Closes the connections that carry no request."""
+        for channel in list(self.channels):
+            if not channel.requests:
+                channel.loseConnection()
+
     def buildProtocol(self, addr):  # noqa: D102, N802
         built = super().buildProtocol(addr)
         built.requestFactory = self._request
