Let the interrupt test choose how its program takes interrupts

Cause: test_an_interrupt_ends_a_command_without_a_traceback failed in two of three runs of the suite, by its 60 s timeout. The two were started as a background job within a shell's subshell, where SIGINT is ignored and the ignoring is inherited: a program started so printed getsignal(SIGINT) = 1, one started as a job of the outer shell printed the default handler. The program then ignores the interrupt, as a program must that is started so.

Ruled out: load and changed sources; the run that passed had both.

Change: the test sets the default action for its program. What it checks stays.

Conclusion: the verdict no longer depends on how the suite is started.

--- a/tests/test_ui.py
+++ b/tests/test_ui.py
@@ -235,6 +235,9 @@
             [sys.executable, "-m", "azureline", "status", "--timeout", "60"],
             stderr=subprocess.PIPE,
             env=os.environ | {"AZURELINE_NODE": address},
+            # A shell's background jobs ignore interrupts, and so would the
+            # program that inherits that.
+            preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
         )
         silent.settimeout(60)
         with silent.accept()[0]:
