Test the relay and the platform's formats, with stand-ins that speak them

Cause: what was built had no tests of its own.

Ruled out: using the private dialect's stand-in for the store; its calls and failures differ from the published ones.

--- a/standins/options.py
+++ b/standins/options.py
@@ -97,6 +97,62 @@
     resident: list[str] = []
 
 
+class KvOptions(NamedTuple):
+    """Options of the users' store.
+
+    Attributes:
+      port: TCP port; 0 takes a free one.
+      host: address in 127.0.0.0/8.
+      history: changes that a watch may go back.
+      config: file with the operators' configuration, or "".
+    """
+
+    port: int = 0
+    host: str = "127.0.0.1"
+    history: int = 2000
+    config: str = ""
+
+
+class SiteServerOptions(NamedTuple):
+    """Options of a backend server of the users' platform.
+
+    Attributes:
+      name: its id.
+      service: its service.
+      domain: its failure domain.
+      store: URL of the store.
+      address: IP:PORT that it tells the store.
+      port: TCP port.
+      host: address in 127.0.0.0/8.
+      slots: requests that it runs at once.
+      work_s: seconds that a request takes.
+      load_s: seconds that an order about a model takes.
+      places: models that fit.
+      adapter_places: adapters that fit.
+      models: whether it is an engine.
+      resident: models that it starts with.
+      born: Unix time of its start in milliseconds.
+      beat_s: seconds between two entries.
+    """
+
+    name: str = "server-1"
+    service: str = "ledger"
+    domain: str = "d1"
+    store: str = ""
+    address: str = ""
+    port: int = 0
+    host: str = "127.0.0.1"
+    slots: int = 16
+    work_s: float = 0.05
+    load_s: float = 0.3
+    places: int = 2
+    adapter_places: int = 2
+    models: bool = False
+    resident: list[str] = []
+    born: int = 1
+    beat_s: float = 0.5
+
+
 def run(main: Callable[[Any], None], kind: type) -> None:
     """Reads options of a kind from the command line and calls `main`."""
 
--- /dev/null
+++ b/standins/site_server.py
@@ -0,0 +1,307 @@
+"""A stand-in for a backend server of the users' platform.
+
+As an engine it holds models and takes orders; without models it is a plain
+service.  It writes down what it was asked to do, for checks of promises.
+"""
+
+import base64
+import json
+from typing import Any
+from typing import NamedTuple
+
+from twisted.internet import defer
+from twisted.internet import reactor as default_reactor
+from twisted.internet import task
+from twisted.web import server
+
+from standins import common
+from standins import options
+
+REQUEST_ID = "Azureline-Request-Id"
+SEAL = "Azureline-Server-Seal"
+NOT_RUN = "Azureline-Not-Executed"
+MODEL = "Azureline-Model"
+EXPECT = "Azureline-Expect-Instance"
+
+
+class Run(NamedTuple):
+    """A request that began to run."""
+
+    request_id: str
+    at: float
+    model: str
+
+
+class _Busy(NamedTuple):
+    verb: str
+    model: str
+
+
+class SiteServer(common.App):
+    """One backend server; its clock is the reactor's."""
+
+    def __init__(
+        self, chosen: options.SiteServerOptions, reactor: Any = default_reactor
+    ):
+        """Creates a server that nobody knows yet."""
+        super().__init__(reactor)
+        self._options = chosen
+        self.server_id = chosen.name
+        self.models: dict[str, set[str]] = {m: set() for m in chosen.resident}
+        self.sequence = 0
+        self.beat = 0
+        self.state = "ready"
+        self.runs: list[Run] = []
+        self.orders: list[dict[str, Any]] = []
+        self.overcommits = 0
+        self._busy: _Busy | None = None
+        self._running = 0
+        self._reset = 0
+        self._mute = 0
+        self._late_orders = 0
+        self.route("GET", "/report", self._report)
+        self.route("POST", "/order", self._order)
+        self.route("GET", "/healthz", self._health)
+        self.route("GET", "/runs", self._told_runs)
+        self.route("(GET|POST)", "/.*", self._serve)
+
+    def route(self, method: str, pattern: str, handler: Any) -> None:
+        """Adds a handler; a method may name two."""
+        for one in method.strip("()").split("|"):
+            super().route(one, pattern, handler)
+
+    def fault(self, name: str, value: Any) -> None:
+        """Begins one kind of failure.
+
+        `reset` N answers after their run began, `mute` N answers never come,
+        `late_orders` N orders without answer that take effect 1 s later,
+        `drain` says that the server is leaving.
+        """
+        match name:
+            case "reset":
+                self._reset = value
+            case "mute":
+                self._mute = value
+            case "late_orders":
+                self._late_orders = value
+            case "drain":
+                self.state = "draining"
+            case _:
+                super().fault(name, value)
+
+    def entry(self) -> dict[str, Any]:
+        """Returns what the server writes into the store."""
+        self.beat += 1
+        return {
+            "service": self._options.service,
+            "address": self._options.address,
+            "zone": self._options.domain,
+            "version": "v1",
+            "slots": self._options.slots,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "models": self._listed(),
+            "sequence": self.beat,
+            "born": self._options.born,
+        }
+
+    def _listed(self) -> list[dict[str, Any]]:
+        return [
+            {"name": name, "version": 1, "adapters": sorted(adapters)}
+            for name, adapters in self.models.items()
+        ]
+
+    def _report(self, request: server.Request) -> common.Reply:
+        return common.json_reply(
+            {
+                "stage": "prefill_decode",
+                "models": self._listed(),
+                "busy": self._busy is not None,
+                "sequence": self.sequence,
+                "queued_reqs": 0,
+                "running_reqs": self._running,
+                "born": self._options.born,
+                "at_hand": {"in_memory": [], "on_disk": list(self.models)},
+            }
+        )
+
+    def _told_runs(self, request: server.Request) -> common.Reply:
+        return common.json_reply(
+            {
+                "runs": [run._asdict() for run in self.runs],
+                "orders": self.orders,
+                "overcommits": self.overcommits,
+                "models": self._listed(),
+            }
+        )
+
+    def _health(self, request: server.Request) -> common.Reply:
+        status = 200 if self.state == "ready" else 503
+        return common.Reply(
+            status, b"", (("Azureline-Instance-Id", self.server_id),)
+        )
+
+    def _order(self, request: server.Request) -> common.Reply | None:
+        if self._is_other(request):
+            return _not_run(421)
+        order = common.read_json(request)
+        if "holder" not in order or "fencing_token" not in order:
+            return common.Reply(400)
+        if self._late_orders > 0:
+            self._late_orders -= 1
+            self.reactor.callLater(1.0, self._carry_out, order)
+            return None
+        return common.Reply(self._carry_out(order))
+
+    def _carry_out(self, order: dict[str, Any]) -> int:
+        self.orders.append({**order, "at": self.reactor.seconds()})
+        expected = order.get("expected", self.sequence)
+        if self._busy is not None or expected != self.sequence:
+            return 409
+        self.sequence += 1
+        model, adapter = order["model"], order.get("adapter", "")
+        if adapter:
+            return self._change_adapter(order["op"], model, adapter)
+        self._busy = _Busy(order["op"], model)
+        if order["op"] == "load" and len(self.models) >= self._options.places:
+            self.overcommits += 1
+        self.reactor.callLater(self._options.load_s, self._worked)
+        return 202
+
+    def _change_adapter(self, verb: str, model: str, adapter: str) -> int:
+        held = self.models.get(model)
+        if held is None:
+            return 400
+        if verb == "unload":
+            held.discard(adapter)
+            return 200
+        held.add(adapter)
+        count = sum(len(adapters) for adapters in self.models.values())
+        if count > self._options.adapter_places:
+            self.overcommits += 1
+        return 202
+
+    def _worked(self) -> None:
+        busy, self._busy = self._busy, None
+        assert busy is not None
+        if busy.verb == "load":
+            self.models.setdefault(busy.model, set())
+        else:
+            self.models.pop(busy.model, None)
+
+    def _serve(self, request: server.Request) -> Any:
+        request_id = request.getHeader(REQUEST_ID) or ""
+        if not request_id:
+            return _not_run(400)
+        if self._is_other(request):
+            return _not_run(421)
+        model, _, adapter = (request.getHeader(MODEL) or "").partition("/")
+        if model and adapter not in {"", *self.models.get(model, ())}:
+            return _not_run(421)
+        if model and model not in self.models:
+            return _not_run(421)
+        if self._running >= self._options.slots:
+            return _not_run(503)
+        now = self.reactor.seconds()
+        self.runs.append(Run(request_id, now, model))
+        if self._mute > 0:
+            self._mute -= 1
+            return None
+        if self._reset > 0:
+            self._reset -= 1
+            common.close_without_answer(request)
+            return None
+        return defer.ensureDeferred(self._answer_run(request, request_id))
+
+    async def _answer_run(
+        self, request: server.Request, request_id: str
+    ) -> common.Reply | None:
+        self._running += 1
+        try:
+            if self._options.models:
+                await self._stream(request, request_id)
+                return None
+            await task.deferLater(self.reactor, self._options.work_s)
+            body = f"{request_id} {request.uri.decode()}".encode()
+            return common.Reply(200, body, _headers(request_id))
+        finally:
+            self._running -= 1
+
+    async def _stream(self, request: server.Request, request_id: str) -> None:
+        usage = request.getHeader("Azureline-Token-Usage") or "0,5"
+        count = max(1, int(usage.partition(",")[2] or 5))
+        last = request.getHeader("Last-Event-Id")
+        for name, value in _headers(request_id):
+            request.setHeader(name, value)
+        request.setHeader("Content-Type", "text/event-stream")
+        for number in range(int(last) + 1 if last else 0, count):
+            await task.deferLater(self.reactor, self._options.work_s / 10)
+            if not common.is_open(request):
+                return
+            event = f"id: {number}\ndata: {request_id} {number}/{count}\n\n"
+            request.write(event.encode())
+        request.finish()
+
+    def _is_other(self, request: server.Request) -> bool:
+        expected = request.getHeader(EXPECT)
+        return expected is not None and expected != self.server_id
+
+
+class Registration:
+    """Keeps a server's entry in the store."""
+
+    def __init__(self, app: SiteServer, poster: common.Poster, beat_s: float):
+        """Creates a registration that has not begun."""
+        self._app = app
+        self._poster = poster
+        self._beat_s = beat_s
+        self._lease: int | None = None
+        self._loop = task.LoopingCall(self._write)
+        self._loop.clock = app.reactor
+
+    def start(self) -> None:
+        """Writes the entry now and at every beat."""
+        self._loop.start(self._beat_s)
+
+    def _write(self) -> Any:
+        return defer.ensureDeferred(self._beat()).addErrback(self._failed)
+
+    async def _beat(self) -> None:
+        if self._lease is None:
+            ttl_ms = int(self._beat_s * 3000)
+            answer = await self._poster.post("/kv-lease", {"ttl_ms": ttl_ms})
+            self._lease = answer["lease"]
+        await self._poster.post(f"/kv-keep/{self._lease}", {})
+        value = json.dumps(self._app.entry()).encode()
+        put = {
+            "key": f"servers/{self._app.server_id}",
+            "value": base64.b64encode(value).decode(),
+            "lease": self._lease,
+        }
+        await self._poster.post(
+            "/kv-txn", {"expected": [], "puts": [put], "remove": []}
+        )
+
+    def _failed(self, failure: Any) -> None:
+        self._lease = None
+
+
+def _headers(request_id: str) -> tuple[tuple[str, str], ...]:
+    return ((REQUEST_ID, request_id), (SEAL, f"seal-{request_id}"))
+
+
+def _not_run(status: int) -> common.Reply:
+    return common.Reply(status, b"", ((NOT_RUN, "1"),))
+
+
+def main(chosen: options.SiteServerOptions) -> None:
+    """Runs the stand-in for a backend server until SIGTERM."""
+    address = f"{chosen.host}:{chosen.port}"
+    app = SiteServer(chosen._replace(address=address))
+    poster = common.Poster(app.reactor, chosen.store)
+    Registration(app, poster, chosen.beat_s).start()
+    common.serve(app, chosen.host, chosen.port)
+
+
+if __name__ == "__main__":
+    options.run(main, options.SiteServerOptions)
--- /dev/null
+++ b/tests/builders_http1.py
@@ -0,0 +1,82 @@
+"""Builders for tests of the HTTP/1 client: servers that say given bytes."""
+
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.internet import reactor
+
+from azureline.core import clock as clocks
+from azureline.util import http1
+
+SCRIPT_END = object()
+
+
+class Scripted(protocol.Protocol):
+    """Answers each request with the next bytes of its script."""
+
+    def connectionMade(self):  # noqa: N802
+        self.factory.connections.append(self)
+        self._seen = b""
+
+    def dataReceived(self, data):  # noqa: N802
+        self._seen += data
+        while b"\r\n\r\n" in self._seen:
+            _, _, self._seen = self._seen.partition(b"\r\n\r\n")
+            self.factory.requests += 1
+            self._answer()
+
+    def _answer(self):
+        if not self.factory.script:
+            return
+        for step in self.factory.script.pop(0):
+            match step:
+                case bytes():
+                    self.transport.write(step)
+                case "close":
+                    self.transport.loseConnection()
+                case "reset":
+                    # After the bytes before it are on their way.
+                    reactor.callLater(0.05, self.transport.abortConnection)
+
+
+def serve(case: Any, *script: list[Any]) -> tuple[http1.Address, Any]:
+    """Serves a script; returns the address and the factory.
+
+    Args:
+      case: the test; what is opened closes with it.
+      *script: per request, bytes to send and "close" or "reset".
+    """
+    factory = protocol.Factory.forProtocol(Scripted)
+    factory.script = list(script)
+    factory.connections = []
+    factory.requests = 0
+    port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+    case.addCleanup(port.stopListening)
+    return http1.Address("127.0.0.1", port.getHost().port), factory
+
+
+def client(case: Any) -> http1.Client:
+    """Returns a client that closes with the test."""
+    made = http1.Client(reactor, clocks.SystemClock(), 1.0)
+
+    def closed() -> defer.Deferred[None]:
+        made.close()
+        waiting: defer.Deferred[None] = defer.Deferred()
+        reactor.callLater(0.05, waiting.callback, None)
+        return waiting
+
+    case.addCleanup(closed)
+    return made
+
+
+def get(address: http1.Address) -> http1.Request:
+    """Returns a request without a body."""
+    host = f"{address.host}:{address.port}".encode()
+    return http1.Request(b"GET", b"/x", ((b"host", host),))
+
+
+def answer(body: bytes, *headers: bytes) -> bytes:
+    """Returns an answer with a length."""
+    lines = [b"HTTP/1.1 200 OK", b"Content-Length: %d" % len(body), *headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- /dev/null
+++ b/tests/builders_site.py
@@ -0,0 +1,107 @@
+"""A site of the users' platform as real processes, for tests."""
+
+from collections.abc import Iterator
+import contextlib
+import json
+import os
+import signal
+from typing import Any
+import urllib.request
+
+from tests import builders_relay
+from tools import deployment
+from tools import site_caller
+
+NODES = ("relay-1", "relay-2", "relay-3")
+READY_S = 30.0
+
+
+class Site:
+    """A store, two engines, two ledgers and three nodes."""
+
+    def __init__(self, processes: deployment.Deployment):
+        """Creates a site over processes that were started."""
+        self.processes = processes
+
+    def caller(self, node: str = NODES[0]) -> site_caller.Caller:
+        """Returns a caller of one node."""
+        return site_caller.Caller(self.processes.urls[node])
+
+    def seen(self, server: str) -> dict[str, Any]:
+        """Returns what a backend server was asked to do."""
+        return self._get(self.processes.urls[server] + "/runs")
+
+    def runs_of(self, request_id: str) -> int:
+        """Returns how often a request ran, at all servers."""
+        return sum(
+            run["request_id"] == request_id
+            for name in self.processes.urls
+            if name.startswith(("engine", "ledger"))
+            for run in self.seen(name)["runs"]
+        )
+
+    def fault(self, name: str, **faults: Any) -> None:
+        """Makes a stand-in fail."""
+        request = urllib.request.Request(
+            self.processes.urls[name] + "/faults",
+            json.dumps(faults).encode(),
+            method="POST",
+        )
+        urllib.request.urlopen(request, timeout=5).read()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process of this site."""
+        os.kill(self.processes.pid(name), number)
+
+    def ready(self, node: str) -> bool:
+        """Returns whether a node says that it is ready."""
+        host = self.processes.urls[node].rpartition(":")[0]
+        try:
+            url = f"{host}:{deployment.READY_PORT}/readyz"
+            urllib.request.urlopen(url, timeout=2).read()
+        except OSError:
+            return False
+        return True
+
+    def metrics(self, node: str) -> str:
+        """Returns a node's metrics as text."""
+        host = self.processes.urls[node].rpartition(":")[0]
+        url = f"{host}:{deployment.METRICS_PORT}/metrics"
+        return urllib.request.urlopen(url, timeout=2).read().decode()
+
+    def events(self, node: str, event: str) -> list[dict[str, Any]]:
+        """Returns the lines of a kind from a node's log."""
+        text = self.processes.log_tail(node, 100000)
+        lines = [json.loads(x) for x in text.splitlines() if x[:1] == "{"]
+        return [line for line in lines if line["event"] == event]
+
+    def until(self, what: str, condition: Any) -> Any:
+        """Waits for a condition; returns what it returned."""
+        return deployment.wait_until(what, condition, READY_S)
+
+    def _get(self, url: str) -> dict[str, Any]:
+        with urllib.request.urlopen(url, timeout=5) as answer:
+            return json.loads(answer.read())
+
+
+@contextlib.contextmanager
+def running(nodes: tuple[str, ...] = NODES) -> Iterator[Site]:
+    """Runs a site until the block ends."""
+    with deployment.Deployment() as processes:
+        processes.site_store(builders_relay.site_document())
+        for number, models in ((1, ["m0", "m1"]), (2, ["m0"])):
+            processes.site_server(
+                f"engine-{number}",
+                service="llm",
+                models=True,
+                resident=models,
+                domain=f"d{number}",
+            )
+        for number in (1, 2):
+            processes.site_server(f"ledger-{number}", service="ledger")
+        for number, name in enumerate(nodes, 1):
+            processes.relay(name, f"d{number}")
+        site = Site(processes)
+        for name in nodes:
+            site.until(f"{name} is ready", lambda name=name: site.ready(name))
+        yield site
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,113 @@
+"""Tests of the client of the users' store, against the stand-in."""
+
+import pytest
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.trial import unittest
+
+from azureline.platform import store as store_lib
+from azureline.util import http1
+from standins import kv_service
+from standins import options
+from tests import builders_http1
+from tests import builders_standins as builders
+
+pytestmark = pytest.mark.filterwarnings("ignore:Using readBody")
+
+
+class StoreTest(unittest.TestCase):
+    timeout = 20
+
+    def setUp(self):
+        self.app = kv_service.KvService(options.KvOptions(history=50))
+        url = builders.listen(self, self.app)
+        self.addCleanup(self._stop_sweep)
+        client = builders_http1.client(self)
+        host, _, port = url.removeprefix("http://").rpartition(":")
+        self.address = http1.Address(host, int(port))
+        self.store = store_lib.Store(client, self.address, 0.3)
+
+    def _stop_sweep(self):
+        for call in reactor.getDelayedCalls():
+            if "_sweep" in str(call):
+                call.cancel()
+
+    async def test_items_are_written_read_and_listed(self):
+        put = store_lib.Put("a/1", b"\x00one")
+        done = await self.store.change({"a/1": 0}, (put,))
+        item = await self.store.item("a/1")
+        assert (item.value, item.revision) == (b"\x00one", done.revision)
+        assert await self.store.item("a/2") is None
+        listing = await self.store.listing("a/")
+        assert listing.items == (item,) and listing.revision >= done.revision
+
+    async def test_a_long_listing_comes_in_pages(self):
+        for number in range(120):
+            self.app.put(f"p/{number:03}", b"x")
+        listing = await self.store.listing("p/")
+        assert len(listing.items) == 120
+
+    async def test_a_conflict_tells_what_is_there(self):
+        put = store_lib.Put("k", b"mine")
+        await self.store.change({"k": 0}, (put,))
+        found = await self.store.change({"k": 0}, (put,))
+        assert not found and found.items[0].value == b"mine"
+
+    async def test_a_watch_brings_changes_in_order(self):
+        after = self.app.put("w/0", b"0")
+        self.app.put("w/1", b"1")
+        self.app.put("other", b"x")
+        self.app.remove("w/0")
+        seen = await self.store.watch("w/", after, 1.0)
+        assert [type(e) for e in seen.events] == [
+            store_lib.Item,
+            store_lib.Removed,
+        ]
+        more = self.store.watch("w/", seen.revision, 1.0)
+        more = defer.ensureDeferred(more)
+        self.app.put("w/2", b"2")
+        assert (await more).events[0].key == "w/2"
+
+    async def test_a_watch_without_changes_ends_empty(self):
+        revision = self.app.put("w/0", b"0")
+        seen = await self.store.watch("w/", revision, 0.1)
+        assert seen.events == ()
+
+    async def test_forgotten_history_is_told(self):
+        revision = self.app.put("w/0", b"0")
+        self.app.put("w/1", b"1")
+        self.app.fault("forget", True)
+        seen = await self.store.watch("w/", revision, 0.1)
+        assert isinstance(seen, store_lib.HistoryGone)
+
+    async def test_a_lost_answer_may_have_been_done(self):
+        self.app.fault("lose_answers", 1)
+        put = store_lib.Put("k", b"v")
+        lost = await self.store.change({"k": 0}, (put,))
+        assert isinstance(lost, store_lib.Unavailable) and lost.done
+        assert (await self.store.item("k")).value == b"v"
+
+    async def test_a_refusal_did_nothing(self):
+        self.app.fault("refuse", ["127.0.0.1"])
+        refused = await self.store.item("k")
+        assert isinstance(refused, store_lib.Unavailable)
+        assert not refused.done
+        self.app.fault("refuse", [])
+        assert await self.store.item("k") is None
+
+    async def test_an_outage_ends(self):
+        self.app.fault("down_s", 0.4)
+        assert not await self.store.item("k")
+        await builders.sleep(0.5)
+        assert await self.store.item("k") is None
+
+    async def test_a_lease_takes_its_keys_with_it(self):
+        lease = await self.store.grant(0.3)
+        put = store_lib.Put("k", b"v", lease.lease_id)
+        await self.store.change({"k": 0}, (put,))
+        assert await self.store.renew(lease.lease_id) is True
+        await builders.sleep(0.6)
+        assert await self.store.item("k") is None
+        assert await self.store.renew(lease.lease_id) is False
+        late = await self.store.change({}, (put,))
+        assert isinstance(late, store_lib.NoLease)
--- /dev/null
+++ b/tests/test_relay_decisions.py
@@ -0,0 +1,260 @@
+"""Tests of the relay's smaller decisions: places, waits, budgets, claims."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from azureline.core import errors
+from azureline.relay import budget
+from azureline.relay import claims
+from azureline.relay import health
+from azureline.relay import patience
+from azureline.relay import placement
+from azureline.relay import residency as residencies
+from azureline.relay import routes
+from azureline.relay import servers
+from tests import builders_relay as builders
+
+
+def _candidate(name, load=0.0, penalty=1.0, far=False, **fields):
+    server = builders.server(name, "a")
+    return placement.Candidate(server, load, penalty, far, **fields)
+
+
+def _names(candidates):
+    return [c.server.server_id for c in candidates]
+
+
+class TestPlacement:
+    def test_requests_with_common_parts_meet(self):
+        fleet = [_candidate(f"e{i}") for i in range(5)]
+        shuffled = random.Random(1).sample(fleet, 5)
+        first = placement.by_affinity(fleet, "model p1")
+        assert first == placement.by_affinity(shuffled, "model p1")
+
+    def test_different_parts_spread(self):
+        fleet = [_candidate(f"e{i}") for i in range(5)]
+        firsts = {
+            _names(placement.by_affinity(fleet, f"part {i}"))[0]
+            for i in range(60)
+        }
+        assert len(firsts) == 5
+
+    def test_a_crowded_engine_is_passed_over(self):
+        fleet = [_candidate("e1", 9.0), _candidate("e2"), _candidate("e3")]
+        for part in range(20):
+            assert placement.by_affinity(fleet, str(part))[-1].load == 9.0
+
+    def test_an_engine_that_can_load_nothing_comes_last(self):
+        stuck = _candidate("e1", ready=False, busy=True)
+        fleet = [stuck, _candidate("e2", far=True)]
+        assert placement.by_affinity(fleet, "x")[-1] == stuck
+
+    def test_failing_servers_are_avoided_but_not_for_ever(self):
+        seen = health.Health()
+        for _ in range(6):
+            seen.note(("e1", 1), False, 0.1, 0.0)
+        assert seen.penalty(("e1", 1), 0.0) > 8.0
+        assert seen.penalty(("e1", 1), 20.0) < 1.1
+        assert seen.penalty(("e1", 2), 0.0) == 1.0
+
+    def test_plain_servers_go_by_load(self):
+        fleet = [_candidate("e1", 3.0), _candidate("e2", 1.0)]
+        ordered = placement.by_load(fleet, lambda: 0.0)
+        assert _names(ordered) == ["e2", "e1"]
+
+
+class TestPatience:
+    def test_a_load_that_ends_in_time_is_waited_for(self):
+        decision = patience.decide(10.0, 10.0, 15.0, 1.0, 10.8)
+        assert isinstance(decision, patience.Wait)
+        assert 10.8 < decision.until < 15.0
+
+    def test_a_load_that_ends_too_late_is_not(self):
+        refusal = patience.decide(10.0, 10.0, 12.0, 1.0, 14.0)
+        assert refusal.kind is errors.ErrorKind.NO_REPLICA
+        assert refusal.answer.ran is errors.Ran.NO
+        # At most a third of the time left.
+        assert 0 < refusal.answer.retry_after_s <= 2.0 / 3 + 1e-9
+
+    def test_an_announcement_is_waited_for_by_the_target(self):
+        first = patience.decide(0.0, 0.0, 10.0, 4.0, None)
+        assert first == patience.Wait(pytest.approx(1.2))
+        assert not patience.decide(1.3, 0.0, 10.0, 4.0, None)
+
+    @hypothesis.given(
+        st.floats(0, 100), st.floats(0, 20), st.none() | st.floats(0, 150)
+    )
+    def test_no_wait_ends_after_the_deadline(self, now, left, ready):
+        decision = patience.decide(now, now, now + left, 1.0, ready)
+        if isinstance(decision, patience.Wait):
+            assert decision.until <= now + left
+
+
+class TestBudget:
+    TERMS = budget.Terms(0.2, 10.0, 50.0)
+
+    def test_nodes_together_stay_within_the_fleets_budget(self):
+        nodes = [budget.RepeatBudget(self.TERMS) for _ in range(7)]
+        sent = repeats = 0
+        for node in nodes:
+            node.set_nodes(7)
+            for i in range(100):
+                node.sent_first("s", i * 0.05)
+                sent += 1
+                repeats += node.spend("s", i * 0.05)
+        assert 0 < repeats <= 0.2 * sent + 50.0
+
+    def test_the_window_slides(self):
+        node = budget.RepeatBudget(self.TERMS)
+        node.set_nodes(50)
+        assert not node.spend("s", 0.0)
+        for _ in range(20):
+            node.sent_first("s", 1.0)
+        assert node.spend("s", 2.0)
+        assert not node.spend("s", 30.0)
+
+
+class TestClaims:
+    TERMS = claims.Terms(2.5, 0.5, 1.5, 3.0, 0.4)
+
+    def test_orders_end_before_the_lease_can(self):
+        tenure = claims.Tenure(self.TERMS)
+        assert not tenure.covers(0.0)
+        tenure.renewed(10.0)
+        assert tenure.covers(11.4) and not tenure.covers(11.5)
+        tenure.ended()
+        assert not tenure.covers(10.1)
+
+    def test_a_successor_waits_for_its_predecessors_orders(self):
+        # Revoked at once, the holder may order for 1.5 s; then 3 s apart.
+        assert self.TERMS.wait_s >= 1.5 + 3.0
+
+    def test_nodes_claim_in_turns(self):
+        nodes = ["n1", "n2", "n3"]
+        ages = {}
+        for name in nodes:
+            vacancies = claims.Vacancies(name)
+            for tick in range(60):
+                if vacancies.due(["e1"], [], nodes, tick * 0.1):
+                    ages[name] = tick * 0.1
+                    break
+        assert sorted(ages.values()) == pytest.approx([0.0, 1.0, 2.0])
+
+    def test_what_is_held_is_not_claimed(self):
+        vacancies = claims.Vacancies("n1")
+        assert vacancies.due(["e1"], ["e1"], ["n1"], 9.0) == []
+
+
+class TestRoutes:
+    def _table(self, *found, version=1):
+        table = routes.RouteTable(random.Random(1))
+        assert table.put_in_force(builders.config(version, *found))
+        return table
+
+    def test_the_longest_prefix_wins(self):
+        table = self._table(
+            builders.route("short", prefix="/a/"),
+            builders.route("long", prefix="/a/b/"),
+        )
+        assert table.match("ficu95.example", "/a/b/c").name == "long"
+        assert table.match("ficu95.example", "/a/x").name == "short"
+        assert table.match("ficu95.example", "/b/") is None
+        assert table.match("other.example", "/a/x") is None
+
+    def test_an_older_version_never_comes_back(self):
+        table = self._table(builders.route("new"), version=6)
+        assert not table.put_in_force(builders.config(5))
+        assert not table.put_in_force(builders.config(6))
+        assert table.version == 6 and table.match("ficu95.example", "/a/")
+
+    def test_services_are_drawn_by_weight(self):
+        shares = (routes.Share("llm", 90.0), routes.Share("none", 10.0))
+        table = self._table(builders.route(shares=shares))
+        route = table.match("ficu95.example", "/a/")
+        drawn = [table.service_of(route) for _ in range(1000)]
+        assert 50 < sum(service is None for service in drawn) < 150
+
+
+class TestCatalogue:
+    def test_a_server_that_leaves_gets_no_work(self):
+        known = servers.Catalogue()
+        known.update(builders.server("e1"))
+        known.update(builders.server("e1", leaving=True))
+        known.update(builders.server("e1"))
+        assert known.of_service("llm") == []
+
+    def test_another_start_under_the_same_id_gets_work(self):
+        known = servers.Catalogue()
+        known.update(builders.server("e1", leaving=True))
+        known.update(builders.server("e1", born_ms=2))
+        assert [s.born_ms for s in known.of_service("llm")] == [2]
+
+    def test_an_entry_that_lapsed_in_an_outage_stays_until_renewal_is_due(self):
+        known = servers.Catalogue()
+        known.store_back(-10.0)
+        known.update(builders.server("e1"))
+        known.update(builders.server("e2"))
+        known.store_away()
+        known.store_back(100.0)
+        assert known.remove("e1", 100.1) is None
+        assert known.remove("e2", 100.1) is None
+        known.update(builders.server("e2"))
+        assert len(known.of_service("llm")) == 2
+        assert known.expire(101.9) == []
+        assert [s.server_id for s in known.expire(102.1)] == ["e1"]
+        assert [s.server_id for s in known] == ["e2"]
+
+    def test_an_entry_that_goes_in_calm_times_is_gone_at_once(self):
+        known = servers.Catalogue()
+        known.store_back(-10.0)
+        known.update(builders.server("e1"))
+        assert known.remove("e1", 50.0).server_id == "e1"
+        assert len(known) == 0
+
+
+class TestResidency:
+    def _view(self, *entries):
+        known = servers.Catalogue()
+        for entry in entries:
+            known.update(entry)
+        return residencies.Residency(known)
+
+    def _names(self, view, model, now):
+        return [s.server_id for s in view.holders_of("llm", model, now)]
+
+    def test_the_holders_word_goes_before_the_entry(self):
+        view = self._view(builders.server("e1", "a"))
+        view.entered("e1", 0.0)
+        assert self._names(view, "a", 0.0) == ["e1"]
+        view.take(builders.engine_state("e1", "b"), 0.5)
+        view.entered("e1", 1.0)
+        assert self._names(view, "a", 1.0) == []
+        assert self._names(view, "b", 1.0) == ["e1"]
+
+    def test_a_silent_holder_loses_its_word(self):
+        view = self._view(builders.server("e1", "a"))
+        view.take(builders.engine_state("e1", "b"), 0.0)
+        view.entered("e1", 5.0)
+        assert self._names(view, "a", 5.0) == ["e1"]
+
+    def test_a_denial_counts_for_a_while(self):
+        view = self._view(builders.server("e1", "a"))
+        view.deny("e1", "a", 0.0)
+        assert self._names(view, "a", 0.1) == []
+        assert self._names(view, "a", 3.0) == ["e1"]
+
+    def test_the_load_that_ends_first_is_told(self):
+        view = self._view(builders.server("e1"), builders.server("e2"))
+        for name, ms in (("e1", 4000), ("e2", 800)):
+            state = builders.engine_state(name, coming="a", coming_ms=ms)
+            view.take(state, 10.0)
+        assert view.coming("llm", "a") == residencies.Coming("e2", 10.8)
+        assert view.coming("llm", "b") is None
+
+    def test_another_start_makes_the_holders_word_void(self):
+        view = self._view(builders.server("e1", "a", born_ms=2))
+        view.take(builders.engine_state("e1", "b"), 0.0)
+        assert self._names(view, "b", 0.0) == []
--- /dev/null
+++ b/tests/test_relay_feed.py
@@ -0,0 +1,87 @@
+"""Tests of watchers that pass the store's changes on."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from azureline.platform import store as store_lib
+from azureline.relay import feed as feeds
+from azureline.relay import messages
+
+NAMES = [f"front-{n}" for n in range(12)]
+
+
+def _item(revision, size=10):
+    return store_lib.Item(f"servers/i-{revision}", b"x" * size, revision)
+
+
+def test_two_nodes_of_a_domain_watch():
+    roles = [feeds.Roles(name).role(NAMES, 0.0) for name in NAMES]
+    assert roles.count(feeds.Role.WATCHER) == 2
+
+
+def test_a_node_that_hears_no_watcher_asks_the_store_itself():
+    names = [n for n in NAMES if _is_fed(n)]
+    roles = feeds.Roles(names[0])
+    roles.heard(10.0)
+    assert roles.role(NAMES, 10.5) is feeds.Role.FED
+    assert roles.role(NAMES, 13.0) is feeds.Role.ALONE
+
+
+def _is_fed(name):
+    return feeds.Roles(name).role(NAMES, 0.0) is not feeds.Role.WATCHER
+
+
+def test_a_gap_is_asked_for():
+    late = messages.Feed(20, 25, (), 0, False)
+    assert feeds.fresh_rows(late, 15) == feeds.Gap(15)
+    assert feeds.fresh_rows(late, 22) == ()
+
+
+def test_a_watcher_cannot_tell_what_it_has_forgotten():
+    log = feeds.FeedLog()
+    assert isinstance(log.after(5), feeds.Gap)
+    log.begin(10)
+    assert isinstance(log.after(9), feeds.Gap)
+    assert log.after(10) == [messages.Feed(10, 10, (), 0, False)]
+
+
+def test_a_value_too_large_for_a_datagram_is_only_named():
+    log = feeds.FeedLog()
+    log.begin(0)
+    log.add([_item(1, 5000)], 1)
+    (feed,) = log.after(0)
+    assert feed.rows[0].value is None and not feed.rows[0].removed
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.integers(0, 2), st.integers(0, 900)), max_size=40),
+    st.data(),
+)
+def test_lost_datagrams_lose_no_change(changes, data):
+    """A node asks again until it has every change, in order, once."""
+    log = feeds.FeedLog()
+    log.begin(0)
+    revision, expected, seen, known = 0, [], [], 0
+    for step, size in changes:
+        revision += max(step, 1 if not expected else step)
+        # Several keys may change at one revision, in one transaction.
+        item = _item(revision, size)
+        if expected and expected[-1] == item.key:
+            continue
+        expected.append(item.key)
+        log.add([item], revision)
+        for feed in log.after(revision - 1):
+            if data.draw(st.booleans()):
+                known = _deliver(feed, known, seen)
+    for _ in range(len(changes) + 2):
+        for feed in log.after(known):
+            known = _deliver(feed, known, seen)
+    assert seen == expected and known == log.upto
+
+
+def _deliver(feed, known, seen):
+    rows = feeds.fresh_rows(feed, known)
+    if isinstance(rows, feeds.Gap):
+        return known
+    seen += [row.key for row in rows]
+    return max(known, feed.upto)
--- /dev/null
+++ b/tests/test_relay_pieces.py
@@ -0,0 +1,49 @@
+"""Tests of the reader of a stream's events."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from azureline.relay import pieces
+
+
+def _event(number):
+    return b"id: %d\ndata: x%d\n\n" % (number, number)
+
+
+@hypothesis.given(st.lists(st.integers(1, 40), max_size=30), st.integers(0, 9))
+def test_events_pass_whole_however_the_bytes_are_cut(cuts, count):
+    data = b"".join(_event(n) for n in range(count))
+    reader = pieces.EventReader("")
+    passed = b""
+    for cut in [*cuts, len(data)]:
+        chunk, data = data[:cut], data[cut:]
+        read = reader.feed(chunk)
+        assert not read.fault
+        assert read.pieces.endswith(b"\n\n") or not read.pieces
+        passed += read.pieces
+    assert passed == b"".join(_event(n) for n in range(count))
+    assert reader.end() == ""
+    assert reader.passed == count
+
+
+def test_an_end_inside_an_event_is_no_end():
+    reader = pieces.EventReader("")
+    reader.feed(_event(0) + b"id: 1\nda")
+    assert reader.end()
+
+
+def test_a_piece_that_comes_again_ends_the_reading():
+    reader = pieces.EventReader("")
+    reader.feed(_event(0) + _event(1))
+    read = reader.feed(_event(2) + _event(2))
+    assert read.pieces == _event(2) and read.fault
+
+
+def test_a_resumed_stream_goes_on_after_the_last_event():
+    reader = pieces.EventReader("4")
+    reader.feed(_event(5) + b"id: 6\n")
+    assert reader.last_event == "5"
+    reader.restart()
+    assert reader.feed(_event(6)).pieces == _event(6)
+    reader.restart()
+    assert reader.feed(_event(6)).fault
--- /dev/null
+++ b/tests/test_util_http1.py
@@ -0,0 +1,118 @@
+"""Tests of the HTTP/1 client: what is whole, what is broken, what is kept."""
+
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.trial import unittest
+
+from azureline.util import http1
+from tests import builders_http1 as builders
+
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nhalf"
+
+
+class ClientTest(unittest.TestCase):
+    timeout = 10
+
+    def setUp(self):
+        self.client = builders.client(self)
+
+    def _fetch(self, address, timeout_s=2.0, **kwargs):
+        request = builders.get(address)
+        return self.client.fetch(address, request, timeout_s, **kwargs)
+
+    async def test_a_whole_answer(self):
+        address, _ = builders.serve(self, [builders.answer(b"hello")])
+        answer = await self._fetch(address)
+        assert answer.head.status == 200 and answer.body == b"hello"
+
+    async def test_a_kept_connection_is_used_again(self):
+        script = [[builders.answer(b"1")], [builders.answer(b"2")]]
+        address, factory = builders.serve(self, *script)
+        for body in (b"1", b"2"):
+            assert (await self._fetch(address)).body == body
+        assert len(factory.connections) == 1
+
+    async def test_a_fresh_connection_is_made_if_asked_for(self):
+        script = [[builders.answer(b"1")], [builders.answer(b"2")]]
+        address, factory = builders.serve(self, *script)
+        await self._fetch(address)
+        await self._fetch(address, fresh=True)
+        assert len(factory.connections) == 2
+
+    async def test_a_regular_close_ends_an_answer_without_a_length(self):
+        address, _ = builders.serve(self, [UNFRAMED, "close"])
+        assert (await self._fetch(address)).body == b"half"
+
+    async def test_a_reset_does_not(self):
+        address, _ = builders.serve(self, [UNFRAMED, "reset"])
+        failed = await self._fetch(address)
+        assert isinstance(failed, http1.Failed) and failed.sent
+
+    async def test_an_answer_shorter_than_its_length_is_broken(self):
+        cut = builders.answer(b"hello")[:-2]
+        address, _ = builders.serve(self, [cut, "close"])
+        assert isinstance(await self._fetch(address), http1.Failed)
+
+    async def test_bytes_after_an_answer_end_the_connection(self):
+        extra = builders.answer(b"1") + builders.answer(b"other")
+        script = [[extra], [builders.answer(b"2")]]
+        address, factory = builders.serve(self, *script)
+        assert (await self._fetch(address)).body == b"1"
+        assert (await self._fetch(address)).body == b"2"
+        assert len(factory.connections) == 2
+
+    async def test_bytes_that_come_later_end_the_connection(self):
+        script = [[builders.answer(b"1")], [builders.answer(b"2")]]
+        address, factory = builders.serve(self, *script)
+        await self._fetch(address)
+        factory.connections[0].transport.write(builders.answer(b"late"))
+        await task.deferLater(reactor, 0.05)
+        assert (await self._fetch(address)).body == b"2"
+        assert len(factory.connections) == 2
+
+    async def test_bytes_that_are_no_answer_are_broken(self):
+        address, _ = builders.serve(self, [b"\x00\x01nonsense\r\n\r\n"])
+        assert isinstance(await self._fetch(address), http1.Failed)
+
+    async def test_a_connection_to_nobody_was_not_sent(self):
+        address, _ = builders.serve(self)
+        closed = http1.Address("127.0.0.1", 1)
+        failed = await self._fetch(closed)
+        assert not failed.sent
+        assert address != closed
+
+    async def test_silence_ends_at_the_timeout(self):
+        address, _ = builders.serve(self)
+        failed = await self._fetch(address, timeout_s=0.2)
+        assert failed == http1.Failed("timeout", sent=True)
+
+    async def test_an_announced_idle_timeout_is_kept(self):
+        short = b"Keep-Alive: timeout=0"
+        script = [[builders.answer(b"1", short)], [builders.answer(b"2")]]
+        address, factory = builders.serve(self, *script)
+        await self._fetch(address)
+        await self._fetch(address)
+        assert len(factory.connections) == 2
+
+    async def test_a_cancelled_call_closes_its_connection(self):
+        address, factory = builders.serve(self)
+
+        class Listener:
+            def head(self, head): ...
+
+            def data(self, data): ...
+
+            def ended(self): ...
+
+            def failed(self, failure):
+                raise AssertionError(failure)
+
+        call = self.client.start(address, builders.get(address), Listener())
+        await task.deferLater(reactor, 0.1)
+        call.cancel()
+        closed = defer.Deferred()
+        factory.connections[0].connectionLost = lambda reason: closed.callback(
+            None
+        )
+        await closed.addTimeout(1.0, reactor)
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -18,6 +18,9 @@
 # each VM has an address of its own.
 NODE_PORT = 8080
 LINK_PORT = 8081
+READY_PORT = 8082
+METRICS_PORT = 8083
+SERVER_PORT = 8090
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -95,6 +98,55 @@
         self.urls[name] = f"http://{host}:{NODE_PORT}"
         return self.urls[name]
 
+    def site_store(self, config: dict[str, Any]) -> str:
+        """Starts the users' store with a configuration; returns its URL."""
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(config))
+        host = self._next_host()
+        command = [sys.executable, "-m", "standins.kv_service"]
+        command += ["--host", host, "--config", str(path)]
+        process = self._start("store", command, stdout=subprocess.PIPE)
+        self.urls["store"] = f"http://{host}:{_ready_port('store', process)}"
+        return self.urls["store"]
+
+    def site_server(self, name: str, **options: Any) -> str:
+        """Starts a backend server of the users' platform."""
+        host = self._next_host()
+        command = [sys.executable, "-m", "standins.site_server"]
+        command += ["--host", host, "--port", str(SERVER_PORT)]
+        command += ["--name", name, "--store", self.urls["store"]]
+        command += ["--born", str(int(time.time() * 1000))]
+        command += _arguments(options)
+        process = self._start(name, command, stdout=subprocess.PIPE)
+        self.urls[name] = f"http://{host}:{_ready_port(name, process)}"
+        return self.urls[name]
+
+    def relay(self, name: str, domain: str, **settings: Any) -> str:
+        """Starts a node that relays; returns its URL for callers.
+
+        A node of the same name that has ended starts again at its address.
+        """
+        known = self.urls.get(name)
+        host = known[7:].rpartition(":")[0] if known else self._next_host()
+        document = {
+            "name": name,
+            "host": host,
+            "domain": domain,
+            "callers": f"{host}:{NODE_PORT}",
+            "readiness": f"{host}:{READY_PORT}",
+            "node_port": LINK_PORT,
+            "metrics_port": METRICS_PORT,
+            **settings,
+        }
+        store = {"address": self.urls["store"].removeprefix("http://")}
+        document["store"] = {**store, **settings.get("store", {})}
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(document, indent=2))
+        command = [*self.program, "relay", "--settings", str(path)]
+        self._start(name, command, stdout=subprocess.STDOUT)
+        self.urls[name] = f"http://{host}:{NODE_PORT}"
+        return self.urls[name]
+
     def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Runs a command of azureline to its end."""
         return subprocess.run(
@@ -123,9 +175,11 @@
     def _start(
         self, name: str, command: list[str], stdout: int
     ) -> subprocess.Popen[bytes]:
-        with open(self.folder / f"{name}.log", "wb") as log:
+        with open(self.folder / f"{name}.log", "ab") as log:
+            # STDOUT stands for "into the log, beside standard error".
+            out = log if stdout == subprocess.STDOUT else stdout
             process = subprocess.Popen(
-                command, cwd=_ROOT, stdout=stdout, stderr=log
+                command, cwd=_ROOT, stdout=out, stderr=log
             )
         self._stack.callback(_end, process)
         self._processes[name] = process
--- /dev/null
+++ b/tools/site_caller.py
@@ -0,0 +1,113 @@
+"""A caller of the users' platform, for tests and the soak."""
+
+import http.client
+import itertools
+import os
+from typing import NamedTuple
+
+_NUMBERS = itertools.count(1)
+
+
+class Answer(NamedTuple):
+    """What a caller saw.
+
+    Attributes:
+      request_id: id of the request.
+      status: HTTP status, or 0 without a whole answer.
+      headers: names in lower case.
+      body: the bytes that came.
+      whole: whether the answer ended as complete.
+      reason: why there is no whole answer, or "".
+    """
+
+    request_id: str
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+    reason: str = ""
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the answer promises that the request did not run."""
+        return self.status in (408, 421, 429, 503)
+
+    @property
+    def events(self) -> list[str]:
+        """The ids of a stream's events."""
+        lines = self.body.decode().splitlines()
+        return [line[4:] for line in lines if line.startswith("id: ")]
+
+
+class Caller:
+    """Sends requests to one node, each on a connection of its own or kept."""
+
+    def __init__(self, url: str, host: str = "site.example"):
+        """Creates a caller.
+
+        Args:
+          url: the node's URL.
+          host: name of the host that it addresses.
+        """
+        self._address = url.removeprefix("http://")
+        self._host = host
+        self._kept: http.client.HTTPConnection | None = None
+
+    def send(
+        self,
+        path: str,
+        model: str = "",
+        tokens: int = 5,
+        patience_ms: int = 5000,
+        method: str = "POST",
+        keep: bool = False,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Sends a request and reads its answer to the end."""
+        request_id = f"{os.getpid():08x}{next(_NUMBERS):08x}"
+        sent = {
+            "Host": self._host,
+            "Azureline-Request-Id": request_id,
+            "Azureline-Request-Deadline": str(patience_ms),
+            **(headers or {}),
+        }
+        if model:
+            sent["Azureline-Model"] = model
+            sent["Azureline-Token-Usage"] = f"10,{tokens}"
+        connection = self._connection(keep, patience_ms / 1000 + 2)
+        try:
+            connection.request(method, path, body, sent)
+            return self._read(connection, request_id)
+        except (OSError, http.client.HTTPException) as e:
+            self._kept = None
+            connection.close()
+            return Answer(request_id, 0, {}, b"", False, repr(e))
+        finally:
+            if not keep:
+                connection.close()
+
+    def _read(
+        self, connection: http.client.HTTPConnection, request_id: str
+    ) -> Answer:
+        response = connection.getresponse()
+        headers = {n.lower(): v for n, v in response.getheaders()}
+        try:
+            body, whole, reason = response.read(), True, ""
+        except http.client.IncompleteRead as e:
+            body, whole, reason = e.partial, False, repr(e)
+        if headers.get("connection", "").lower() == "close":
+            self._kept = None
+        return Answer(request_id, response.status, headers, body, whole, reason)
+
+    def _connection(
+        self, keep: bool, timeout_s: float
+    ) -> http.client.HTTPConnection:
+        if keep and self._kept is not None:
+            return self._kept
+        connection = http.client.HTTPConnection(
+            self._address, timeout=timeout_s
+        )
+        if keep:
+            self._kept = connection
+        return connection
