Let a few nodes watch the store and pass its changes on

Ruled out: stale reads at a tenth of the price: they may be 3 s old, and a leaving engine must get nothing after 3 s.

Change: one watch over all keys instead of three; two watchers in a failure domain pass changes on by datagrams, numbered by revision, with gaps asked for again; a node that hears no watcher for 1.3 s asks the store itself. A node's record has a lease of its own, renewed less often than that of claims.

--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -1,4 +1,4 @@
-"""Follows the platform's store: one listing, then one watch after another."""
+"""Follows the platform's store, by its watches or by another node's word."""
 
 import random
 from typing import Any
@@ -11,12 +11,18 @@
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
 from azureline.platform import store as store_lib
+from azureline.relay import feed as feeds
+from azureline.relay import messages
+from azureline.relay import peers as peers_lib
 from azureline.util import events
 
 # After a failed call, with jitter, growing to the longest: a store that is
 # overloaded or turns this VM away is not asked more often for it.
 _SHORTEST_RETRY_S = 0.1
 _LONGEST_RETRY_S = 0.8
+# Items that a watcher could not pass on are read no more often than this.
+_FETCH_EVERY_S = 0.4
+_ALL = ""
 
 
 class Pace(NamedTuple):
@@ -32,7 +38,7 @@
 
 
 class Receiver(Protocol):
-    """What is told of the items under one prefix."""
+    """What is told of the items of the store."""
 
     def listed(self, items: tuple[store_lib.Item, ...]) -> None:
         """Takes all items; others that were known are gone."""
@@ -46,12 +52,12 @@
     def away(self) -> None:
         """Learns that the store gives no answers."""
 
-    def back(self) -> None:
-        """Learns that the store answers again."""
+    def back(self, since: float) -> None:
+        """Learns that the store answers, and since when."""
 
 
 class Follower:
-    """Owns one loop of watches over a prefix."""
+    """Keeps a receiver up to date."""
 
     def __init__(
         self,
@@ -59,7 +65,7 @@
         clock: clocks.Clock,
         rng: random.Random,
         store: store_lib.Store,
-        prefix: str,
+        peers: peers_lib.Peers,
         receiver: Receiver,
         pace: Pace,
         counters: metrics.Counters,
@@ -70,69 +76,80 @@
         self._clock = clock
         self._rng = rng
         self._store = store
-        self._prefix = prefix
+        self._peers = peers
         self._receiver = receiver
         self._pace = pace
         self._counters = counters
         self._log = log
         self._revision: int | None = None
         self._failures = 0
+        # When the store began to answer, after the last failure.
+        self._since: float | None = None
         self._running: defer.Deferred[Any] | None = None
-        self.listed_once = False
+        self._roles = feeds.Roles(peers.name)
+        self._role = feeds.Role.ALONE
+        self._feed_log = feeds.FeedLog()
+        self._unread: set[str] = set()
+        self._fetching = False
+        self._woken: defer.Deferred[None] | None = None
+        self._beat = task.LoopingCall(self._beaten)
+        self._beat.clock = reactor
+        peers.on(messages.Feed, self._fed)
+        peers.on(messages.FeedAsk, self._asked)
 
     @property
-    def failing(self) -> bool:
-        """Whether the last call to the store got no answer."""
-        return self._failures > 0
+    def role(self) -> feeds.Role:
+        """How this node learns of changes now."""
+        return self._role
 
     def start(self) -> None:
         """Begins to follow."""
         self._running = defer.ensureDeferred(self._run())
         self._running.addErrback(self._ended)
+        self._beat.start(feeds.BEAT_S, now=False)
 
     def close(self) -> None:
         """Stops following."""
+        if self._beat.running:
+            self._beat.stop()
         if self._running is not None:
             self._running.cancel()
 
     def _ended(self, failure: Any) -> None:
         if not failure.check(defer.CancelledError):
-            self._log.error(
-                "follower_failed", prefix=self._prefix, reason=repr(failure)
-            )
+            self._log.error("follower_failed", reason=failure.getTraceback())
 
     async def _run(self) -> None:
         while True:
             if self._revision is None:
                 done = await self._list()
+            elif self._role is feeds.Role.FED:
+                await self._wait_for_role()
+                continue
             else:
                 done = await self._watch(self._revision)
             await self._sleep(self._pace.pause_s if done else self._retry_s())
 
     async def _list(self) -> bool:
-        listing = await self._store.listing(self._prefix)
+        listing = await self._store.listing(_ALL)
         if isinstance(listing, store_lib.Unavailable):
             self._failed(listing)
             return False
         self._answered()
         self._revision = listing.revision
+        self._feed_log.begin(listing.revision)
         self._receiver.listed(listing.items)
-        self.listed_once = True
         return True
 
     async def _watch(self, revision: int) -> bool:
-        seen = await self._store.watch(
-            self._prefix, revision, self._pace.watch_s
-        )
+        seen = await self._store.watch(_ALL, revision, self._pace.watch_s)
         match seen:
             case store_lib.Unavailable():
                 self._failed(seen)
                 return False
             case store_lib.HistoryGone():
                 self._counters.count("store.history_gone")
-                self._log.warning(
-                    "store_history_gone", prefix=self._prefix, after=revision
-                )
+                self._log.warning("store_history_gone", after=revision)
                 self._revision = None
                 return True
             case store_lib.Changes():
@@ -141,44 +158,165 @@
         return True
 
     def _take(self, seen: store_lib.Changes) -> None:
-        for event in seen.events:
+        known = self._revision or 0
+        fresh = [e for e in seen.events if e.revision > known]
+        for event in fresh:
             match event:
                 case store_lib.Item():
                     self._receiver.changed(event)
                 case store_lib.Removed(key=key):
                     self._receiver.removed(key)
-        self._revision = max(self._revision or 0, seen.revision)
+        self._revision = max(known, seen.revision)
+        self._feed_log.add(fresh, self._revision)
+        if fresh and self._role is feeds.Role.WATCHER:
+            self._pass_on(known)
+
+    def _pass_on(self, after: int) -> None:
+        told = self._feed_log.after(after)
+        if isinstance(told, feeds.Gap):
+            return
+        for feed in told:
+            for record in self._neighbours():
+                self._peers.send(record, self._stamped(feed))
+
+    def _stamped(self, feed: messages.Feed) -> messages.Feed:
+        now = self._clock.now()
+        since = now if self._since is None else self._since
+        return feed._replace(
+            steady_ms=int((now - since) * 1000), away=self._failures > 0
+        )
+
+    def _beaten(self) -> None:
+        """Decides the role, and beats if it is a watcher's."""
+        now = self._clock.now()
+        names = [record.name for record in self._neighbours()]
+        role = self._roles.role(names, now)
+        if role is not self._role:
+            self._log.info(
+                "follower_role",
+                role=role.value,
+                before=self._role.value,
+                revision=self._revision,
+                neighbours=len(names),
+            )
+            self._role = role
+            self._wake()
+        if role is feeds.Role.WATCHER and self._revision is not None:
+            upto = self._revision
+            beat = self._stamped(messages.Feed(upto, upto, (), 0, False))
+            for record in self._neighbours():
+                self._peers.send(record, beat)
+        self._fetch_unread()
+
+    def _fed(self, feed: messages.Feed, host: str, port: int) -> None:
+        """Takes what a watcher tells."""
+        if feed.away:
+            return
+        now = self._clock.now()
+        self._roles.heard(now)
+        if self._revision is None or self._role is not feeds.Role.FED:
+            return
+        self._failures = 0
+        self._since = now - feed.steady_ms / 1000
+        self._receiver.back(self._since)
+        if feed.after < 0:
+            self._counters.count("feed.resets")
+            self._revision = None
+            self._wake()
+            return
+        rows = feeds.fresh_rows(feed, self._revision)
+        if isinstance(rows, feeds.Gap):
+            self._counters.count("feed.gaps")
+            self._peers.reply(host, port, messages.FeedAsk(rows.after))
+            return
+        for row in rows:
+            self._take_row(row)
+        self._revision = max(self._revision, feed.upto)
+        self._feed_log.add((), self._revision)
+
+    def _take_row(self, row: messages.FeedRow) -> None:
+        if row.removed:
+            self._receiver.removed(row.key)
+        elif row.value is None:
+            self._unread.add(row.key)
+            self._fetch_unread()
+        else:
+            self._receiver.changed(
+                store_lib.Item(row.key, row.value, row.revision)
+            )
+
+    def _asked(self, ask: messages.FeedAsk, host: str, port: int) -> None:
+        """Tells another node again what it has missed."""
+        told = self._feed_log.after(ask.after)
+        if isinstance(told, feeds.Gap):
+            # It lists by itself when it hears of a revision it cannot reach.
+            reset = messages.Feed(-1, self._feed_log.upto, (), 0, False)
+            self._peers.reply(host, port, self._stamped(reset))
+            return
+        for feed in told:
+            self._peers.reply(host, port, self._stamped(feed))
+
+    def _fetch_unread(self) -> None:
+        if not self._unread or self._fetching:
+            return
+        self._fetching = True
+        fetching = defer.ensureDeferred(self._fetch(self._unread.pop()))
+        fetching.addErrback(self._ended)
+
+    async def _fetch(self, key: str) -> None:
+        """Reads an item that was too large to be passed on."""
+        try:
+            item = await self._store.item(key)
+            if isinstance(item, store_lib.Unavailable):
+                self._unread.add(key)
+            elif item is not None:
+                self._receiver.changed(item)
+            await self._sleep(_FETCH_EVERY_S)
+        finally:
+            self._fetching = False
+
+    def _neighbours(self) -> list[Any]:
+        """Returns the other nodes of this failure domain."""
+        return [
+            record
+            for record in self._peers.nodes.values()
+            if record.domain == self._peers.domain
+            and not self._peers.is_self(record)
+        ]
 
     def _failed(self, reason: store_lib.Unavailable) -> None:
         self._counters.count("store.unavailable")
         if not self._failures:
             self._log.warning(
-                "store_lost",
-                prefix=self._prefix,
-                reason=reason.reason,
-                revision=self._revision,
+                "store_lost", reason=reason.reason, revision=self._revision
             )
             self._receiver.away()
         self._failures += 1
 
     def _answered(self) -> None:
+        if self._failures or self._since is None:
+            self._since = self._clock.now()
         if self._failures:
             self._log.info(
                 "store_regained",
-                prefix=self._prefix,
                 failures=self._failures,
                 revision=self._revision,
             )
         self._failures = 0
-        self._receiver.back()
+        self._receiver.back(self._since)
 
     def _retry_s(self) -> float:
         longest = min(_LONGEST_RETRY_S, _SHORTEST_RETRY_S * 2.0**self._failures)
         return self._rng.uniform(0.5, 1.0) * longest
 
-    async def _sleep(self, seconds: float) -> None:
-        await task.deferLater(self._reactor, seconds, _nothing)
+    async def _wait_for_role(self) -> None:
+        self._woken = defer.Deferred()
+        await self._woken
 
+    def _wake(self) -> None:
+        woken, self._woken = self._woken, None
+        if woken is not None:
+            woken.callback(None)
 
-def _nothing() -> None:
-    return None
+    async def _sleep(self, seconds: float) -> None:
+        await task.deferLater(self._reactor, seconds, lambda: None)
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -123,6 +123,47 @@
     prints: tuple[bytes, ...]
 
 
+class FeedRow(NamedTuple):
+    """A change in the store, as a watcher passes it on.
+
+    Attributes:
+      key: the key.
+      value: its value; None if it is gone or too large to be passed on.
+      revision: revision of the change.
+      removed: whether the key is gone.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+    removed: bool
+
+
+class Feed(NamedTuple):
+    """What a watcher of the store tells the nodes of its failure domain.
+
+    Attributes:
+      after: revision after which the rows begin; -1 says that the watcher
+        cannot tell again what is missing.
+      upto: revision up to which they are complete.
+      rows: the changes, in order; none in a heartbeat.
+      steady_ms: milliseconds since the store began to answer the watcher.
+      away: whether the store gives the watcher no answers.
+    """
+
+    after: int
+    upto: int
+    rows: tuple[FeedRow, ...]
+    steady_ms: int
+    away: bool
+
+
+class FeedAsk(NamedTuple):
+    """Asks a watcher for the changes after a revision."""
+
+    after: int
+
+
 _MESSAGES: dict[int, type] = {
     1: EngineState,
     2: AdapterAsk,
@@ -132,6 +173,9 @@
     6: Target,
     7: Suspects,
     8: EngineLoad,
+    9: FeedRow,
+    10: Feed,
+    11: FeedAsk,
 }
 
 
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -14,7 +14,6 @@
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
 from azureline.metrics import exposition as expositions
-from azureline.platform import names
 from azureline.platform import requests as wire
 from azureline.platform import store as store_lib
 from azureline.relay import adapters
@@ -152,24 +151,17 @@
             log,
             self._counters,
         )
-        self._followers = [
-            follower.Follower(
-                reactor,
-                self._clock,
-                self._rng,
-                self._store,
-                prefix,
-                self._view.receiver(prefix),
-                follower.Pace(settings.store.watch_s, settings.store.pause_s),
-                self._counters,
-                log,
-            )
-            for prefix in (
-                names.OPERATOR_PREFIX,
-                names.SERVERS_PREFIX,
-                keys.ROOT,
-            )
-        ]
+        self._follower = follower.Follower(
+            reactor,
+            self._clock,
+            self._rng,
+            self._store,
+            self._peers,
+            self._view,
+            follower.Pace(settings.store.watch_s, settings.store.pause_s),
+            self._counters,
+            log,
+        )
         self._sweep = task.LoopingCall(self._swept)
         self._sweep.clock = reactor
         self._factory = caller_side.factory(self, routes.Limits().idle_s)
@@ -194,9 +186,8 @@
                 expositions.factory(self._exposition),
             )
         self._stack.callback(self._peers.listen(self._reactor).stopListening)
-        for one in self._followers:
-            one.start()
-            self._stack.callback(one.close)
+        self._follower.start()
+        self._stack.callback(self._follower.close)
         self._tenancy.start()
         self._duties.start()
         self._stack.callback(self._duties.close)
--- a/azureline/relay/peers.py
+++ b/azureline/relay/peers.py
@@ -27,6 +27,16 @@
         self._handlers: dict[type, Callable[[Any, str, int], None]] = {}
         self._datagrams = datagrams.Datagrams(self, counters, messages.codec())
 
+    @property
+    def name(self) -> str:
+        """Name of this node's VM."""
+        return self._record.name
+
+    @property
+    def domain(self) -> str:
+        """This node's failure domain."""
+        return self._record.domain
+
     @property
     def nodes(self) -> dict[str, keys.NodeRecord]:
         """The nodes by name, this one among them."""
--- a/azureline/relay/servers.py
+++ b/azureline/relay/servers.py
@@ -101,11 +101,10 @@
         """Learns that the store gives no answers."""
         self._store_away = True
 
-    def store_back(self, now: float) -> None:
-        """Learns that the store answers."""
-        if self._store_away:
-            self._store_away = False
-            self._store_back_at = now
+    def store_back(self, since: float) -> None:
+        """Learns that the store answers, and since when."""
+        self._store_away = False
+        self._store_back_at = max(self._store_back_at, since)
 
     def update(self, server: BackendServer) -> None:
         """Takes a server's newer entry."""
--- a/azureline/relay/tenancy.py
+++ b/azureline/relay/tenancy.py
@@ -1,4 +1,4 @@
-"""This node's lease, and what it holds by it in the platform's store."""
+"""What this node holds in the platform's store: its record and its claims."""
 
 from collections.abc import Callable
 import random
@@ -6,20 +6,23 @@
 import uuid
 
 from twisted.internet import defer
-from twisted.internet import task
 
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
 from azureline.platform import store as store_lib
 from azureline.relay import claims
 from azureline.relay import keys
+from azureline.relay import leases
 from azureline.util import events
 
-_RETRY_S = 0.2
+# A node's record goes with a lease of its own that is renewed less often
+# than that of claims, as all nodes have one.
+_RECORD_TTL_S = 4.0
+_RECORD_RENEW_S = 1.2
 
 
 class Tenancy:
-    """Keeps a lease, the node's own record, and claims under it."""
+    """Keeps the node's record, and claims under a lease that lapses soon."""
 
     def __init__(
         self,
@@ -33,20 +36,23 @@
         log: events.Log,
     ):
         """Creates a tenancy without a lease."""
-        self._reactor = reactor
         self._clock = clock
-        self._rng = rng
         self._store = store
         self._record = record
         self._terms = terms
         self._counters = counters
         self._log = log
         self._identity = uuid.uuid4().hex
-        self._lease: store_lib.Lease | None = None
+        shared = (reactor, clock, rng, store)
+        self._home = leases.LeaseKeeper(
+            *shared, _RECORD_TTL_S, _RECORD_RENEW_S, counters, log
+        )
+        self._duty = leases.LeaseKeeper(
+            *shared, terms.ttl_s, terms.renew_s, counters, log
+        )
         self._tenure = claims.Tenure(terms)
         self._turns: dict[str, claims.Turn] = {}
         self._claiming: set[str] = set()
-        self._running: defer.Deferred[Any] | None = None
         self._on_lost: Callable[[str], None] | None = None
         self._stopping = False
 
@@ -65,9 +71,8 @@
         self._on_lost = tell
 
     def start(self) -> None:
-        """Begins to keep the lease."""
-        self._running = defer.ensureDeferred(self._run())
-        self._running.addErrback(self._ended)
+        """Begins to keep the node's record."""
+        self._home.start(self._write_record, _ignore, _nothing)
 
     def may_act(self, name: str) -> bool:
         """Returns whether an order may be sent at this moment."""
@@ -84,13 +89,18 @@
           name: what to hold.
           urgent: whether no other holder's orders need to be waited for.
         """
-        if name in self._claiming or name in self._turns:
+        if name in self._claiming or name in self._turns or self._stopping:
             return
-        if self._lease is None or self._stopping:
+        lease = self._duty.lease
+        if lease is None:
+            if not self._duty.running:
+                self._duty.start(
+                    _accept, self._tenure.renewed, self._duty_ended
+                )
             return
         self._claiming.add(name)
-        claiming = defer.ensureDeferred(self._claim(name, urgent))
-        claiming.addErrback(self._ended)
+        claiming = defer.ensureDeferred(self._claim(name, lease, urgent))
+        claiming.addErrback(self._failed)
 
     def taken(
         self, name: str, record: keys.HolderRecord | None, revision: int
@@ -106,7 +116,7 @@
         if name in self._turns:
             if not own:
                 self._drop(name, "taken" if record else "removed")
-        elif own and name not in self._claiming and self._lease is not None:
+        elif own and name not in self._claiming and self._duty.lease:
             # The answer to this node's claim was lost.
             from_s = self._clock.now() + self._terms.wait_s
             self._turns[name] = claims.Turn(revision, from_s)
@@ -114,79 +124,35 @@
 
     def node_removed(self, name: str) -> None:
         """Learns that a node's record is gone; its own is written anew."""
-        lease = self._lease
-        if name != self._record.name or lease is None or self._stopping:
-            return
-        self._log.warning("own_record_removed", lease=lease.lease_id)
-        # Its lease may be as good as ended: begin another one.
-        self._lease = None
-        self._tenure.ended()
-        for name in list(self._turns):
-            self._drop(name, "own record removed")
+        if name == self._record.name and not self._stopping:
+            # What else was taken away with it is not known.
+            self._home.give_up()
+            self._duty.give_up()
 
     async def release(self) -> None:
-        """Gives up the lease, so that others can claim at once."""
+        """Gives up the leases, so that others can claim at once."""
         self._stopping = True
-        if self._running is not None:
-            self._running.cancel()
-        lease, self._lease = self._lease, None
-        self._tenure.ended()
-        for name in list(self._turns):
-            self._drop(name, "stopping")
-        if lease is not None:
-            await self._store.end(lease.lease_id)
+        await self._duty.stop()
+        await self._home.stop()
 
-    def _ended(self, failure: Any) -> None:
-        if not failure.check(defer.CancelledError):
-            self._log.error("tenancy_failed", reason=repr(failure))
-
-    async def _run(self) -> None:
-        while True:
-            if self._lease is None:
-                done = await self._begin()
-            else:
-                done = await self._renew(self._lease)
-            pause = self._terms.renew_s if done else _RETRY_S
-            pause *= self._rng.uniform(0.9, 1.1)
-            await task.deferLater(self._reactor, pause, lambda: None)
-
-    async def _begin(self) -> bool:
-        sent_at = self._clock.now()
-        lease = await self._store.grant(self._terms.ttl_s)
-        if isinstance(lease, store_lib.Unavailable):
-            self._counters.count("lease.unavailable")
-            return False
+    async def _write_record(self, lease: store_lib.Lease) -> bool:
         key = keys.NODES + self._record.name
         put = store_lib.Put(key, keys.pack(self._record), lease.lease_id)
         written = await self._store.change({}, (put,))
-        if not isinstance(written, store_lib.Committed):
-            self._counters.count("lease.unavailable")
-            return False
-        self._lease = lease
-        self._tenure.renewed(sent_at)
-        self._log.info("lease_begun", lease=lease.lease_id, ttl_s=lease.ttl_s)
-        return True
-
-    async def _renew(self, lease: store_lib.Lease) -> bool:
-        sent_at = self._clock.now()
-        renewed = await self._store.renew(lease.lease_id)
-        if isinstance(renewed, store_lib.Unavailable):
-            self._counters.count("lease.unavailable")
-            return False
-        if renewed:
-            self._tenure.renewed(sent_at)
-            return True
-        self._counters.count("lease.ended")
-        self._log.warning("lease_ended", lease=lease.lease_id)
-        self._lease = None
+        return isinstance(written, store_lib.Committed)
+
+    def _duty_ended(self) -> None:
         self._tenure.ended()
         for name in list(self._turns):
             self._drop(name, "lease ended")
-        return False
 
-    async def _claim(self, name: str, urgent: bool) -> None:
-        lease = self._lease
-        assert lease is not None
+    def _failed(self, failure: Any) -> None:
+        if not failure.check(defer.CancelledError):
+            self._log.error("claim_failed", reason=failure.getTraceback())
+
+    async def _claim(
+        self, name: str, lease: store_lib.Lease, urgent: bool
+    ) -> None:
         holder, turn = keys.HOLDERS + name, keys.TURNS + name
         record = keys.HolderRecord(self._record.name, self._identity)
         puts = (
@@ -227,7 +193,7 @@
             # After a lost answer the follower finds whose the key is.
             self._counters.count("claims.failed")
             return
-        if self._lease is not lease:
+        if self._duty.lease is not lease:
             return
         now = self._clock.now()
         from_s = now + (self._terms.wait_s if waits else 0.0)
@@ -245,3 +211,15 @@
         self._log.info("unclaimed", held=name, token=turn.token, reason=reason)
         if self._on_lost is not None:
             self._on_lost(name)
+
+
+async def _accept(lease: store_lib.Lease) -> bool:
+    return True
+
+
+def _ignore(_: object) -> None:
+    return None
+
+
+def _nothing() -> None:
+    return None
