Pace questions for missing changes, and let fast nodes watch the store

Nodes that had missed one datagram asked both watchers at every message and got all changes again; on links of 5 Mbit/s the answers were lost too, and nodes stood at revision 169 while watchers were at 290.

Ruled out: the reading of the large item itself; nodes that had no gap had the version within 0.4 s.

Change: a node asks once in 0.2 s, an answer has 8 datagrams at most, rows are compressed, only the first watcher passes changes on (the second beats, and answers questions), and nodes with faster links watch first.

--- a/azureline/relay/feed.py
+++ b/azureline/relay/feed.py
@@ -8,20 +8,27 @@
 from collections.abc import Iterable
 import enum
 from typing import NamedTuple
+import zlib
 
 from azureline.platform import store as store_lib
+from azureline.relay import keys
 from azureline.relay import messages
 from azureline.relay import placement
 
 # Watchers of a failure domain; the second covers the first one's silence.
 WATCHERS = 2
 BEAT_S = 0.4
+# An answer takes a few milliseconds; more questions would only fill links.
+ASK_EVERY_S = 0.2
 # Three heartbeats: datagrams get lost.
 SILENT_S = 1.3
 # Nodes of a domain do not turn to the store in the same moment.
 _SPREAD_S = 0.6
 # Changes that a watcher can tell again.
 _LOG_ROWS = 500
+# Datagrams that answer one question; the rest is asked for again, so that a
+# burst does not fill the link of the watcher's VM.
+_ANSWER_FEEDS = 8
 # Rows of one datagram, in bytes; the rest of it is overhead.
 _ROWS_BYTES = 1200
 
@@ -30,6 +37,7 @@
     """How a node learns of changes."""
 
     WATCHER = "watcher"  # Follows the store and passes changes on.
+    SECOND = "second"  # Follows it, beats, and passes on what is asked for.
     FED = "fed"  # Learns from a watcher.
     ALONE = "alone"  # Follows the store, as no watcher is heard.
 
@@ -46,25 +54,45 @@
         """Learns that a watcher whose store answers was heard."""
         self._heard_at = now
 
-    def role(self, neighbours: Iterable[str], now: float) -> Role:
+    def role(self, nodes: Iterable[keys.NodeRecord], now: float) -> Role:
         """Returns the role among the nodes of this failure domain.
 
+        Nodes with fast links come first, as a watcher sends each change to
+        all of its domain.
+
         Args:
-          neighbours: names of the domain's nodes, this one among them.
+          nodes: the domain's nodes, this one among them.
           now: monotonic time in seconds.
         """
-        names = sorted(
-            {*neighbours, self._node},
-            key=lambda name: -placement.rank("watcher", name),
+        ordered = sorted(
+            nodes,
+            key=lambda n: (-n.link_mbps, -placement.rank("watcher", n.name)),
         )
-        if self._node in names[:WATCHERS]:
+        names = [node.name for node in ordered]
+        if names[:1] == [self._node]:
             return Role.WATCHER
+        if self._node in names[:WATCHERS]:
+            return Role.SECOND
         spread_s = _SPREAD_S * placement.rank("alone", self._node)
         if now - self._heard_at > SILENT_S + spread_s:
             return Role.ALONE
         return Role.FED
 
 
+class Asking:
+    """Paces the questions for missing changes."""
+
+    def __init__(self):
+        self._asked_at = float("-inf")
+
+    def may_ask(self, now: float) -> bool:
+        """Returns whether to ask now, and counts that as asked."""
+        if now - self._asked_at < ASK_EVERY_S:
+            return False
+        self._asked_at = now
+        return True
+
+
 class Gap(NamedTuple):
     """Falsy sentinel: changes are missing.
 
@@ -141,7 +169,7 @@
             batch.append(row)
             size += row_bytes
         feeds.append(_feed(after, self.upto, batch))
-        return feeds
+        return feeds[:_ANSWER_FEEDS]
 
 
 def _feed(after: int, upto: int, rows: list[messages.FeedRow]) -> messages.Feed:
@@ -152,5 +180,17 @@
     match event:
         case store_lib.Removed():
             return messages.FeedRow(event.key, None, event.revision, True)
-    value = event.value if len(event.value) <= _ROWS_BYTES else None
-    return messages.FeedRow(event.key, value, event.revision, False)
+    packed: bytes | None = zlib.compress(event.value, 1)
+    if packed is not None and len(packed) > _ROWS_BYTES:
+        packed = None
+    return messages.FeedRow(event.key, packed, event.revision, False)
+
+
+def value_of(row: messages.FeedRow) -> bytes | None:
+    """Returns the value of a row; None if it was not passed on."""
+    if row.value is None:
+        return None
+    try:
+        return zlib.decompress(row.value)
+    except zlib.error:
+        return None
--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -89,6 +89,7 @@
         self._roles = feeds.Roles(peers.name)
         self._role = feeds.Role.ALONE
         self._feed_log = feeds.FeedLog()
+        self._asking = feeds.Asking()
         self._unread: set[str] = set()
         self._fetching = False
         self._woken: defer.Deferred[None] | None = None
@@ -189,19 +190,20 @@
     def _beaten(self) -> None:
         """Decides the role, and beats if it is a watcher's."""
         now = self._clock.now()
-        names = [record.name for record in self._neighbours()]
-        role = self._roles.role(names, now)
+        nodes = [self._peers.own, *self._neighbours()]
+        role = self._roles.role(nodes, now)
         if role is not self._role:
             self._log.info(
                 "follower_role",
                 role=role.value,
                 before=self._role.value,
                 revision=self._revision,
-                neighbours=len(names),
+                neighbours=len(nodes) - 1,
             )
             self._role = role
             self._wake()
-        if role is feeds.Role.WATCHER and self._revision is not None:
+        beats = role in (feeds.Role.WATCHER, feeds.Role.SECOND)
+        if beats and self._revision is not None:
             upto = self._revision
             beat = self._stamped(messages.Feed(upto, upto, (), 0, False))
             for record in self._neighbours():
@@ -226,8 +228,9 @@
             return
         rows = feeds.fresh_rows(feed, self._revision)
         if isinstance(rows, feeds.Gap):
-            self._counters.count("feed.gaps")
-            self._peers.reply(host, port, messages.FeedAsk(rows.after))
+            if self._asking.may_ask(now):
+                self._counters.count("feed.gaps")
+                self._peers.reply(host, port, messages.FeedAsk(rows.after))
             return
         for row in rows:
             self._take_row(row)
@@ -237,13 +240,14 @@
     def _take_row(self, row: messages.FeedRow) -> None:
         if row.removed:
             self._receiver.removed(row.key)
-        elif row.value is None:
+            return
+        value = feeds.value_of(row)
+        if value is None:
             self._unread.add(row.key)
             self._fetch_unread()
         else:
-            self._receiver.changed(
-                store_lib.Item(row.key, row.value, row.revision)
-            )
+            item = store_lib.Item(row.key, value, row.revision)
+            self._receiver.changed(item)
 
     def _asked(self, ask: messages.FeedAsk, host: str, port: int) -> None:
         """Tells another node again what it has missed."""
--- a/azureline/relay/keys.py
+++ b/azureline/relay/keys.py
@@ -22,12 +22,14 @@
       host: its IP address.
       port: its UDP port.
       domain: its failure domain.
+      link_mbps: speed of its VM's link; 0 if not known.
     """
 
     name: str
     host: str
     port: int
     domain: str
+    link_mbps: int = 0
 
 
 class HolderRecord(NamedTuple):
@@ -51,7 +53,7 @@
     """Returns a node's record, or None if it cannot be read."""
     fields = _fields(value)
     match fields:
-        case [str(), str(), int(), str()]:
+        case [str(), str(), int(), str(), int()]:
             return NodeRecord(*fields)
         case _:
             return None
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -128,7 +128,7 @@
 
     Attributes:
       key: the key.
-      value: its value; None if it is gone or too large to be passed on.
+      value: its value, compressed; None if it is gone or too large.
       revision: revision of the change.
       removed: whether the key is gone.
     """
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -75,7 +75,11 @@
         self._catalogue = servers.Catalogue()
         self._residency = residencies.Residency(self._catalogue)
         self._record = keys.NodeRecord(
-            settings.name, settings.host, settings.node_port, settings.domain
+            settings.name,
+            settings.host,
+            settings.node_port,
+            settings.domain,
+            int(settings.link_mbps),
         )
         self._peers = peers_lib.Peers(self._record, self._clock, self._counters)
         self._tenancy = tenancies.Tenancy(
--- a/azureline/relay/peers.py
+++ b/azureline/relay/peers.py
@@ -27,6 +27,11 @@
         self._handlers: dict[type, Callable[[Any, str, int], None]] = {}
         self._datagrams = datagrams.Datagrams(self, counters, messages.codec())
 
+    @property
+    def own(self) -> keys.NodeRecord:
+        """This node's record."""
+        return self._record
+
     @property
     def name(self) -> str:
         """Name of this node's VM."""
--- a/azureline/relay/settings.py
+++ b/azureline/relay/settings.py
@@ -102,6 +102,7 @@
       domain: its failure domain.
       callers: where callers connect.
       readiness: where the balancer asks for readiness.
+      link_mbps: speed of the VM's link; 0 if not known.
       node_port: UDP port for other nodes.
       metrics_port: TCP port for metrics as text; 0 for none.
       connect_s: seconds to open a connection to a backend server.
@@ -118,6 +119,7 @@
     domain: str
     callers: bounds.Address
     readiness: bounds.Address
+    link_mbps: bounds.Weight
     node_port: bounds.Port
     metrics_port: bounds.Count
     connect_s: bounds.Seconds
--- a/tests/test_relay_settings.py
+++ b/tests/test_relay_settings.py
@@ -41,6 +41,7 @@
         "zone|json": '"ub-north"',
         "listen.front|json": '"10.1.0.38:8149"',
         "listen.ready|json": '"10.1.0.38:8141"',
+        "limits.link_mbps": "1000.0",
         "internal_ports.0": "7380",
         "internal_ports.1": "7395",
         "platform.address|json": '"10.200.1.7:8142"',
