Space prompts out by an engine's holder, and shorten takeovers

(1) An event holds five steps' tokens, and five steps that each read a piece of long prompts take 0.65 s; nodes see an eighth of the traffic and sent prompts to one engine back to back. (2) hucu95 had a rate of 8 and one replica, on an engine that had turned slow, with 75 requests on it: its second replica was planned at an engine whose holder could not order for 4.9 s, and counted as if it were there. One stopped node had held three of five engines.

Change: requests with long prompts or adapters ask the engine's holder, which knows the prompts that it was given and those that it keeps, and grants a place only behind a short queue; else another engine is asked, then again after a while. Holders tell when they may order, plans that are late are dropped, crowded engines do not count as replicas, late first tokens count against an engine. Claims go to nodes that hold little; a node that stops writes how long its last order is past, so that its successor waits no longer than needed; the VM of the last turn claims first and does not wait.

--- /dev/null
+++ b/azureline/relay/asks.py
@@ -0,0 +1,202 @@
+"""Asks the holders of engines for room, and answers such questions.
+
+A request that names an adapter, or has a long prompt, is sent to an engine
+only when the engine's holder agrees: the holder alone knows which adapters
+can be loaded and how many prompts wait to be read there.
+"""
+
+from collections.abc import Callable
+import itertools
+from typing import Any
+from typing import NamedTuple
+
+from twisted.internet import defer
+
+from azureline.core import clock as clocks
+from azureline.metrics import counters as metrics
+from azureline.relay import messages
+from azureline.relay import peers as peers_lib
+from azureline.relay import prefill
+from azureline.relay import residency as residencies
+from azureline.relay import servers
+
+# A datagram may be lost: the question is sent again, it is idempotent.
+_AGAIN_S = 0.08
+# An adapter is worth this wait for its holder; a prompt alone is not.
+_ADAPTER_GIVE_UP_S = 0.6
+_PROMPT_GIVE_UP_S = 0.15
+
+
+class Answer(NamedTuple):
+    """What a holder says to a request for its engine.
+
+    Attributes:
+      granted: whether the request may be sent.
+      wait_s: seconds to wait before it is sent.
+      backlog_s: seconds of prompts that wait to be read there.
+      reason: why it is not granted, or "".
+    """
+
+    granted: bool
+    wait_s: float = 0.0
+    backlog_s: float = 0.0
+    reason: str = ""
+
+
+class _Ask(NamedTuple):
+    answer: defer.Deferred[Answer]
+    question: messages.EngineAsk
+    began: float
+
+
+class Asks:
+    """This node's questions that have no answer yet."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clocks.Clock,
+        peers: peers_lib.Peers,
+        catalogue: servers.Catalogue,
+        residency: residencies.Residency,
+        counters: metrics.Counters,
+    ):
+        """Creates the asking side of a node."""
+        self._reactor = reactor
+        self._clock = clock
+        self._peers = peers
+        self._catalogue = catalogue
+        self._residency = residency
+        self._counters = counters
+        self._numbers = itertools.count(1)
+        self._asks: dict[int, _Ask] = {}
+        peers.on(messages.EngineAnswer, self._answered)
+
+    def ask(
+        self,
+        server: servers.BackendServer,
+        model: str,
+        adapter: str,
+        prompt: prefill.Prompt,
+        most_s: float,
+    ) -> defer.Deferred[Answer]:
+        """Asks for room at an engine.
+
+        Args:
+          server: the engine.
+          model: the request's model.
+          adapter: its adapter, or "".
+          prompt: its prompt.
+          most_s: seconds of waiting prompts that it puts up with.
+        """
+        question = messages.EngineAsk(
+            next(self._numbers),
+            server.server_id,
+            model,
+            adapter,
+            prompt.tokens,
+            tuple((part.name, part.tokens) for part in prompt.shared),
+            int(most_s * 1000),
+        )
+        ask = _Ask(defer.Deferred(), question, self._clock.now())
+        self._asks[question.ask] = ask
+        self._send(question.ask)
+        return ask.answer
+
+    def _send(self, number: int) -> None:
+        ask = self._asks.get(number)
+        if ask is None:
+            return
+        question = ask.question
+        give_up_s = (
+            _ADAPTER_GIVE_UP_S if question.adapter else _PROMPT_GIVE_UP_S
+        )
+        if self._clock.now() - ask.began > give_up_s:
+            self._finish(number, self._unanswered(question))
+            return
+        # The timer first: this node may be the holder and answer at once.
+        self._reactor.callLater(_AGAIN_S, self._send, number)
+        holder = self._peers.holder_of(question.server_id)
+        if holder is not None:
+            self._peers.send(holder, question)
+
+    def _unanswered(self, question: messages.EngineAsk) -> Answer:
+        """Returns the answer in place of a holder that says nothing."""
+        self._counters.count("asks.unanswered")
+        server = self._catalogue.get(question.server_id)
+        if not question.adapter or (
+            server is not None
+            and self._residency.has_adapter(
+                server, question.model, question.adapter
+            )
+        ):
+            return Answer(True)
+        return Answer(False, reason="holder does not answer")
+
+    def _answered(
+        self, message: messages.EngineAnswer, host: str, port: int
+    ) -> None:
+        self._finish(
+            message.ask,
+            Answer(
+                message.granted,
+                message.wait_ms / 1000,
+                message.backlog_ms / 1000,
+                message.reason,
+            ),
+        )
+
+    def _finish(self, number: int, answer: Answer) -> None:
+        ask = self._asks.pop(number, None)
+        if ask is not None:
+            ask.answer.callback(answer)
+
+
+class Answers:
+    """Answers the questions of other nodes about engines held here."""
+
+    def __init__(
+        self,
+        peers: peers_lib.Peers,
+        wish: Callable[[messages.EngineAsk], defer.Deferred[Answer] | None],
+        counters: metrics.Counters,
+    ):
+        """Creates the answering side of a node.
+
+        Args:
+          peers: the other nodes.
+          wish: asks the engine's holder; None if it is not held here.
+          counters: counts questions by their answer.
+        """
+        self._peers = peers
+        self._wish = wish
+        self._counters = counters
+        self._open: set[tuple[str, int, int]] = set()
+        peers.on(messages.EngineAsk, self._asked)
+
+    def _asked(
+        self, question: messages.EngineAsk, host: str, port: int
+    ) -> None:
+        key = (host, port, question.ask)
+        if key in self._open:
+            return  # Sent again while the first one waits.
+        wished = self._wish(question)
+        if wished is None:
+            return
+        self._open.add(key)
+        wished.addCallback(self._answer, key)
+
+    def _answer(self, answer: Answer, key: tuple[str, int, int]) -> None:
+        host, port, ask = key
+        self._open.discard(key)
+        self._counters.count(
+            "asks.granted" if answer.granted else "asks.denied"
+        )
+        told = messages.EngineAnswer(
+            ask,
+            answer.granted,
+            int(answer.wait_s * 1000 + 0.999),
+            int(answer.backlog_s * 1000),
+            answer.reason,
+        )
+        self._peers.reply(host, port, told)
--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -55,6 +55,7 @@
         route: routes.Route,
         reader: pieces.EventReader,
         now: Callable[[], float],
+        on_first: Callable[[float], None],
     ):
         """Creates an attempt that was not sent yet.
 
@@ -64,12 +65,14 @@
           route: the request's route.
           reader: checks a stream's events, over all attempts.
           now: returns monotonic time in seconds.
+          on_first: is told the seconds to the first part of the answer.
         """
         self._received = received
         self._request_id = request_id
         self._route = route
         self._reader = reader
         self._now = now
+        self._on_first = on_first
         self._began = now()
         self._part_at: float | None = None
         self._head: http1.Head | None = None
@@ -164,6 +167,7 @@
         now = self._now()
         if self._part_at is None:
             self.first_s = now - self._began
+            self._on_first(self.first_s)
         else:
             self.pause_s = max(self.pause_s, now - self._part_at)
         self._part_at = now
--- a/azureline/relay/claims.py
+++ b/azureline/relay/claims.py
@@ -6,9 +6,12 @@
 engines that do not compare fencing tokens.
 """
 
+import collections
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import NamedTuple
 
+from azureline.relay import keys
 from azureline.relay import placement
 
 # Claims of the first node in order are waited for this long by the next.
@@ -41,6 +44,24 @@
         """
         return self.valid_s + self.turn_s + self.margin_s
 
+    def wait_after(self, last: keys.TurnRecord | None, node: str) -> float:
+        """Returns the seconds from a claim to the first order.
+
+        Args:
+          last: the turn before; None if there was none or it is unreadable.
+          node: name of the VM that claims.
+        """
+        if last is None:
+            return self.wait_s
+        if last.node == node:
+            # Orders of an earlier process of this VM are its own.
+            return 0.0
+        if last.idle_ms < 0:
+            return self.wait_s
+        # It gave the turn up itself and sends nothing more.
+        left_s = self.turn_s + self.margin_s - last.idle_ms / 1000
+        return max(0.0, left_s)
+
 
 class Tenure:
     """Whether this node's lease covers an order now."""
@@ -86,7 +107,8 @@
     def due(
         self,
         wanted: Iterable[str],
-        held: Iterable[str],
+        held: Mapping[str, str],
+        last: Mapping[str, str],
         nodes: Iterable[str],
         now: float,
     ) -> list[str]:
@@ -94,22 +116,43 @@
 
         Args:
           wanted: everything that needs a holder.
-          held: what has one.
+          held: name of the holder's VM of what has one.
+          last: name of the VM whose turn was the last, where known.
           nodes: the nodes that are up, this one among them.
           now: monotonic time in seconds.
         """
         vacant = set(wanted) - set(held)
+        loads = collections.Counter(held.values())
         for name in set(self._vacant_since) - vacant:
             del self._vacant_since[name]
         names = sorted(set(nodes) | {self._node})
         found = []
         for name in vacant:
             since = self._vacant_since.setdefault(name, now)
-            if since + _STEP_S * self._place(name, names) <= now:
+            place = self._place(name, names, loads, last.get(name, ""))
+            if since + _STEP_S * place <= now:
                 found.append(name)
         return found
 
-    def _place(self, name: str, nodes: list[str]) -> int:
-        """Returns how many nodes come before this one."""
-        order = sorted(nodes, key=lambda n: -placement.rank(name, n))
+    def _place(
+        self,
+        name: str,
+        nodes: list[str],
+        loads: Mapping[str, int],
+        last: str,
+    ) -> int:
+        """Returns how many nodes come before this one.
+
+        The VM whose turn was the last needs not wait for its own orders.
+        After it come nodes that hold little: one that is lost takes all that
+        it holds with it.
+        """
+        order = sorted(
+            nodes,
+            key=lambda n: (
+                n != last,
+                loads.get(n, 0),
+                -placement.rank(name, n),
+            ),
+        )
         return order.index(self._node)
--- a/azureline/relay/duties.py
+++ b/azureline/relay/duties.py
@@ -6,7 +6,7 @@
 from twisted.internet import task
 
 from azureline.core import clock as clocks
-from azureline.relay import book as books
+from azureline.relay import asks
 from azureline.relay import claims
 from azureline.relay import holding
 from azureline.relay import keys
@@ -54,6 +54,13 @@
         """Begins to look after vacancies and orders."""
         self._loop.start(_STEP_S, now=False)
 
+    def idle_ms(self) -> dict[str, int]:
+        """Returns milliseconds since the last order, by engine held here."""
+        now = self._clock.now()
+        return {
+            name: holder.idle_ms(now) for name, holder in self._holders.items()
+        }
+
     def close(self) -> None:
         """Gives nothing more."""
         if self._loop.running:
@@ -63,13 +70,13 @@
         self._holders = {}
 
     def wish(
-        self, question: messages.AdapterAsk
-    ) -> defer.Deferred[tuple[bool, float, str]] | None:
-        """Asks an engine held here for an adapter; None if it is not."""
+        self, question: messages.EngineAsk
+    ) -> defer.Deferred[asks.Answer] | None:
+        """Asks an engine held here for room; None if it is not held here."""
         holder = self._holders.get(question.server_id)
         if holder is None:
             return None
-        return holder.wish(books.Adapter(question.model, question.adapter))
+        return holder.wish(question)
 
     def updated(self, server: servers.BackendServer) -> None:
         """Learns that an engine's entry is newer."""
@@ -83,6 +90,10 @@
         else:
             holder.update(server)
 
+    def load(self, load: messages.EngineLoad) -> None:
+        """Takes what a holder tells of its engine's load."""
+        self._planning.load(load)
+
     def state(self, state: messages.EngineState) -> None:
         """Takes what a holder tells of its engine."""
         self._planning.state(state)
@@ -97,11 +108,13 @@
         engines = {s.server_id: s for s in self._engines()}
         wanted = [*engines, *(keys.PLANNER + s for s in self._services())]
         held = {
-            name
+            name: record.node
             for name, record in self._peers.holders.items()
             if not self._left_behind(record)
         }
-        due = self._vacancies.due(wanted, held, self._peers.nodes, now)
+        due = self._vacancies.due(
+            wanted, held, self._peers.last_turns, self._peers.nodes, now
+        )
         for name in due:
             self._tenancy.claim(name, urgent=name.startswith(keys.PLANNER))
         self._hold_claimed()
@@ -128,7 +141,7 @@
                 self._tools,
                 server,
                 kind,
-                turn.token,
+                turn,
                 lambda name=name: self._tenancy.may_act(name),
             )
 
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -176,6 +176,7 @@
             route,
             self._reader,
             tools.clock.now,
+            lambda first_s: tools.places.first_part(place, first_s),
         )
         self._attempt = attempt
         resumed = self._reader.passed > 0
--- a/azureline/relay/health.py
+++ b/azureline/relay/health.py
@@ -14,17 +14,29 @@
 _UNKNOWN_S = 0.1
 
 
+# Answers that begin later than this show an engine that is slow or crowded ...
+_FIRST_S = 0.5
+# ... and each second beyond counts as so many times as loaded.
+_SLOW_WEIGHT = 5.0
+
+
 class _Record(NamedTuple):
     failing: float
     failing_at: float
     answer_s: float
 
 
+class _First(NamedTuple):
+    average_s: float
+    at: float
+
+
 class Health:
     """Averages per start of a backend server."""
 
     def __init__(self):
         self._records: dict[tuple[str, int], _Record] = {}
+        self._firsts: dict[tuple[str, int], _First] = {}
 
     def note(
         self, server: tuple[str, int], ok: bool, answer_s: float, now: float
@@ -47,12 +59,28 @@
             answer += (answer_s - answer) * _NEWEST
         self._records[server] = _Record(failing, now, answer)
 
+    def note_first(
+        self, server: tuple[str, int], first_s: float, now: float
+    ) -> None:
+        """Counts the time until an answer began.
+
+        Args:
+          server: the server's incarnation.
+          first_s: seconds from the send to the first part.
+          now: monotonic time in seconds.
+        """
+        average_s = self._first_s(server, now)
+        average_s += (first_s - average_s) * _NEWEST
+        self._firsts[server] = _First(average_s, now)
+
     def penalty(self, server: tuple[str, int], now: float) -> float:
         """Returns a factor, 1 for a server without failures."""
+        slow_s = max(0.0, self._first_s(server, now) - _FIRST_S)
+        penalty = 1.0 + _SLOW_WEIGHT * slow_s
         record = self._records.get(server)
-        if record is None:
-            return 1.0
-        return 1.0 + _FAILURE_WEIGHT * self._failing(record, now)
+        if record is not None:
+            penalty += _FAILURE_WEIGHT * self._failing(record, now)
+        return penalty
 
     def answer_s(self, server: tuple[str, int]) -> float:
         """Returns the average time to an answer."""
@@ -62,6 +90,14 @@
     def forget(self, server: tuple[str, int]) -> None:
         """Drops what is known of a server that is gone."""
         self._records.pop(server, None)
+        self._firsts.pop(server, None)
+
+    def _first_s(self, server: tuple[str, int], now: float) -> float:
+        first = self._firsts.get(server)
+        if first is None:
+            return 0.0
+        age = max(0.0, now - first.at)
+        return first.average_s * math.exp(-age / _FORGIVE_S)
 
     def _failing(self, record: _Record, now: float) -> float:
         age = max(0.0, now - record.failing_at)
--- a/azureline/relay/holding.py
+++ b/azureline/relay/holding.py
@@ -11,9 +11,13 @@
 from azureline.platform import entries
 from azureline.platform import operator
 from azureline.platform import orders as order_calls
+from azureline.relay import asks
 from azureline.relay import book as books
+from azureline.relay import claims
 from azureline.relay import messages
 from azureline.relay import orders
+from azureline.relay import prefill
+from azureline.relay import requests
 from azureline.relay import routes
 from azureline.relay import servers
 from azureline.util import events
@@ -27,6 +31,8 @@
 _ADAPTER_PATIENCE_S = 1.0
 # Longer work on a model is not waited for: another engine may be free.
 _BUSY_PATIENCE_S = 0.25
+# Longer idleness makes no difference to a successor.
+_LONG_IDLE_S = 60.0
 # Reports are asked for no more often, as each costs a probe.
 _REPORT_EVERY_S = 0.4
 # Also without need, for the load figures that nodes route by.
@@ -41,6 +47,7 @@
       reactor: the Twisted reactor.
       clock: source of time.
       client: owner of connections.
+      read_tokens_per_s: tokens of prompts that an engine reads a second.
       node: name of this VM.
       counters: counts orders by outcome.
       log: takes a line for each order.
@@ -50,6 +57,7 @@
     reactor: Any
     clock: clocks.Clock
     client: http1.Client
+    read_tokens_per_s: float
     node: str
     counters: metrics.Counters
     log: events.Log
@@ -58,8 +66,9 @@
 
 class _Wish(NamedTuple):
     adapter: books.Adapter
+    question: messages.EngineAsk
     since: float
-    answer: defer.Deferred[tuple[bool, float, str]]
+    answer: defer.Deferred[asks.Answer]
 
 
 class EngineHolder:
@@ -70,7 +79,7 @@
         tools: Tools,
         server: servers.BackendServer,
         kind: routes.EngineKind,
-        token: int,
+        turn: claims.Turn,
         may_act: Callable[[], bool],
     ):
         """Creates a holder that has given no order.
@@ -79,18 +88,24 @@
           tools: what holders share.
           server: the engine's entry.
           kind: what the engines of its service are like.
-          token: fencing token of this node's turn.
+          turn: this node's turn.
           may_act: whether an order may be sent at this moment.
         """
         self._tools = tools
         self._server = server
-        self._token = token
+        self._token = turn.token
+        self._orders_from = turn.from_s
         self._may_act = may_act
         self.book = books.EngineBook(server, kind, tools.clock.now())
+        self._prefill = prefill.PrefillBook(
+            tools.read_tokens_per_s, kind.cache_tokens
+        )
         self._wishes: list[_Wish] = []
         self._calling = False
         self._reporting = False
         self._reported_at = float("-inf")
+        # An earlier process of this VM may have ordered until now.
+        self._ordered_at = tools.clock.now()
         self._plan = -1
         self._told: messages.EngineState | None = None
         self._load = 0
@@ -111,6 +126,10 @@
         self._told = None
         self.step()
 
+    def idle_ms(self, now: float) -> int:
+        """Returns milliseconds since the last order was sent."""
+        return int(min(now - self._ordered_at, _LONG_IDLE_S) * 1000)
+
     def set_target(self, target: messages.Target) -> None:
         """Takes the models that the engine shall hold."""
         if target.born_ms != self._server.born_ms or target.plan < self._plan:
@@ -119,23 +138,35 @@
         self.book.set_target(target.models)
         self.step()
 
-    def wish(
-        self, adapter: books.Adapter
-    ) -> defer.Deferred[tuple[bool, float, str]]:
-        """Asks for an adapter.
-
-        Returns:
-          A deferred of (granted, seconds to wait, reason).
-        """
+    def wish(self, question: messages.EngineAsk) -> defer.Deferred[asks.Answer]:
+        """Answers a request for room, once its adapter is on its way."""
         now = self._tools.clock.now()
+        if not question.adapter:
+            return defer.succeed(self._room(question, 0.0, now))
+        adapter = books.Adapter(question.model, question.adapter)
         left = self.book.adapter_ready(adapter, now)
         if left is not None:
-            return defer.succeed((True, left, ""))
-        wish = _Wish(adapter, now, defer.Deferred())
+            return defer.succeed(self._room(question, left, now))
+        wish = _Wish(adapter, question, now, defer.Deferred())
         self._wishes.append(wish)
         self.step()
         return wish.answer
 
+    def _room(
+        self, question: messages.EngineAsk, wait_s: float, now: float
+    ) -> asks.Answer:
+        """Grants a prompt its place in the queue, if that is short enough."""
+        backlog_s = self._prefill.backlog_s(now)
+        if backlog_s > question.most_ms / 1000:
+            return asks.Answer(False, wait_s, backlog_s, "prompts wait")
+        prompt = prefill.Prompt(
+            f"{question.model}/{question.adapter}",
+            question.tokens,
+            tuple(requests.PromptPart(*part) for part in question.shared),
+        )
+        self._prefill.reserve(prompt, now)
+        return asks.Answer(True, wait_s, backlog_s)
+
     def step(self) -> None:
         """Sends the next order if there is one and none is on its way."""
         now = self._tools.clock.now()
@@ -153,7 +184,7 @@
     def close(self) -> None:
         """Ends the waiting for adapters."""
         for wish in self._wishes:
-            wish.answer.callback((False, 0.0, "holder ended"))
+            wish.answer.callback(asks.Answer(False, reason="holder ended"))
         self._wishes = []
 
     def _next(self, now: float) -> orders.Order | None:
@@ -167,7 +198,10 @@
 
     def _send(self, order: orders.Order, now: float) -> None:
         self._calling = True
+        self._ordered_at = now
         self.book.sent(order)
+        if order.verb is orders.Verb.UNLOAD and not order.adapter:
+            self._prefill.forget(order.model)
         # Nodes stop sending to a model before it goes.
         self._tell(now)
         server = self._server
@@ -247,13 +281,13 @@
         for wish in self._wishes:
             left = self.book.adapter_ready(wish.adapter, now)
             if left is not None:
-                wish.answer.callback((True, left, ""))
+                wish.answer.callback(self._room(wish.question, left, now))
             elif wish.adapter.model not in self.book.models:
-                wish.answer.callback((False, 0.0, "model absent"))
+                wish.answer.callback(asks.Answer(False, reason="model absent"))
             elif self.book.busy and self.book.free_s(now) > _BUSY_PATIENCE_S:
-                wish.answer.callback((False, 0.0, "engine busy"))
+                wish.answer.callback(asks.Answer(False, reason="engine busy"))
             elif wish.since + _ADAPTER_PATIENCE_S < now:
-                wish.answer.callback((False, 0.0, "no place"))
+                wish.answer.callback(asks.Answer(False, reason="no place"))
             else:
                 waiting.append(wish)
         self._wishes = waiting
@@ -275,11 +309,15 @@
             coming=model,
             coming_ms=int(left * 1000),
             busy=self.book.busy,
+            held_ms=int(max(0.0, self._orders_from - now) * 1000),
         )
         told = self._told
-        if told is not None and told._replace(
-            coming_ms=0, sequence=0
-        ) == state._replace(coming_ms=0, sequence=0):
+        if told is not None and _lasting(told) == _lasting(state):
             return
         self._told = state
         self._tools.tell(state)
+
+
+def _lasting(state: messages.EngineState) -> messages.EngineState:
+    """Returns a state without what changes all the time."""
+    return state._replace(coming_ms=0, sequence=0, held_ms=state.held_ms > 0)
--- a/azureline/relay/keys.py
+++ b/azureline/relay/keys.py
@@ -44,7 +44,20 @@
     identity: str
 
 
-def pack(record: NodeRecord | HolderRecord) -> bytes:
+class TurnRecord(NamedTuple):
+    """The last turn at something, which stays when its holder has gone.
+
+    Attributes:
+      node: name of the VM whose turn it was.
+      idle_ms: milliseconds from its last order until it gave up the turn; -1
+        while it has not given it up.
+    """
+
+    node: str
+    idle_ms: int = -1
+
+
+def pack(record: NodeRecord | HolderRecord | TurnRecord) -> bytes:
     """Returns the bytes of a record."""
     return msgpack.packb(list(record))
 
@@ -69,6 +82,16 @@
             return None
 
 
+def turn_record(value: bytes) -> TurnRecord | None:
+    """Returns a turn's record, or None if it cannot be read."""
+    fields = _fields(value)
+    match fields:
+        case [str(), int()]:
+            return TurnRecord(*fields)
+        case _:
+            return None
+
+
 def _fields(value: bytes) -> object:
     try:
         return msgpack.unpackb(value)
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -16,6 +16,7 @@
       coming: model that is being loaded, or "".
       coming_ms: milliseconds until it can be used.
       busy: whether an order about a model is under way.
+      held_ms: milliseconds until its holder may give orders.
     """
 
     server_id: str
@@ -25,6 +26,7 @@
     coming: str
     coming_ms: int
     busy: bool
+    held_ms: int
 
 
 class EngineLoad(NamedTuple):
@@ -39,35 +41,43 @@
     requests: int
 
 
-class AdapterAsk(NamedTuple):
-    """Asks an engine's holder for an adapter.
+class EngineAsk(NamedTuple):
+    """Asks an engine's holder for room for a request.
 
     Attributes:
       ask: number that the answer repeats.
       server_id: the engine.
       model: the model.
-      adapter: the adapter of it.
+      adapter: the adapter of it, or "".
+      tokens: length of the prompt.
+      shared: (name, tokens) of the parts that other prompts have too.
+      most_ms: milliseconds of waiting prompts that the request puts up with.
     """
 
     ask: int
     server_id: str
     model: str
     adapter: str
+    tokens: int
+    shared: tuple[tuple[str, int], ...]
+    most_ms: int
 
 
-class AdapterAnswer(NamedTuple):
-    """Answers an `AdapterAsk`.
+class EngineAnswer(NamedTuple):
+    """Answers an `EngineAsk`.
 
     Attributes:
       ask: number of the question.
-      granted: whether a request may be sent.
+      granted: whether the request may be sent.
       wait_ms: milliseconds to wait before it is sent.
+      backlog_ms: milliseconds of prompts that wait to be read there.
       reason: why it is not granted, or "".
     """
 
     ask: int
     granted: bool
     wait_ms: int
+    backlog_ms: int
     reason: str
 
 
@@ -166,8 +176,8 @@
 
 _MESSAGES: dict[int, type] = {
     1: EngineState,
-    2: AdapterAsk,
-    3: AdapterAnswer,
+    2: EngineAsk,
+    3: EngineAnswer,
     4: ModelDemand,
     5: Demand,
     6: Target,
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -17,7 +17,7 @@
 from azureline.metrics import exposition as expositions
 from azureline.platform import requests as wire
 from azureline.platform import store as store_lib
-from azureline.relay import adapters
+from azureline.relay import asks
 from azureline.relay import budget
 from azureline.relay import claims
 from azureline.relay import demand as demands
@@ -102,7 +102,7 @@
             settings.domain,
             self._catalogue,
             self._residency,
-            adapters.AdapterAsks(
+            asks.Asks(
                 reactor,
                 self._clock,
                 self._peers,
@@ -129,6 +129,7 @@
                 reactor,
                 self._clock,
                 self._client,
+                settings.engines.read_tokens_per_s,
                 settings.name,
                 self._counters,
                 log,
@@ -140,7 +141,7 @@
             self._peers,
             self._tenancy,
         )
-        adapters.AdapterAnswers(self._peers, self._duties.wish, self._counters)
+        asks.Answers(self._peers, self._duties.wish, self._counters)
         self._peers.on(messages.EngineState, self._told_state)
         self._peers.on(messages.EngineLoad, self._told_load)
         self._view = views.StoreView(
@@ -257,8 +258,9 @@
         self._leaving = True
         began = self._clock.now()
         self._log.info("stopping", active=self.active)
+        idle_ms = self._duties.idle_ms()
         self._duties.close()
-        releasing = defer.ensureDeferred(self._tenancy.release())
+        releasing = defer.ensureDeferred(self._tenancy.release(idle_ms))
         releasing.addErrback(lambda _: None)
         stop = self._settings.stop
         latest = began + stop.grace_s - _GRACE_MARGIN_S
@@ -301,6 +303,7 @@
         self, load: messages.EngineLoad, host: str, port: int
     ) -> None:
         self._residency.take_load(load)
+        self._duties.load(load)
         self._places.load_told(load.server_id)
 
     def _tell_state(
--- a/azureline/relay/peers.py
+++ b/azureline/relay/peers.py
@@ -24,6 +24,7 @@
         self._clock = clock
         self._nodes: dict[str, keys.NodeRecord] = {record.name: record}
         self._holders: dict[str, keys.HolderRecord] = {}
+        self._last_turns: dict[str, str] = {}
         self._handlers: dict[type, Callable[[Any, str, int], None]] = {}
         self._datagrams = datagrams.Datagrams(self, counters, messages.codec())
 
@@ -52,6 +53,11 @@
         """The holders by what they hold."""
         return self._holders
 
+    @property
+    def last_turns(self) -> dict[str, str]:
+        """Name of the VM whose turn was the last, by what it held."""
+        return self._last_turns
+
     def listen(self, reactor: Any) -> Any:
         """Opens the socket; returns its port."""
         return reactor.listenUDP(
@@ -84,6 +90,10 @@
         else:
             self._holders[name] = record
 
+    def set_last_turn(self, name: str, record: keys.TurnRecord) -> None:
+        """Takes whose turn was the last at something."""
+        self._last_turns[name] = record.node
+
     def holder_of(self, name: str) -> keys.NodeRecord | None:
         """Returns the node that holds something, if it is known."""
         holder = self._holders.get(name)
--- a/azureline/relay/places.py
+++ b/azureline/relay/places.py
@@ -10,15 +10,29 @@
 from azureline.core import clock as clocks
 from azureline.core import errors
 from azureline.metrics import counters as metrics
+from azureline.relay import asks as asks_lib
 from azureline.relay import attempt as attempts
 from azureline.relay import health as healths
 from azureline.relay import patience
 from azureline.relay import placement
+from azureline.relay import prefill
 from azureline.relay import requests
 from azureline.relay import residency as residencies
 from azureline.relay import routes
 from azureline.relay import servers
 
+# Prompts of this length take an engine long enough to hold up its streams.
+_LONG_TOKENS = 1500
+# Prompts read back to back for longer than this make streams pause for more
+# than 0.6 s, as an event holds the tokens of several steps.
+_SHORT_QUEUE_S = 0.2
+# A prompt waits for its place for this part of its route's target.
+_QUEUE_PART = 0.4
+# Between two rounds of questions for one request.
+_SOONEST_S = 0.03
+_LATEST_S = 0.15
+# Engines that are asked for one request.
+_MOST_ASKED = 3
 # Priorities of engines go from 0 to 9; 5 is that of requests without one.
 _LOWEST_PRIORITY = 9
 
@@ -37,13 +51,18 @@
     loads: bool = False
 
 
-class Adapters(Protocol):
-    """Asks holders for adapters."""
+class Asks(Protocol):
+    """Asks holders for room at their engines."""
 
     def ask(
-        self, server: servers.BackendServer, model: str, adapter: str
-    ) -> defer.Deferred[tuple[bool, float, str]]:
-        """Returns (granted, seconds to wait, reason)."""
+        self,
+        server: servers.BackendServer,
+        model: str,
+        adapter: str,
+        prompt: prefill.Prompt,
+        most_s: float,
+    ) -> defer.Deferred[asks_lib.Answer]:
+        """Returns what the engine's holder says."""
 
 
 class Demand(Protocol):
@@ -70,7 +89,7 @@
         domain: str,
         catalogue: servers.Catalogue,
         residency: residencies.Residency,
-        adapters: Adapters,
+        asks: Asks,
         demand: Demand,
         counters: metrics.Counters,
     ):
@@ -81,7 +100,7 @@
         self._domain = domain
         self._catalogue = catalogue
         self._residency = residency
-        self._adapters = adapters
+        self._asks = asks
         self._demand = demand
         self._counters = counters
         self._health = healths.Health()
@@ -136,6 +155,12 @@
             return
         self._health.note(server.incarnation, good, took_s, self._clock.now())
 
+    def first_part(self, place: Place, first_s: float) -> None:
+        """Learns how long an engine took to begin an answer."""
+        self._health.note_first(
+            place.server.incarnation, first_s, self._clock.now()
+        )
+
     def denied(self, place: Place, request: requests.CallerRequest) -> None:
         """Learns that a server does not have what a request needs."""
         self._residency.deny(
@@ -174,30 +199,57 @@
         candidates = [self._engine_candidate(s, request) for s in holders]
         ordered = placement.by_affinity(candidates, _affinity(request))
         priority = min(_LOWEST_PRIORITY, route.rank)
-        if not request.adapter:
+        if not request.adapter and request.prompt_tokens < _LONG_TOKENS:
             return self._take(Place(ordered[0].server, priority))
-        reason = ""
-        for candidate in ordered[:3]:
-            place = self._take(Place(candidate.server, priority, True))
-            try:
-                granted, wait_s, reason = await self._adapters.ask(
-                    candidate.server, request.model, request.adapter
-                )
-                if granted:
-                    if wait_s > 0:
-                        await self._sleep(wait_s)
+        tried = [c.server for c in ordered[:_MOST_ASKED]]
+        give_up_at = self._clock.now() + route.target_s * _QUEUE_PART
+        while True:
+            late = self._clock.now() >= give_up_at
+            most_s = route.timeout_s if late else _SHORT_QUEUE_S
+            backlogs = []
+            reason = ""
+            for server in tried:
+                place = Place(server, priority, bool(request.adapter))
+                place = self._take(place)
+                answer = await self._ask(request, place, most_s)
+                if answer.granted:
                     return place
-            except defer.CancelledError:
-                self.done(place)
-                raise
-            self.done(place)
+                reason = answer.reason
+                backlogs.append(answer.backlog_s)
+            if late or not any(backlogs):
+                break
+            # The shortest queue is short enough after this time.
+            wait_s = min(backlogs) - _SHORT_QUEUE_S
+            await self._sleep(min(max(wait_s, _SOONEST_S), _LATEST_S))
         return errors.Refusal(
             errors.ErrorKind.NO_REPLICA,
-            f"No engine can load the adapter: {reason}.",
+            f"No engine can take the request: {reason}.",
             retry_after=0.5,
             ran=errors.Ran.NO,
         )
 
+    async def _ask(
+        self, request: requests.CallerRequest, place: Place, most_s: float
+    ) -> asks_lib.Answer:
+        """Asks for a place, and gives it back if it is not granted."""
+        prompt = prefill.Prompt(
+            f"{request.model}/{request.adapter}",
+            request.prompt_tokens,
+            request.shared_parts,
+        )
+        try:
+            answer = await self._asks.ask(
+                place.server, request.model, request.adapter, prompt, most_s
+            )
+            if answer.granted and answer.wait_s > 0:
+                await self._sleep(answer.wait_s)
+        except defer.CancelledError:
+            self.done(place)
+            raise
+        if not answer.granted:
+            self.done(place)
+        return answer
+
     async def _holders(
         self,
         request: requests.CallerRequest,
--- a/azureline/relay/planner.py
+++ b/azureline/relay/planner.py
@@ -22,6 +22,9 @@
 _STAY_S = 1.0
 # Part of all places that models in demand may fill with extra replicas.
 _SPREAD = 0.75
+# An engine with this part of its slots taken gives no more good service: it
+# is slow, or its models need more replicas.
+_CROWDED_PART = 0.35
 # Seconds that an unload takes while the model runs nothing.
 _UNLOAD_S = 0.1
 # Requests a second that one replica serves without a queue.
@@ -51,6 +54,7 @@
       in_memory: models of which its host memory has copies.
       on_disk: models of which its disk has copies.
       free_s: seconds until it can take another order about a model.
+      requests: requests that run or wait there.
     """
 
     server_id: str
@@ -60,6 +64,7 @@
     in_memory: tuple[str, ...] = ()
     on_disk: tuple[str, ...] = ()
     free_s: float = 0.0
+    requests: int = 0
 
 
 class _Demand(NamedTuple):
@@ -236,7 +241,7 @@
         self, engines: list[EngineView], now: float
     ) -> list[tuple[float, str]]:
         """Returns (gain, model) of replicas that lack, the best first."""
-        counts = _replicas(engines)
+        counts = _replicas(engines, int(self._kind.slots * _CROWDED_PART))
         total = sum(self.demand.rate(m, now) for m in self._kind.models)
         places = self.places * len(engines)
         short = []
@@ -381,9 +386,14 @@
     return model not in engine.in_memory and model not in engine.on_disk
 
 
-def _replicas(engines: list[EngineView]) -> dict[str, int]:
+def _replicas(
+    engines: list[EngineView], crowded: int | None = None
+) -> dict[str, int]:
+    """Returns the engines by model, without crowded ones if asked for."""
     counts: dict[str, int] = {}
     for engine in engines:
+        if crowded is not None and engine.requests > crowded:
+            continue
         for model in engine.models:
             counts[model] = counts.get(model, 0) + 1
     return counts
--- a/azureline/relay/planning.py
+++ b/azureline/relay/planning.py
@@ -15,6 +15,11 @@
 _REPEAT_S = 0.5
 
 
+# An engine without a holder gets none that may give orders sooner.
+_NO_HOLDER_S = 5.0
+# A plan that is not carried out by so much after its load is dropped: its
+# holder or its engine may be gone.
+_LATE_S = 2.5
 # An engine that is busy is taken to be so for at least this long.
 _BUSY_S = 0.2
 
@@ -29,6 +34,11 @@
         self.target = target
         self.load_s = load_s
         self.at = at
+        self._late_at = at + load_s + _LATE_S
+
+    def is_late(self, now: float) -> bool:
+        """Returns whether it should have been carried out by now."""
+        return now > self._late_at
 
 
 class Planning:
@@ -50,6 +60,7 @@
         self._counters = counters
         self._planners: dict[str, planners.Planner] = {}
         self._states: dict[str, _Told] = {}
+        self._loads: dict[str, int] = {}
         self._sent: dict[str, _Sent] = {}
         self._serial = 0
         peers.on(messages.Demand, self._demanded)
@@ -58,6 +69,10 @@
         """Takes what a holder tells of its engine."""
         self._states[state.server_id] = _Told(state, self._clock.now())
 
+    def load(self, load: messages.EngineLoad) -> None:
+        """Takes what a holder tells of its engine's load."""
+        self._loads[load.server_id] = load.requests
+
     def cease(self, service: str) -> None:
         """Plans for a service no more."""
         if self._planners.pop(service, None) is not None:
@@ -115,16 +130,20 @@
     ) -> planners.EngineView:
         told = self._states.get(server.server_id)
         models = tuple(r.name for r in server.models)
-        free_s = 0.0
+        held = server.server_id in self._peers.holders
+        free_s = 0.0 if held else _NO_HOLDER_S
         if told is not None and told.state.born_ms == server.born_ms:
             models = tuple(name for name, _ in told.state.models)
             left_s = told.at + told.state.coming_ms / 1000 - now
             if told.state.busy:
-                free_s = max(left_s, _BUSY_S)
+                free_s = max(free_s, left_s, _BUSY_S)
+            held_s = told.at + told.state.held_ms / 1000 - now
+            free_s = max(free_s, held_s)
         sent = self._sent.get(server.server_id)
         if sent is not None:
             other_start = sent.target.born_ms != server.born_ms
-            if other_start or set(sent.target.models) <= set(models):
+            done = set(sent.target.models) <= set(models)
+            if other_start or done or not held or sent.is_late(now):
                 del self._sent[server.server_id]
             else:
                 # Under way: it counts as holding what it shall hold.
@@ -138,6 +157,7 @@
             server.in_memory,
             server.on_disk,
             free_s,
+            self._loads.get(server.server_id, 0),
         )
 
     def _repeat(self, now: float) -> None:
--- a/azureline/relay/settings.py
+++ b/azureline/relay/settings.py
@@ -27,6 +27,16 @@
     pause_s: bounds.Seconds
 
 
+class Engines(NamedTuple):
+    """Engines, as far as they do not tell it themselves.
+
+    Attributes:
+      read_tokens_per_s: tokens of prompts that one reads a second.
+    """
+
+    read_tokens_per_s: bounds.Rate
+
+
 class Orders(NamedTuple):
     """Orders to engines.
 
@@ -107,6 +117,7 @@
       metrics_port: TCP port for metrics as text; 0 for none.
       connect_s: seconds to open a connection to a backend server.
       store: the platform's store.
+      engines: what engines are like.
       orders: orders to engines.
       repeats: sends beyond the first of each request.
       loads: loads from the weight store.
@@ -124,6 +135,7 @@
     metrics_port: bounds.Count
     connect_s: bounds.Seconds
     store: Store
+    engines: Engines
     orders: Orders
     repeats: Repeats
     loads: Loads
--- a/azureline/relay/tenancy.py
+++ b/azureline/relay/tenancy.py
@@ -129,12 +129,39 @@
             self._home.give_up()
             self._duty.give_up()
 
-    async def release(self) -> None:
-        """Gives up the leases, so that others can claim at once."""
+    async def release(self, idle_ms: dict[str, int]) -> None:
+        """Gives up the leases, so that others can claim at once.
+
+        Args:
+          idle_ms: milliseconds since the last order, by what is held.
+        """
         self._stopping = True
+        await self._end_turns(idle_ms)
         await self._duty.stop()
         await self._home.stop()
 
+    async def _end_turns(self, idle_ms: dict[str, int]) -> None:
+        """Tells successors that this node sends no more orders."""
+        held = [name for name in idle_ms if name in self._turns]
+        if not held:
+            return
+        expected = {
+            keys.HOLDERS + name: self._turns[name].token for name in held
+        }
+        puts = tuple(
+            store_lib.Put(
+                keys.TURNS + name,
+                keys.pack(keys.TurnRecord(self._record.name, idle_ms[name])),
+            )
+            for name in held
+        )
+        ended = await self._store.change(expected, puts)
+        self._log.info(
+            "turns_ended",
+            held=held,
+            done=isinstance(ended, store_lib.Committed),
+        )
+
     async def _write_record(self, lease: store_lib.Lease) -> bool:
         key = keys.NODES + self._record.name
         put = store_lib.Put(key, keys.pack(self._record), lease.lease_id)
@@ -155,25 +182,30 @@
     ) -> None:
         holder, turn = keys.HOLDERS + name, keys.TURNS + name
         record = keys.HolderRecord(self._record.name, self._identity)
+        own_turn = keys.pack(keys.TurnRecord(self._record.name))
         puts = (
             store_lib.Put(holder, keys.pack(record), lease.lease_id),
-            store_lib.Put(turn, self._record.name.encode()),
+            store_lib.Put(turn, own_turn),
         )
         try:
             result = await self._store.change({holder: 0, turn: 0}, puts)
-            waits = False
+            wait_s = 0.0
             if isinstance(result, store_lib.Conflict):
                 found = {item.key: item for item in result.items}
-                current = found.get(holder)
+                current, last = found.get(holder), found.get(turn)
                 if current is not None and not self._left_behind(current):
                     return
-                last = found.get(turn)
-                # Orders of an earlier process of this VM are its own.
-                own = last is not None and last.value == puts[1].value
-                waits = not urgent and not own
-                revision = current.revision if current else 0
-                result = await self._store.change({holder: revision}, puts)
-            self._claimed(name, lease, waits, result)
+                if last is not None and not urgent:
+                    before = keys.turn_record(last.value)
+                    wait_s = self._terms.wait_after(before, self._record.name)
+                result = await self._store.change(
+                    {
+                        holder: current.revision if current else 0,
+                        turn: last.revision if last else 0,
+                    },
+                    puts,
+                )
+            self._claimed(name, lease, wait_s, result)
         finally:
             self._claiming.discard(name)
 
@@ -187,7 +219,7 @@
         )
 
     def _claimed(
-        self, name: str, lease: store_lib.Lease, waits: bool, result: Any
+        self, name: str, lease: store_lib.Lease, wait_s: float, result: Any
     ) -> None:
         if not isinstance(result, store_lib.Committed):
             # After a lost answer the follower finds whose the key is.
@@ -196,7 +228,7 @@
         if self._duty.lease is not lease:
             return
         now = self._clock.now()
-        from_s = now + (self._terms.wait_s if waits else 0.0)
+        from_s = now + wait_s
         self._turns[name] = claims.Turn(result.revision, from_s)
         self._counters.count("claims.won")
         self._log.info(
--- a/azureline/relay/views.py
+++ b/azureline/relay/views.py
@@ -75,6 +75,12 @@
             self._peers.set_holder(name, record)
             self._tenancy.taken(name, record, item.revision)
 
+        elif key.startswith(keys.TURNS):
+            turn = keys.turn_record(item.value)
+            if turn is not None:
+                name = key.removeprefix(keys.TURNS)
+                self._peers.set_last_turn(name, turn)
+
     def removed(self, key: str) -> None:
         """Learns that a key is gone."""
         if key.startswith(names.SERVERS_PREFIX):
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -121,6 +121,7 @@
         "coming": "",
         "coming_ms": 0,
         "busy": False,
+        "held_ms": 0,
         **fields,
     }
     return messages.EngineState(server_id=name, **values)
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -10,6 +10,7 @@
 from azureline.relay import budget
 from azureline.relay import claims
 from azureline.relay import health
+from azureline.relay import keys
 from azureline.relay import patience
 from azureline.relay import placement
 from azureline.relay import residency as residencies
@@ -138,14 +139,42 @@
         for name in nodes:
             vacancies = claims.Vacancies(name)
             for tick in range(60):
-                if vacancies.due(["e1"], [], nodes, tick * 0.1):
+                if vacancies.due(["e1"], {}, {}, nodes, tick * 0.1):
                     ages[name] = tick * 0.1
                     break
         assert sorted(ages.values()) == pytest.approx([0.0, 1.0, 2.0])
 
     def test_what_is_held_is_not_claimed(self):
         vacancies = claims.Vacancies("n1")
-        assert vacancies.due(["e1"], ["e1"], ["n1"], 9.0) == []
+        assert vacancies.due(["e1"], {"e1": "n2"}, {}, ["n1"], 9.0) == []
+
+    def test_nodes_that_hold_little_claim_first(self):
+        held = {"e1": "n1", "e2": "n1", "e3": "n2"}
+        due = claims.Vacancies("n3").due(["e4"], held, ["n1", "n2", "n3"], 0.0)
+        assert due == ["e4"]
+        busy = claims.Vacancies("n1")
+        assert busy.due(["e4"], held, {}, ["n1", "n2", "n3"], 0.0) == []
+        assert busy.due(["e4"], held, {}, ["n1", "n2", "n3"], 2.0) == ["e4"]
+
+    def test_the_vm_of_the_last_turn_claims_first(self):
+        nodes = ["n1", "n2", "n3"]
+        for name in nodes:
+            due = claims.Vacancies(name).due(
+                ["e1"], {}, {"e1": "n2"}, nodes, 0.0
+            )
+            assert due == (["e1"] if name == "n2" else [])
+
+    def test_a_turn_that_was_given_up_is_waited_for_less(self):
+        given_up = keys.TurnRecord("n1", 1200)
+        assert self.TERMS.wait_after(given_up, "n2") == pytest.approx(2.2)
+        long_ago = keys.TurnRecord("n1", 60000)
+        assert self.TERMS.wait_after(long_ago, "n2") == 0.0
+        lost = keys.TurnRecord("n1")
+        assert self.TERMS.wait_after(lost, "n2") == self.TERMS.wait_s
+        assert self.TERMS.wait_after(None, "n2") == self.TERMS.wait_s
+
+    def test_a_vm_does_not_wait_for_its_own_earlier_process(self):
+        assert self.TERMS.wait_after(keys.TurnRecord("n1"), "n1") == 0.0
 
 
 class TestRoutes:
