--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -150,7 +150,9 @@
 
     def test_nodes_that_hold_little_claim_first(self):
         held = {"e1": "n1", "e2": "n1", "e3": "n2"}
-        due = claims.Vacancies("n3").due(["e4"], held, ["n1", "n2", "n3"], 0.0)
+        due = claims.Vacancies("n3").due(
+            ["e4"], held, {}, ["n1", "n2", "n3"], 0.0
+        )
         assert due == ["e4"]
         busy = claims.Vacancies("n1")
         assert busy.due(["e4"], held, {}, ["n1", "n2", "n3"], 0.0) == []
