--- a/azureline/config/defaults.py
+++ b/azureline/config/defaults.py
@@ -23,7 +23,7 @@
 
     Args:
       document: the plain document as an operator wrote it.
-      kind: "node" or "configuration".
+      kind: "node", "relay" or "configuration".
       strict: whether unknown options are mistakes; else they are left out.
 
     Returns:
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -17,7 +17,7 @@
     """Returns the table of a kind's options in Markdown.
 
     Args:
-      kind: "node" or "configuration".
+      kind: "node", "relay" or "configuration".
     """
     text = resources.files("azureline.config").joinpath("defaults.json")
     lines = text.read_text("utf-8").splitlines()
@@ -34,7 +34,7 @@
 
 def render(page: str) -> str:
     """Returns the page with the present tables in their places."""
-    for kind in ("node", "configuration"):
+    for kind in ("node", "relay", "configuration"):
         begin, end = f"<!-- {kind}:begin -->\n", f"<!-- {kind}:end -->\n"
         before, _, rest = page.partition(begin)
         _, _, after = rest.partition(end)
