Let a watcher that the store turns away take another's word

South-1 was the watcher of its domain, and so did not listen to the second one: versions 6 and 8, in force elsewhere at 3.1 and 7.1 s, were in force there at 12.05 s, and the loss of an engine at 8.5 s was known at 14.2 s.

Ruled out: the second watcher, whose beats went on.

Change: a node whose calls fail takes the word of a watcher whose calls do not, whatever its own role.

--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -216,9 +216,12 @@
             return
         now = self._clock.now()
         self._roles.heard(now)
-        if self._revision is None or self._role is not feeds.Role.FED:
+        fed = self._role is feeds.Role.FED
+        if self._revision is None or not (fed or self._failures):
             return
-        self._failures = 0
+        # A store that turns this VM away may serve others of its domain.
+        if fed:
+            self._failures = 0
         self._since = now - feed.steady_ms / 1000
         self._receiver.back(self._since)
         if feed.after < 0:
--- /dev/null
+++ b/tests/test_relay_follower.py
@@ -0,0 +1,103 @@
+"""Tests of the follower: the store turns it away, another node tells it."""
+
+import random
+
+from twisted.internet import task
+from twisted.trial import unittest
+
+from azureline.metrics import counters as counters_lib
+from azureline.platform import store as store_lib
+from azureline.relay import feed as feeds
+from azureline.relay import follower
+from azureline.relay import keys
+from azureline.relay import messages
+from azureline.relay import peers as peers_lib
+from azureline.util import events
+
+
+class _Clock:
+    def __init__(self, reactor):
+        self.now = reactor.seconds
+
+
+class _Store:
+    """A store with one listing whose watches fail."""
+
+    async def listing(self, prefix):
+        return store_lib.Listing((), 10)
+
+    async def watch(self, prefix, after, wait_s):
+        return store_lib.Unavailable("status 429", done=False)
+
+
+class _Receiver:
+    def __init__(self):
+        self.keys = []
+        self.is_away = False
+
+    def listed(self, items): ...
+
+    def changed(self, item):
+        self.keys.append(item.key)
+
+    def removed(self, key): ...
+
+    def away(self):
+        self.is_away = True
+
+    def back(self, since):
+        self.is_away = False
+
+
+class FollowerTest(unittest.TestCase):
+    def setUp(self):
+        self.reactor = task.Clock()
+        record = keys.NodeRecord("n1", "127.0.0.1", 7380, "d1")
+        counters = counters_lib.Counters()
+        clock = _Clock(self.reactor)
+        self.peers = peers_lib.Peers(record, clock, counters)
+        self.receiver = _Receiver()
+        self.follower = follower.Follower(
+            self.reactor,
+            clock,
+            random.Random(1),
+            _Store(),
+            self.peers,
+            self.receiver,
+            follower.Pace(20.0, 0.25),
+            counters,
+            events.silent(),
+        )
+        self.follower.start()
+        self.addCleanup(self.follower.close)
+
+    def _feed(self, after, upto, *rows, away=False):
+        told = messages.Feed(after, upto, rows, 5000, away)
+        self.peers.datagram("127.0.0.2", 7380, told)
+
+    def _row(self, revision):
+        item = store_lib.Item(f"servers/i-{revision}", b"x", revision)
+        log = feeds.FeedLog()
+        log.begin(0)
+        log.add([item], revision)
+        return log.after(0)[0].rows[0]
+
+    def test_a_watcher_that_is_turned_away_takes_anothers_word(self):
+        self.reactor.pump([0.1] * 20)
+        assert self.follower.role is feeds.Role.WATCHER
+        assert self.receiver.is_away
+        self._feed(10, 11, self._row(11))
+        assert self.receiver.keys == ["servers/i-11"]
+        assert not self.receiver.is_away
+
+    def test_the_word_of_one_that_is_turned_away_too_is_not_taken(self):
+        self.reactor.pump([0.1] * 20)
+        self._feed(10, 11, self._row(11), away=True)
+        assert self.receiver.keys == []
+
+    def test_a_gap_is_not_jumped(self):
+        self.reactor.pump([0.1] * 20)
+        self._feed(11, 12, self._row(12))
+        assert self.receiver.keys == []
+        self._feed(10, 12, self._row(11), self._row(12))
+        assert self.receiver.keys == ["servers/i-11", "servers/i-12"]
