Load only the command that is asked for, and pin what typer requires

Cause: every VM's process imported the operators' commands with Twisted's HTTP client before it could serve (0.33 s of the import time were ui.app, 0.06 s after), and the platform's build brought pydantic, which typer requires, without a pin.

Change: a command's module is imported when the command is named; a lock file for what runs unpacked holds pydantic and its kin. The zip file still goes without, as it cannot hold compiled modules.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 .PHONY: setup demo test lint format binary bench capacity
 
-$(VENV)/.ready: requirements.lock requirements-dev.lock
+$(VENV)/.ready: requirements.lock requirements-deploy.lock requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -r requirements-dev.lock
 	touch $@
--- a/azureline/ui/app.py
+++ b/azureline/ui/app.py
@@ -1,16 +1,13 @@
-"""Puts the commands together into one program."""
+"""Puts the commands together into one program.
 
-import typer
+A command's module is imported when the command is asked for: a node of a VM
+must not load the client code of the operators' commands before it can serve.
+"""
+
+from collections.abc import Sequence
+import importlib
 
-from azureline.ui import config_apply
-from azureline.ui import config_check
-from azureline.ui import config_diff
-from azureline.ui import config_show
-from azureline.ui import config_status
-from azureline.ui import node
-from azureline.ui import relay
-from azureline.ui import status
-from azureline.ui import version
+import typer
 
 _HELP = """Serves many models on fewer accelerators.
 
@@ -23,28 +20,53 @@
 A configuration is a base file shared by all sites and an overlay that states
 a site's differences, both in JSON with comments.
 """
-_COMMANDS = (node.COMMAND, relay.COMMAND, status.COMMAND, version.COMMAND)
-_CONFIG_COMMANDS = (
-    config_check.COMMAND,
-    config_diff.COMMAND,
-    config_apply.COMMAND,
-    config_show.COMMAND,
-    config_status.COMMAND,
-)
-
-
-def build() -> typer.Typer:
-    """Returns the program."""
+_MODULES = {
+    "node": "azureline.ui.node",
+    "relay": "azureline.ui.relay",
+    "status": "azureline.ui.status",
+    "version": "azureline.ui.version",
+}
+_CONFIG_MODULES = {
+    "check": "azureline.ui.config_check",
+    "diff": "azureline.ui.config_diff",
+    "apply": "azureline.ui.config_apply",
+    "show": "azureline.ui.config_show",
+    "status": "azureline.ui.config_status",
+}
+
+
+def build(arguments: Sequence[str] = ()) -> typer.Typer:
+    """Returns the program.
+
+    Args:
+      arguments: those of the command line. If they name one command, only
+        that one is loaded; help and mistakes show all.
+    """
     program = _group(_HELP)
     config = _group(_CONFIG_HELP)
-    for command in _COMMANDS:
-        program.command(command.name)(command.run)
-    for command in _CONFIG_COMMANDS:
-        config.command(command.name)(command.run)
+    name = arguments[0] if arguments else ""
+    if name in _MODULES:
+        # With a callback, a single command keeps its name.
+        program.callback()(_nothing)
+        _add(program, _MODULES, {name})
+        return program
+    _add(program, _MODULES, set(_MODULES))
+    _add(config, _CONFIG_MODULES, set(_CONFIG_MODULES))
     program.add_typer(config, name="config")
     return program
 
 
+def _add(group: typer.Typer, modules: dict[str, str], names: set[str]) -> None:
+    for name, module in modules.items():
+        if name in names:
+            command = importlib.import_module(module).COMMAND
+            group.command(command.name)(command.run)
+
+
+def _nothing() -> None:
+    return None
+
+
 def _group(text: str) -> typer.Typer:
     return typer.Typer(
         help=text,
