Find connections to the store that went silent

Ruled out: the feed's gaps; the node took no feed at all.

Change: keep-alive probes after one second on every connection that this process opens; a node that has been behind another's word for a second takes that word, and asks for what is missing.

Conclusion: a watch needs its own sign of life, a deadline of 20 s is none.

--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -22,6 +22,8 @@
 _LONGEST_RETRY_S = 0.8
 # Items that a watcher could not pass on are read no more often than this.
 _FETCH_EVERY_S = 0.4
+# A watch that works brings changes well within this time.
+_BEHIND_S = 1.0
 _ALL = ""
 
 
@@ -90,6 +92,7 @@
         self._role = feeds.Role.ALONE
         self._feed_log = feeds.FeedLog()
         self._asking = feeds.Asking()
+        self._behind_since: float | None = None
         self._unread: set[str] = set()
         self._fetching = False
         self._woken: defer.Deferred[None] | None = None
@@ -217,7 +220,9 @@
         now = self._clock.now()
         self._roles.heard(now)
         fed = self._role is feeds.Role.FED
-        if self._revision is None or not (fed or self._failures):
+        if self._revision is None:
+            return
+        if not (fed or self._failures or self._is_behind(feed, now)):
             return
         # A store that turns this VM away may serve others of its domain.
         if fed:
@@ -240,6 +245,18 @@
         self._revision = max(self._revision, feed.upto)
         self._feed_log.add((), self._revision)
 
+    def _is_behind(self, feed: messages.Feed, now: float) -> bool:
+        """Returns whether another node has long known more than this one.
+
+        This node's watch may wait on a connection that went silent.
+        """
+        if self._revision is None or feed.upto <= self._revision:
+            self._behind_since = None
+            return False
+        if self._behind_since is None:
+            self._behind_since = now
+        return now - self._behind_since > _BEHIND_S
+
     def _take_row(self, row: messages.FeedRow) -> None:
         if row.removed:
             self._receiver.removed(row.key)
--- a/azureline/util/http1.py
+++ b/azureline/util/http1.py
@@ -30,6 +30,14 @@
 # Unacknowledged bytes end a connection after this time, as no reset comes
 # from a VM without power.
 TCP_USER_TIMEOUT_MS = 3000
+# A watch has nothing unacknowledged, so a silent peer is found by probes:
+# after a second, then each second, twice.
+_TCP_OPTIONS = (
+    (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 2),
+)
 
 
 class Address(NamedTuple):
@@ -318,9 +326,9 @@
         self._client._made(self)
         self.transport.setTcpNoDelay(True)
         handle = self.transport.getHandle()
-        handle.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in _TCP_OPTIONS:
+            handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
     def send(self, call: Call) -> None:
         """Sends a call's request."""
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -2,6 +2,7 @@
 
 import random
 
+from twisted.internet import defer
 from twisted.internet import task
 from twisted.trial import unittest
 
@@ -26,7 +27,12 @@
     async def listing(self, prefix):
         return store_lib.Listing((), 10)
 
+    def __init__(self):
+        self.silent = False
+
     async def watch(self, prefix, after, wait_s):
+        if self.silent:
+            await defer.Deferred()
         return store_lib.Unavailable("status 429", done=False)
 
 
@@ -57,11 +63,12 @@
         clock = _Clock(self.reactor)
         self.peers = peers_lib.Peers(record, clock, counters)
         self.receiver = _Receiver()
+        self.store = _Store()
         self.follower = follower.Follower(
             self.reactor,
             clock,
             random.Random(1),
-            _Store(),
+            self.store,
             self.peers,
             self.receiver,
             follower.Pace(20.0, 0.25),
@@ -101,3 +108,13 @@
         assert self.receiver.keys == []
         self._feed(10, 12, self._row(11), self._row(12))
         assert self.receiver.keys == ["servers/i-11", "servers/i-12"]
+
+    def test_a_watch_that_went_silent_is_made_up_for(self):
+        self.store.silent = True
+        self.reactor.pump([0.1] * 20)
+        assert not self.receiver.is_away
+        self._feed(10, 11, self._row(11))
+        assert self.receiver.keys == []
+        self.reactor.pump([0.1] * 12)
+        self._feed(10, 11, self._row(11))
+        assert self.receiver.keys == ["servers/i-11"]
