Weigh moves over some seconds, and wait only while callers do

Ruled out: the weight store's rate; loads were further apart than it asks for.

Change: gains and losses are requests within four seconds, with a late one worth half of a lost one. A request waits for a load only if its answer can begin before its caller leaves; else it is refused at once with the time to come back. A caller that leaves is logged.

Tests: a second replica beside four rare models fails before and passes after; a caller that would leave is told when to return.

--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -127,7 +127,12 @@
     async def _once(self, route: routes.Route, service: routes.Service) -> bool:
         """Finds a place and sends; returns whether the request has its end."""
         place = await self._tools.places.find(
-            self._request, route, service, self._deadline, tuple(self._tried)
+            self._request,
+            route,
+            service,
+            self._answer_by(route),
+            self._deadline,
+            tuple(self._tried),
         )
         if isinstance(place, errors.Refusal):
             self._refuse(self._truthful(place))
@@ -153,6 +158,12 @@
             case _:
                 return self._after_broken(route, result)
 
+    def _answer_by(self, route: routes.Route) -> float:
+        """Returns when the caller leaves unless the answer has begun."""
+        if route.kind is not routes.Kind.STREAMING or self._reader.passed:
+            return self._deadline
+        return min(self._deadline, self._began + route.first_event_s)
+
     def _may_send(self, service: routes.Service) -> bool:
         """Pays for a send; every send but the first is a repeat."""
         now = self._tools.clock.now()
@@ -342,6 +353,17 @@
         if self._over:
             return
         self._tools.counters.count("callers.gone")
+        self._tools.log.info(
+            "caller_left",
+            request=self._request.request_id,
+            route=self._route.name if self._route else "",
+            model=self._request.model,
+            adapter=self._request.adapter,
+            sent=self._attempt is not None,
+            begun=self._received.begun,
+            events=self._reader.passed,
+            waited_s=round(self._tools.clock.now() - self._began, 3),
+        )
         self._stop()
 
     def _stop(self) -> None:
--- a/azureline/relay/patience.py
+++ b/azureline/relay/patience.py
@@ -8,8 +8,9 @@
 # engines are busy; a request waits for that by its own target.
 ANNOUNCE_S = 0.35
 _ANNOUNCE_PART = 0.3
-# A request needs this long after the model is there to begin its answer.
-_SERVE_S = 0.25
+# A request needs this long after the model is there to begin its answer: the
+# node learns of it, others wait too, and the prompt has to be read.
+_SERVE_S = 0.5
 # Callers come back after at most this part of the time they have left.
 _RETURN_PART = 1 / 3
 _SOONEST_S = 0.1
@@ -28,6 +29,7 @@
 def decide(
     now: float,
     since: float,
+    answer_by: float,
     deadline: float,
     target_s: float,
     ready_at: float | None,
@@ -37,18 +39,19 @@
     Args:
       now: monotonic time in seconds.
       since: when it began to wait.
-      deadline: when its answer is worth nothing any more.
+      answer_by: when the caller leaves unless the answer has begun.
+      deadline: when the caller's time is over, also for coming back.
       target_s: seconds within which its answer is worth most.
       ready_at: when the model can be used, or None if nobody loads it.
 
     Returns:
       How long to wait, or the refusal with the time to come back.
     """
-    if ready_at is not None and ready_at + _SERVE_S < deadline:
+    if ready_at is not None and ready_at + _SERVE_S < answer_by:
         # A load may end a little later than announced.
-        return Wait(min(max(ready_at, now) + 0.5, deadline - _SERVE_S))
+        return Wait(min(max(ready_at, now) + 0.5, answer_by - _SERVE_S))
     announce_s = max(ANNOUNCE_S, _ANNOUNCE_PART * target_s)
-    announced_by = min(since + announce_s, deadline - _SERVE_S)
+    announced_by = min(since + announce_s, answer_by - _SERVE_S)
     if ready_at is None and now < announced_by:
         return Wait(announced_by)
     wanted = ANNOUNCE_S if ready_at is None else max(0.0, ready_at - now)
--- a/azureline/relay/places.py
+++ b/azureline/relay/places.py
@@ -114,6 +114,7 @@
         request: requests.CallerRequest,
         route: routes.Route,
         service: routes.Service,
+        answer_by: float,
         deadline: float,
         tried: tuple[str, ...],
     ) -> Place | errors.Refusal:
@@ -123,13 +124,16 @@
           request: the request.
           route: its route.
           service: the service that serves it.
-          deadline: when its answer is worth nothing any more.
+          answer_by: when its caller leaves unless the answer has begun.
+          deadline: when its caller's time is over.
           tried: ids of servers that it shall not go to.
         """
         if service.engine is None or not request.model:
             return self._plain(service, tried)
         self._demand.arrived(service.name, request.model, route.rank)
-        candidates = await self._holders(request, route, service, deadline)
+        candidates = await self._holders(
+            request, route, service, answer_by, deadline
+        )
         if isinstance(candidates, errors.Refusal):
             return candidates
         fresh = [c for c in candidates if c.server_id not in tried]
@@ -255,6 +259,7 @@
         request: requests.CallerRequest,
         route: routes.Route,
         service: routes.Service,
+        answer_by: float,
         deadline: float,
     ) -> list[servers.BackendServer] | errors.Refusal:
         """Returns the engines with the request's model, once there are any."""
@@ -273,6 +278,7 @@
                 decision = patience.decide(
                     now,
                     since,
+                    answer_by,
                     deadline,
                     route.target_s,
                     coming.at if coming else None,
--- a/azureline/relay/planner.py
+++ b/azureline/relay/planner.py
@@ -31,15 +31,20 @@
 _COMFORT_RATE = 4.0
 # Replicas are wanted so that none has more requests a second than this.
 _REPLICA_RATE = 2.0
-# What a waiting request is worth against a request a second.
-_WAITING_WEIGHT = 1.5
+# Gains and losses are requests within this time: demand moves on after some
+# seconds.
+_HORIZON_S = 4.0
+# A request on a crowded engine is late rather than lost.
+_SPREAD_WORTH = 0.5
+# A model that nobody asked for just now may be asked for again.
+_RECENT = 0.3
 # A load from the weight store must bring this much: it costs one there and
 # holds up the engine's adapters for seconds.
 _STORE_GAIN = 1.0
 # Part of the requests for a model with adapters that name one which the
 # engine does not hold yet.
 _ADAPTER_PART = 0.3
-# Loss of the only copy on any disk, in requests a second.
+# Loss of the only copy on any disk, in requests.
 _ONLY_COPY = 0.4
 
 
@@ -263,23 +268,24 @@
         return max(1, min(by_share, by_rate))
 
     def _gain(self, model: str, have: int, now: float) -> float:
-        """Returns what one more replica brings, in requests a second."""
+        """Returns what one more replica brings, in requests."""
         rate = self.demand.rate(model, now)
         if have == 0:
             waiting = self.demand.waiting(model, now)
-            return _WAITING_WEIGHT * waiting + 2.0 * rate
-        return rate / (have + 1) * min(1.0, rate / have / _COMFORT_RATE)
+            return waiting + _HORIZON_S * rate
+        crowd = min(1.0, rate / have / _COMFORT_RATE)
+        return _SPREAD_WORTH * _HORIZON_S * rate / (have + 1) * crowd
 
     def _loss(self, model: str, have: int, now: float) -> float:
-        """Returns what a replica is worth, in requests a second."""
+        """Returns what a replica is worth, in requests."""
         rate = self.demand.rate(model, now)
         if have > 1:
-            crowd = rate / (have - 1) / _COMFORT_RATE
-            return rate / have * min(1.0, crowd)
+            crowd = min(1.0, rate / (have - 1) / _COMFORT_RATE)
+            return _SPREAD_WORTH * _HORIZON_S * rate / have * crowd
         idle_s = self.demand.idle_s(model, now)
         recent = math.exp(-idle_s / _IN_USE_S) if idle_s < math.inf else 0.0
         waiting = self.demand.waiting(model, now)
-        return 2.0 * rate + _WAITING_WEIGHT * waiting + 0.3 * recent
+        return _HORIZON_S * rate + waiting + _RECENT * recent
 
     def _best(
         self, model: str, gain: float, engines: list[EngineView], now: float
@@ -317,7 +323,7 @@
                 return None
         load_s = self._load_s(model, engine)
         ready_s = engine.free_s + load_s + (_UNLOAD_S if victim else 0.0)
-        cost = ready_s * gain + loss
+        cost = ready_s * gain / _HORIZON_S + loss
         cost += load_s * self._held_up(engine, victim, fleet, now)
         if _from_store(model, engine) and fleet.only_copy(
             engine, self._disk_places
--- a/azureline/relay/routes.py
+++ b/azureline/relay/routes.py
@@ -51,6 +51,15 @@
     resumable: bool
     gap_s: float
 
+    @property
+    def first_event_s(self) -> float:
+        """Seconds after which callers leave a stream that has not begun.
+
+        Callers allow two seconds, four targets or eight of the longest
+        pauses, whichever is longest (the users' protocol).
+        """
+        return max(2.0, 4.0 * self.target_s, 8.0 * self.gap_s)
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -69,27 +69,38 @@
 
 class TestPatience:
     def test_a_load_that_ends_in_time_is_waited_for(self):
-        decision = patience.decide(10.0, 10.0, 15.0, 1.0, 10.8)
+        decision = patience.decide(10.0, 10.0, 15.0, 15.0, 1.0, 10.8)
         assert isinstance(decision, patience.Wait)
         assert 10.8 < decision.until < 15.0
 
     def test_a_load_that_ends_too_late_is_not(self):
-        refusal = patience.decide(10.0, 10.0, 12.0, 1.0, 14.0)
+        refusal = patience.decide(10.0, 10.0, 12.0, 12.0, 1.0, 14.0)
         assert refusal.kind is errors.ErrorKind.NO_REPLICA
         assert refusal.answer.ran is errors.Ran.NO
         # At most a third of the time left.
         assert 0 < refusal.answer.retry_after_s <= 2.0 / 3 + 1e-9
 
     def test_an_announcement_is_waited_for_by_the_target(self):
-        first = patience.decide(0.0, 0.0, 10.0, 4.0, None)
+        first = patience.decide(0.0, 0.0, 10.0, 10.0, 4.0, None)
         assert first == patience.Wait(pytest.approx(1.2))
-        assert not patience.decide(1.3, 0.0, 10.0, 4.0, None)
+        assert not patience.decide(1.3, 0.0, 10.0, 10.0, 4.0, None)
+
+    def test_a_caller_that_would_leave_before_is_told_when_to_return(self):
+        # A stream that begins within 4.8 s, a load that takes 4.5 s, and a
+        # caller who can come back within 15 s.
+        refusal = patience.decide(0.0, 0.0, 4.8, 15.0, 0.6, 4.5)
+        assert refusal.answer.retry_after_s == 4.5
+
+    def test_how_long_callers_wait_for_a_stream_to_begin(self):
+        assert builders.route(target_s=0.6, gap_s=0.6).first_event_s == 4.8
+        assert builders.route(target_s=4.0, gap_s=0.6).first_event_s == 16.0
+        assert builders.route(target_s=0.1, gap_s=0.1).first_event_s == 2.0
 
     @hypothesis.given(
         st.floats(0, 100), st.floats(0, 20), st.none() | st.floats(0, 150)
     )
     def test_no_wait_ends_after_the_deadline(self, now, left, ready):
-        decision = patience.decide(now, now, now + left, 1.0, ready)
+        decision = patience.decide(now, now, now + left, now + left, 1.0, ready)
         if isinstance(decision, patience.Wait):
             assert decision.until <= now + left
 
--- a/tests/test_relay_planner.py
+++ b/tests/test_relay_planner.py
@@ -116,3 +116,18 @@
     _ask(planner, "e", 0.0, 10.2, waiting=1)
     moves = planner.plan(held, 10.2)
     assert all(m.victim != "d" for m in moves)
+
+
+def test_rare_models_do_not_keep_a_busy_one_from_its_second_replica():
+    """A load takes an engine seconds; four rare ones would take them all."""
+    planner = _planner()
+    _ask(planner, "a", 7.0, 10.0)
+    for name in ("e", "f", "g", "h"):
+        _ask(planner, name, 0.3, 10.0, waiting=2)
+    views = [
+        builders.engine_view("e1", "a", "b", "c"),
+        builders.engine_view("e2", "b", "c", "d"),
+        builders.engine_view("e3", "b", "c", "d"),
+    ]
+    loads = [move.load for move in planner.plan(views, 10.0)]
+    assert "a" in loads
