--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format binary bench capacity
+.PHONY: setup demo test lint format binary bench capacity soak
 
 $(VENV)/.ready: requirements.lock requirements-deploy.lock requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -31,5 +31,8 @@
 capacity: setup
 	$(BIN)/python -m tools.capacity
 
+soak: setup
+	$(BIN)/python -m tools.soak --seeds 50
+
 binary: setup
 	$(BIN)/python -m tools.binary
--- a/azureline/platform/store.py
+++ b/azureline/platform/store.py
@@ -10,8 +10,9 @@
 
 from azureline.util import http1
 
-# Between the end of a watch's wait at the store and its time-out here.
-_WATCH_MARGIN_S = 1.0
+# Between the end of a watch's wait at the store and its time-out here.  A
+# connection that went silent is found by nothing else.
+_WATCH_MARGIN_S = 0.5
 MAX_PAGES = 100
 
 
--- a/standins/kv_service.py
+++ b/standins/kv_service.py
@@ -70,7 +70,8 @@
         """Begins one kind of failure.
 
         `lose_answers` N changes, `down_s` seconds of silence, `refuse` a list
-        of callers' addresses, `forget` drops the history.
+        of callers' addresses, `forget` drops the history, `operator` puts a
+        configuration.
         """
         match name:
             case "lose_answers":
@@ -79,6 +80,8 @@
                 self._down_until = self.reactor.seconds() + value
             case "refuse":
                 self._refused = frozenset(value)
+            case "operator":
+                self.put("op/config", json.dumps(value).encode())
             case "forget":
                 self._history.clear()
                 self._oldest = self._revision
--- a/standins/site_server.py
+++ b/standins/site_server.py
@@ -264,7 +264,10 @@
         self._loop.start(self._beat_s)
 
     def _write(self) -> Any:
-        return defer.ensureDeferred(self._beat()).addErrback(self._failed)
+        # The store may lose answers: the next beat begins anew.
+        beat = defer.ensureDeferred(self._beat())
+        beat.addTimeout(self._beat_s, self._app.reactor)
+        return beat.addErrback(self._failed)
 
     async def _beat(self) -> None:
         if self._lease is None:
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -166,6 +166,10 @@
         self._processes[name].kill()
         self._processes[name].wait()
 
+    def wait(self, name: str) -> None:
+        """Waits for the end of a process that was told to end."""
+        self._processes[name].wait(START_TIMEOUT_S)
+
     def log_tail(self, name: str, lines: int = 20) -> str:
         """Returns the end of a process's log."""
         path = self.folder / f"{name}.log"
