Ask a silent store with short watches until it answers

Ruled out: the feed; in the domain of two nodes both watched, and both hung.

Change: while calls fail, watches wait 0.3 s.

A test fails before and passes after.

--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -20,6 +20,9 @@
 # overloaded or turns this VM away is not asked more often for it.
 _SHORTEST_RETRY_S = 0.1
 _LONGEST_RETRY_S = 0.8
+# A store that was away may stay silent: until it answers, watches are short,
+# so that the last one before its return does not hide it.
+_PROBE_WAIT_S = 0.3
 # Items that a watcher could not pass on are read no more often than this.
 _FETCH_EVERY_S = 0.4
 # A watch that works brings changes well within this time.
@@ -146,7 +149,8 @@
         return True
 
     async def _watch(self, revision: int) -> bool:
-        seen = await self._store.watch(_ALL, revision, self._pace.watch_s)
+        wait_s = _PROBE_WAIT_S if self._failures else self._pace.watch_s
+        seen = await self._store.watch(_ALL, revision, wait_s)
         match seen:
             case store_lib.Unavailable():
                 self._failed(seen)
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -29,8 +29,10 @@
 
     def __init__(self):
         self.silent = False
+        self.waits = []
 
     async def watch(self, prefix, after, wait_s):
+        self.waits.append(wait_s)
         if self.silent:
             await defer.Deferred()
         return store_lib.Unavailable("status 429", done=False)
@@ -118,3 +120,9 @@
         self.reactor.pump([0.1] * 12)
         self._feed(10, 11, self._row(11))
         assert self.receiver.keys == ["servers/i-11"]
+
+    def test_watches_are_short_until_the_store_answers_again(self):
+        self.reactor.pump([0.1] * 20)
+        assert self.store.waits[0] == 20.0
+        assert len(self.store.waits) > 2
+        assert max(self.store.waits[1:]) <= 0.5
