Keep loads from the weight store within every window, and drop dead code

Cause: read in the diff: the settings for the window of loads were read and not used. The allowance grew to 3 + rate, so that 5 s after a pause could have 11 loads at 1.4 a second, where 10.7 are allowed (worked out by the new test's loop with the old burst).

Ruled out: nothing; the bound is the platform's.

Change: the allowance's burst follows from window and factor, less one load that begins late. Messages, properties and functions that nobody used are gone.

Conclusion: the test fails with the old burst by the figure above.

--- a/azureline/relay/book.py
+++ b/azureline/relay/book.py
@@ -104,12 +104,6 @@
         opened = self._open is not None and not self._open.adapter
         return opened or self._work is not None or self._busy
 
-    @property
-    def settled(self) -> bool:
-        """Whether it holds what it shall hold."""
-        missing = set(self._target) - set(self._models)
-        return not missing and self._work is None and self._open is None
-
     def set_kind(self, kind: routes.EngineKind) -> None:
         """Takes what a newer configuration says of engines."""
         self._kind = kind
@@ -167,10 +161,6 @@
             return spec.disk_s
         return spec.store_s
 
-    def from_store(self, model: str) -> bool:
-        """Returns whether a load would come from the weight store."""
-        return model not in self._in_memory and model not in self._on_disk
-
     def settle(
         self,
         sequence: int,
--- a/azureline/relay/duties.py
+++ b/azureline/relay/duties.py
@@ -12,6 +12,7 @@
 from azureline.relay import keys
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
+from azureline.relay import planner as planners
 from azureline.relay import planning
 from azureline.relay import routes
 from azureline.relay import servers
@@ -32,6 +33,7 @@
         table: routes.RouteTable,
         peers: peers_lib.Peers,
         tenancy: tenancies.Tenancy,
+        ceiling: planners.Ceiling,
     ):
         """Creates duties that hold nothing."""
         self._tools = tools
@@ -43,7 +45,7 @@
         self._vacancies = claims.Vacancies(tools.node)
         self._holders: dict[str, holding.EngineHolder] = {}
         self._planning = planning.Planning(
-            clock, catalogue, peers, tools.log, tools.counters
+            clock, catalogue, peers, ceiling, tools.log, tools.counters
         )
         self._loop = task.LoopingCall(self.step)
         self._loop.clock = tools.reactor
--- a/azureline/relay/health.py
+++ b/azureline/relay/health.py
@@ -82,11 +82,6 @@
             penalty += _FAILURE_WEIGHT * self._failing(record, now)
         return penalty
 
-    def answer_s(self, server: tuple[str, int]) -> float:
-        """Returns the average time to an answer."""
-        record = self._records.get(server)
-        return record.answer_s if record else _UNKNOWN_S
-
     def forget(self, server: tuple[str, int]) -> None:
         """Drops what is known of a server that is gone."""
         self._records.pop(server, None)
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -123,16 +123,6 @@
     models: tuple[str, ...]
 
 
-class Suspects(NamedTuple):
-    """Requests that ran at engines when these crashed.
-
-    Attributes:
-      prints: digests of the requests' contents.
-    """
-
-    prints: tuple[bytes, ...]
-
-
 class FeedRow(NamedTuple):
     """A change in the store, as a watcher passes it on.
 
@@ -181,7 +171,6 @@
     4: ModelDemand,
     5: Demand,
     6: Target,
-    7: Suspects,
     8: EngineLoad,
     9: FeedRow,
     10: Feed,
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -29,6 +29,7 @@
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
 from azureline.relay import places as places_lib
+from azureline.relay import planner as planners
 from azureline.relay import residency as residencies
 from azureline.relay import routes
 from azureline.relay import servers
@@ -140,6 +141,7 @@
             self._table,
             self._peers,
             self._tenancy,
+            planners.Ceiling(*settings.loads),
         )
         asks.Answers(self._peers, self._duties.wish, self._counters)
         self._peers.on(messages.EngineState, self._told_state)
--- a/azureline/relay/planner.py
+++ b/azureline/relay/planner.py
@@ -44,6 +44,8 @@
 # Part of the requests for a model with adapters that name one which the
 # engine does not hold yet.
 _ADAPTER_PART = 0.3
+# Loads that a window allows beside its rate (the platform's rule).
+_SPARE_LOADS = 3.0
 # Loss of the only copy on any disk, in requests.
 _ONLY_COPY = 0.4
 
@@ -123,19 +125,35 @@
         return known.rate * math.exp(-max(0.0, now - known.at) / _MEMORY_S)
 
 
+class Ceiling(NamedTuple):
+    """Bound on loads from the weight store, over all engines.
+
+    Attributes:
+      window_s: seconds of the sliding window.
+      over: factor on the rate that a window may have.
+    """
+
+    window_s: float
+    over: float
+
+
 class LoadAllowance:
     """Loads from the weight store that may begin, over all engines."""
 
-    def __init__(self, per_s: float, burst: float, now: float):
+    def __init__(self, per_s: float, ceiling: Ceiling, now: float):
         """Creates an allowance that a predecessor has just used up."""
-        self._per_s = per_s
-        self._burst = max(1.0, burst)
+        self._ceiling = ceiling
+        self.set_rate(per_s)
         self._tokens = min(1.0, self._burst)
         self._at = now
 
     def set_rate(self, per_s: float) -> None:
         """Takes the rate of a newer configuration."""
         self._per_s = per_s
+        # What a window allows beyond the rate, less one load that a holder
+        # begins a little later than it was planned.
+        spare = per_s * self._ceiling.window_s * (self._ceiling.over - 1.0)
+        self._burst = max(1.0, _SPARE_LOADS + spare - 1.0)
 
     def spend(self, now: float) -> bool:
         """Takes one load; False if it must wait."""
@@ -177,13 +195,11 @@
 class Planner:
     """Plans one move after another."""
 
-    def __init__(self, kind: routes.EngineKind, now: float):
+    def __init__(self, kind: routes.EngineKind, ceiling: Ceiling, now: float):
         """Creates a planner of one service's engines."""
         self._kind = kind
         self.demand = DemandBook()
-        self._allowance = LoadAllowance(
-            kind.loads_per_s, 3.0 + kind.loads_per_s, now
-        )
+        self._allowance = LoadAllowance(kind.loads_per_s, ceiling, now)
         self._placed_at: dict[tuple[str, str], float] = {}
 
     def set_kind(self, kind: routes.EngineKind) -> None:
--- a/azureline/relay/planning.py
+++ b/azureline/relay/planning.py
@@ -49,6 +49,7 @@
         clock: clocks.Clock,
         catalogue: servers.Catalogue,
         peers: peers_lib.Peers,
+        ceiling: planners.Ceiling,
         log: events.Log,
         counters: metrics.Counters,
     ):
@@ -56,6 +57,7 @@
         self._clock = clock
         self._catalogue = catalogue
         self._peers = peers
+        self._ceiling = ceiling
         self._log = log
         self._counters = counters
         self._planners: dict[str, planners.Planner] = {}
@@ -91,7 +93,7 @@
         """
         planner = self._planners.get(service)
         if planner is None:
-            planner = planners.Planner(kind, now)
+            planner = planners.Planner(kind, self._ceiling, now)
             self._planners[service] = planner
         planner.set_kind(kind)
         views = [
--- a/tests/test_relay_planner.py
+++ b/tests/test_relay_planner.py
@@ -9,7 +9,8 @@
 
 
 def _planner(now=0.0, **fields):
-    return planners.Planner(builders.kind(*MODELS, **fields), now)
+    kind = builders.kind(*MODELS, **fields)
+    return planners.Planner(kind, planners.Ceiling(5.0, 1.1), now)
 
 
 def _ask(planner, name, rate, now, waiting=0, seconds=3.0):
@@ -131,3 +132,12 @@
     ]
     loads = [move.load for move in planner.plan(views, 10.0)]
     assert "a" in loads
+
+
+def test_no_window_has_more_loads_than_the_platform_allows():
+    """Also after a pause in which the allowance has grown to its most."""
+    allowance = planners.LoadAllowance(1.4, planners.Ceiling(5.0, 1.1), 0.0)
+    begun = [t * 0.1 for t in range(400, 1000) if allowance.spend(t * 0.1)]
+    for first in begun:
+        within = [t for t in begun if first <= t < first + 5.0]
+        assert len(within) <= 1.4 * 5.0 * 1.1 + 3
