--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -290,7 +290,7 @@
         self._client.close()
 
     def reload(self) -> None:
-        """Looks at the settings file again; most of it needs a restart."""
+        """Notes that the settings file has changed; it is read at start."""
         self._log.info("reloaded")
 
     def _listen(self, where: str, factory: Any) -> None:
