--- /dev/null
+++ b/tests/test_soak_proxy.py
@@ -0,0 +1,57 @@
+"""Tests of the soak's proxy."""
+
+import contextlib
+import socket
+import time
+
+import pytest
+
+from tools import soak_proxy
+
+
+def _echo_pair():
+    server = socket.create_server(("127.0.0.1", 0))
+    proxy = soak_proxy.Proxy("127.0.0.1", server.getsockname())
+    host, _, port = proxy.address.rpartition(":")
+    return server, proxy, (host, int(port))
+
+
+def _connect(server, address):
+    client = socket.create_connection(address, timeout=2)
+    end, _ = server.accept()
+    end.settimeout(2)
+    return client, end
+
+
+def test_resets_in_a_row_leave_the_proxy_at_work():
+    server, proxy, address = _echo_pair()
+    for _ in range(30):
+        client, end = _connect(server, address)
+        client.sendall(b"x")
+        assert end.recv(1) == b"x"
+        proxy.reset()
+        client.settimeout(2)
+        with contextlib.suppress(ConnectionResetError):
+            assert client.recv(1) == b""
+        client.close()
+        end.close()
+    proxy.close()
+    server.close()
+
+
+def test_silent_connections_stay_open_while_new_ones_work():
+    server, proxy, address = _echo_pair()
+    client, end = _connect(server, address)
+    proxy.silence()
+    time.sleep(0.1)
+    client.sendall(b"x")
+    end.settimeout(0.3)
+    with pytest.raises(TimeoutError):
+        end.recv(1)
+    other, other_end = _connect(server, address)
+    other.sendall(b"y")
+    assert other_end.recv(1) == b"y"
+    for one in (client, end, other, other_end):
+        one.close()
+    proxy.close()
+    server.close()
--- a/tools/soak_proxy.py
+++ b/tools/soak_proxy.py
@@ -29,6 +29,7 @@
         self._one_way = False
         self._lock = threading.Lock()
         self._ended = threading.Event()
+        self._reset_asked = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
@@ -43,7 +44,11 @@
         self._delay_s = seconds
 
     def reset(self) -> None:
-        """Resets all open connections."""
+        """Resets all open connections, from the proxy's own thread."""
+        self._reset_asked.set()
+
+    def _reset_all(self) -> None:
+        self._reset_asked.clear()
         with self._lock:
             pairs, self._pairs = self._pairs, []
         for pair in pairs:
@@ -68,10 +73,12 @@
         self._ended.set()
         self._thread.join()
         self._listener.close()
-        self.reset()
+        self._reset_all()
 
     def _run(self) -> None:
         while not self._ended.is_set():
+            if self._reset_asked.is_set():
+                self._reset_all()
             with selectors.DefaultSelector() as selector:
                 selector.register(self._listener, selectors.EVENT_READ, None)
                 for pair in self._open_pairs():
