Drop names that nobody uses

Cause: read in the diff: a method of the catalogue and three wire names had no caller left.

Change: they are gone. Behaviour, bounds and assertions stay.

Conclusion: none.

--- a/azureline/platform/names.py
+++ b/azureline/platform/names.py
@@ -12,7 +12,6 @@
 SEAL = b"azureline-server-seal"
 NOT_RUN = b"azureline-not-executed"
 EXPECT_INSTANCE = b"azureline-expect-instance"
-INSTANCE = b"azureline-instance-id"
 PRIORITY = b"azureline-request-priority"
 LAST_EVENT = b"last-event-id"
 RETRY_AFTER = b"retry-after"
@@ -33,7 +32,4 @@
 
 # Keys of the store.
 CONFIG_KEY = "op/config"
-OPERATOR_PREFIX = "op/"
 SERVERS_PREFIX = "servers/"
-
-READY_PATH = b"/readyz"
--- a/azureline/relay/servers.py
+++ b/azureline/relay/servers.py
@@ -1,6 +1,5 @@
 """Backend servers that requests may go to, and what is known of each."""
 
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from azureline.util import http1
@@ -133,11 +132,6 @@
             return None
         return self._servers.pop(server_id, None)
 
-    def keep_only(self, present: Iterable[str], now: float) -> None:
-        """Treats servers that a whole list lacks as removed."""
-        for server_id in set(self._servers) - set(present):
-            self.remove(server_id, now)
-
     def expire(self, now: float) -> list[BackendServer]:
         """Forgets lapsed servers whose time is over, and returns them."""
         if self._store_away:
