Read long prompts in runs with breaks, at the pace that engines show

An event holds the tokens of five steps; five steps in a row with a whole piece of a prompt take 0.6 s and more. Holders spaced prompts by the nominal rate and sent the next one before the last was read, so reading never stopped.

Change: the holder grants prompts in runs of at most 0.4 s with a break of 0.03 s; prompts of under 0.04 s pass. Nodes learn from first events how long an engine takes with a model and say so with their next question. Attempt lines give the length of the prompt.

What is left are single prompts that take more than five pieces, and engines that are slowed.

--- a/azureline/relay/asks.py
+++ b/azureline/relay/asks.py
@@ -35,12 +35,14 @@
       wait_s: seconds to wait before it is sent.
       backlog_s: seconds of prompts that wait to be read there.
       reason: why it is not granted, or "".
+      reading_s: seconds to read the rest of the prompt at the nominal rate.
     """
 
     granted: bool
     wait_s: float = 0.0
     backlog_s: float = 0.0
     reason: str = ""
+    reading_s: float = 0.0
 
 
 class _Ask(NamedTuple):
@@ -97,6 +99,7 @@
             prompt.tokens,
             tuple((part.name, part.tokens) for part in prompt.shared),
             int(most_s * 1000),
+            round(prompt.pace * 100),
         )
         ask = _Ask(defer.Deferred(), question, self._clock.now())
         self._asks[question.ask] = ask
@@ -143,6 +146,7 @@
                 message.wait_ms / 1000,
                 message.backlog_ms / 1000,
                 message.reason,
+                message.reading_ms / 1000,
             ),
         )
 
@@ -198,5 +202,6 @@
             int(answer.wait_s * 1000 + 0.999),
             int(answer.backlog_s * 1000),
             answer.reason,
+            round(answer.reading_s * 1000),
         )
         self._peers.reply(host, port, told)
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -220,6 +220,7 @@
             beat=place.server.beat,
             model=self._request.model,
             adapter=self._request.adapter,
+            prompt=self._request.prompt_tokens,
             send=self._sends,
             left_s=round(self._deadline - now, 3),
             first_s=_rounded(attempt.first_s),
--- a/azureline/relay/holding.py
+++ b/azureline/relay/holding.py
@@ -156,16 +156,18 @@
         self, question: messages.EngineAsk, wait_s: float, now: float
     ) -> asks.Answer:
         """Grants a prompt its place in the queue, if that is short enough."""
-        backlog_s = self._prefill.backlog_s(now)
-        if backlog_s > question.most_ms / 1000:
-            return asks.Answer(False, wait_s, backlog_s, "prompts wait")
         prompt = prefill.Prompt(
             f"{question.model}/{question.adapter}",
             question.tokens,
             tuple(requests.PromptPart(*part) for part in question.shared),
+            question.pace_percent / 100,
         )
-        self._prefill.reserve(prompt, now)
-        return asks.Answer(True, wait_s, backlog_s)
+        backlog_s = self._prefill.wait_s(prompt, now)
+        if backlog_s > question.most_ms / 1000:
+            return asks.Answer(False, wait_s, backlog_s, "prompts wait")
+        nominal_s = self._prefill.nominal_s(prompt)
+        wait_s = max(wait_s, self._prefill.reserve(prompt, now))
+        return asks.Answer(True, wait_s, backlog_s, reading_s=nominal_s)
 
     def step(self) -> None:
         """Sends the next order if there is one and none is on its way."""
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -52,6 +52,8 @@
       tokens: length of the prompt.
       shared: (name, tokens) of the parts that other prompts have too.
       most_ms: milliseconds of waiting prompts that the request puts up with.
+      pace_percent: time that the engine took of late to read the asker's
+        prompts for the model, in parts of the nominal time; 0 if unknown.
     """
 
     ask: int
@@ -61,6 +63,7 @@
     tokens: int
     shared: tuple[tuple[str, int], ...]
     most_ms: int
+    pace_percent: int
 
 
 class EngineAnswer(NamedTuple):
@@ -72,6 +75,8 @@
       wait_ms: milliseconds to wait before it is sent.
       backlog_ms: milliseconds of prompts that wait to be read there.
       reason: why it is not granted, or "".
+      reading_ms: milliseconds to read the rest of the prompt at the nominal
+        rate.
     """
 
     ask: int
@@ -79,6 +84,7 @@
     wait_ms: int
     backlog_ms: int
     reason: str
+    reading_ms: int
 
 
 class ModelDemand(NamedTuple):
--- a/azureline/relay/places.py
+++ b/azureline/relay/places.py
@@ -44,11 +44,17 @@
       server: the server.
       priority: rank at an engine; None at plain servers.
       loads: whether an adapter was ordered for the request.
+      model: the request's model, or "".
+      reading_s: seconds to read its prompt at the nominal rate.
+      ahead_s: seconds that prompts before it take at the engine.
     """
 
     server: servers.BackendServer
     priority: int | None = None
     loads: bool = False
+    model: str = ""
+    reading_s: float = 0.0
+    ahead_s: float = 0.0
 
 
 class Asks(Protocol):
@@ -104,6 +110,7 @@
         self._demand = demand
         self._counters = counters
         self._health = healths.Health()
+        self._paces = prefill.Paces()
         self._under_way: dict[str, int] = {}
         # Requests that were under way when a server's load was told.
         self._then: dict[str, int] = {}
@@ -161,9 +168,13 @@
 
     def first_part(self, place: Place, first_s: float) -> None:
         """Learns how long an engine took to begin an answer."""
-        self._health.note_first(
-            place.server.incarnation, first_s, self._clock.now()
-        )
+        server = place.server
+        self._health.note_first(server.incarnation, first_s, self._clock.now())
+        if place.reading_s > 0:
+            took_s = first_s - place.ahead_s
+            self._paces.note(
+                server.server_id, place.model, place.reading_s, took_s
+            )
 
     def denied(self, place: Place, request: requests.CallerRequest) -> None:
         """Learns that a server does not have what a request needs."""
@@ -207,23 +218,29 @@
             return self._take(Place(ordered[0].server, priority))
         tried = [c.server for c in ordered[:_MOST_ASKED]]
         give_up_at = self._clock.now() + route.target_s * _QUEUE_PART
+        backlogs = dict.fromkeys((s.server_id for s in tried), 0.0)
         while True:
             late = self._clock.now() >= give_up_at
             most_s = route.timeout_s if late else _SHORT_QUEUE_S
-            backlogs = []
+            if late:
+                tried.sort(key=lambda s: backlogs[s.server_id])
             reason = ""
             for server in tried:
                 place = Place(server, priority, bool(request.adapter))
                 place = self._take(place)
                 answer = await self._ask(request, place, most_s)
                 if answer.granted:
-                    return place
+                    return place._replace(
+                        model=request.model,
+                        reading_s=answer.reading_s,
+                        ahead_s=max(0.0, answer.backlog_s - answer.wait_s),
+                    )
                 reason = answer.reason
-                backlogs.append(answer.backlog_s)
-            if late or not any(backlogs):
+                backlogs[server.server_id] = answer.backlog_s
+            if late or not any(backlogs.values()):
                 break
             # The shortest queue is short enough after this time.
-            wait_s = min(backlogs) - _SHORT_QUEUE_S
+            wait_s = min(backlogs.values()) - _SHORT_QUEUE_S
             await self._sleep(min(max(wait_s, _SOONEST_S), _LATEST_S))
         return errors.Refusal(
             errors.ErrorKind.NO_REPLICA,
@@ -240,6 +257,7 @@
             f"{request.model}/{request.adapter}",
             request.prompt_tokens,
             request.shared_parts,
+            self._paces.of(place.server.server_id, request.model),
         )
         try:
             answer = await self._asks.ask(
