Tell on what was heard of another node's feed

Cause: found by reading the follower while second watchers were to be slowed. A node that is fed raises its log's revision with each feed, but kept no rows. When it becomes a watcher (the first one of its domain died) and a neighbour asks for what it missed, the answer was a feed up to the newest revision without any row: the neighbour would believe that it knows everything and never learn of a configuration or of a server that left.

Ruled out: that the log answers with a gap; its oldest revision is that of the node's first listing.

Change: rows that were heard are added to the log.

Figures: the new test fails without the change and passes with it.

Conclusion: a watcher can tell what it has taken, wherever it came from.

--- a/azureline/relay/feed.py
+++ b/azureline/relay/feed.py
@@ -139,8 +139,11 @@
         upto: int,
     ) -> None:
         """Adds changes up to a revision."""
-        for event in events:
-            self._rows.append(_row(event))
+        self.add_rows([_row(event) for event in events], upto)
+
+    def add_rows(self, rows: Iterable[messages.FeedRow], upto: int) -> None:
+        """Adds changes that another watcher told, up to a revision."""
+        self._rows.extend(rows)
         self.upto = max(self.upto, upto)
         while len(self._rows) > _LOG_ROWS:
             self._oldest = self._rows.pop(0).revision
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -111,6 +111,16 @@
         self._feed(10, 12, self._row(11), self._row(12))
         assert self.receiver.keys == ["servers/i-11", "servers/i-12"]
 
+    def test_what_was_heard_of_another_node_is_told_on(self):
+        self.reactor.pump([0.1] * 20)
+        self._feed(10, 11, self._row(11))
+        told = []
+        self.peers.reply = lambda host, port, message: told.append(message)
+        self.peers.datagram("127.0.0.3", 7380, messages.FeedAsk(10))
+        (feed,) = told
+        assert feed.upto == 11
+        assert [row.key for row in feed.rows] == ["servers/i-11"]
+
     def test_a_watch_that_went_silent_is_made_up_for(self):
         self.store.silent = True
         self.reactor.pump([0.1] * 20)
