Bound the powers in pauses between tries

Cause: found by reading: pauses that double are computed as a power of the number of failures, and only the product is bounded. After 1,024 failures in a row the power no longer fits a float: ownership of slots (after four hours of outage at 15 s a try), writes of the once-only log, a breaker of a server that stays down, and the relay's follower (ten minutes) end with OverflowError.

Ruled out: Python's integers alone; multiplied by a float they overflow too.

Change: one function for such pauses, azureline/util/backoff.py, with a bound on the doublings; ownership, the log's cells and breakers use it.

--- a/azureline/fleet/ownership.py
+++ b/azureline/fleet/ownership.py
@@ -19,6 +19,7 @@
 import msgpack
 
 from azureline.platform import interface
+from azureline.util import backoff
 
 KEY_PREFIX = "own/"
 LEASE_S = 12.0
@@ -523,7 +524,7 @@
 
     def _back_off(self, now: float, slot: _Slot) -> None:
         slot.failures += 1
-        bound = min(RETRY_MAX_S, RETRY_BASE_S * 2**slot.failures)
+        bound = backoff.pause_s(RETRY_BASE_S, RETRY_MAX_S, slot.failures)
         slot.next_at = now + self._rng.uniform(0, bound)
 
     def _jittered(self, seconds: float) -> float:
--- a/azureline/once/cell.py
+++ b/azureline/once/cell.py
@@ -11,6 +11,7 @@
 from azureline.once import effects
 from azureline.once import page
 from azureline.platform import interface
+from azureline.util import backoff
 
 RETRY_BASE_S = 0.05
 RETRY_MAX_S = 1.0
@@ -97,7 +98,7 @@
         if isinstance(result, interface.Unavailable):
             self._answered = True
             self._failures += 1
-            bound = min(RETRY_MAX_S, RETRY_BASE_S * 2**self._failures)
+            bound = backoff.pause_s(RETRY_BASE_S, RETRY_MAX_S, self._failures)
             self.retry_at = now + self._rng.uniform(0, bound)
             return Unsettled()
         stamp = self._stamp
--- a/azureline/routing/breaker.py
+++ b/azureline/routing/breaker.py
@@ -9,6 +9,8 @@
 import random
 from typing import NamedTuple
 
+from azureline.util import backoff
+
 
 class Settings(NamedTuple):
     """Settings of breakers.
@@ -136,8 +138,8 @@
             del self._states[server]
 
     def _open(self, now: float, server: str, periods: int) -> None:
-        scale = min(
-            self._settings.open_s * 2.0**periods, self._settings.open_cap_s
+        scale = backoff.pause_s(
+            self._settings.open_s, self._settings.open_cap_s, periods
         )
         # At least half of the scale, so that a server that has just failed
         # is not probed at once; the rest spreads the probes of the nodes.
