Wait a moment for the first configuration before refusing

Ruled out: the balancer's checks; connections to a restarted VM come as soon as it listens. Listening later: requests would be refused by the VM without an answer.

Change: a request that arrives before the first configuration waits for it for at most 0.25 s, then it is refused as before.

--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -27,6 +27,10 @@
 # A server that refused because something is being loaded is asked again.
 _SAME_SERVER_S = 0.03
 _MAX_NOT_RUN = 4
+# A process has its first configuration 0.05 s after it begins to listen if the
+# store answers; callers that are told to come back lose more.
+_FIRST_CONFIG_S = 0.25
+_CONFIG_POLL_S = 0.02
 
 
 class Tools(NamedTuple):
@@ -96,6 +100,7 @@
 
     async def _run(self) -> None:
         tools, request = self._tools, self._request
+        await self._first_configuration()
         if tools.table.config is None:
             self._refuse(
                 errors.Refusal(errors.ErrorKind.NOT_READY, "No configuration.")
@@ -124,6 +129,15 @@
         while not await self._once(route, service):
             pass
 
+    async def _first_configuration(self) -> None:
+        """Waits a little if the process has just started."""
+        give_up_at = self._began + _FIRST_CONFIG_S
+        table, clock = self._tools.table, self._tools.clock
+        while table.config is None and clock.now() < give_up_at:
+            await task.deferLater(
+                self._tools.reactor, _CONFIG_POLL_S, lambda: None
+            )
+
     async def _once(self, route: routes.Route, service: routes.Service) -> bool:
         """Finds a place and sends; returns whether the request has its end."""
         place = await self._tools.places.find(
--- /dev/null
+++ b/tests/test_relay_exchange.py
@@ -0,0 +1,74 @@
+"""Tests of the way of one request, without a network."""
+
+import logging
+import random
+
+from azureline.core import errors
+from azureline.metrics import counters as metrics
+from azureline.relay import exchange
+from azureline.relay import routes
+from azureline.util import events
+from tests import builders_relay
+from tests import builders_serving
+
+
+class _Received:
+    """A caller's side that keeps its final answer."""
+
+    begun = False
+
+    def __init__(self):
+        self.refusal = None
+
+    def on_gone(self, gone):
+        self.gone = gone
+
+    def refuse(self, refusal):
+        self.refusal = refusal
+
+
+def _exchange():
+    clock = builders_serving.Clock()
+    tools = exchange.Tools(
+        reactor=clock,
+        clock=clock,
+        client=None,
+        table=routes.RouteTable(random.Random(1)),
+        places=None,
+        repeats=None,
+        counters=metrics.Counters(),
+        exposition=None,
+        log=events.Log(logging.getLogger("exchange"), None),
+    )
+    received = _Received()
+    return (
+        tools,
+        received,
+        exchange.Exchange(tools, received, builders_relay.request()),
+    )
+
+
+def test_a_request_to_a_new_process_waits_for_its_first_configuration():
+    tools, received, exchanged = _exchange()
+    exchanged.start()
+    tools.reactor.advance(0.02)
+    assert received.refusal is None
+    tools.table.put_in_force(builders_relay.config(1))
+    tools.reactor.advance(0.02)
+    assert received.refusal.kind is errors.ErrorKind.NOT_FOUND
+
+
+def test_a_process_without_a_configuration_refuses_soon():
+    tools, received, exchanged = _exchange()
+    exchanged.start()
+    tools.reactor.pump([0.02] * 14)
+    assert received.refusal.kind is errors.ErrorKind.NOT_READY
+    assert tools.reactor.seconds() < 0.3
+
+
+def test_a_caller_that_leaves_while_there_is_no_configuration_ends_it():
+    tools, received, exchanged = _exchange()
+    done = exchanged.start()
+    received.gone()
+    assert done.called
+    assert not tools.reactor.getDelayedCalls()
