Spread holders evenly and refuse at once what no holder can load

Two causes in the log: claims of one moment were made without counting each other, so that one of seven nodes held three of six engines (their book is lost with it, and while the store is away none of the three may be ordered); and a request asked up to three silent holders for 0.6 s each before it was refused, with a Retry-After of 0.5 s, while a takeover takes 4.9 s: callers came back once, to be refused again.

Ruled out: going on with orders while the store is away for all (it needs every node's word on the store, within the validity of a lease; not attempted). Shorter takeovers: a key may be revoked while its holder still believes in its lease.

Change: vacancies of one moment are assigned in turn, counting those before. A holder that may not order says so at once. An engine without a holder, or whose holder left a question unanswered in the last second, is not waited for. The refusal says when the engine can be ordered again, within a third of the caller's time.

--- a/azureline/relay/asks.py
+++ b/azureline/relay/asks.py
@@ -25,6 +25,11 @@
 # An adapter is worth this wait for its holder; a prompt alone is not.
 _ADAPTER_GIVE_UP_S = 0.6
 _PROMPT_GIVE_UP_S = 0.15
+# A holder that left a question unanswered is not waited for again so soon.
+_SILENT_S = 1.0
+# What an engine without a holder does not have, it cannot load before another
+# node has claimed it and waited for the orders of the holder before.
+_TAKEOVER_S = 4.0
 
 
 class Answer(NamedTuple):
@@ -32,7 +37,8 @@
 
     Attributes:
       granted: whether the request may be sent.
-      wait_s: seconds to wait before it is sent.
+      wait_s: seconds to wait before it is sent; without a grant, seconds until
+        it may be granted, or 0 if nothing tells.
       backlog_s: seconds of prompts that wait to be read there.
       reason: why it is not granted, or "".
       reading_s: seconds to read the rest of the prompt at the nominal rate.
@@ -72,6 +78,7 @@
         self._counters = counters
         self._numbers = itertools.count(1)
         self._asks: dict[int, _Ask] = {}
+        self._silent: dict[str, float] = {}
         peers.on(messages.EngineAnswer, self._answered)
 
     def ask(
@@ -103,7 +110,10 @@
         )
         ask = _Ask(defer.Deferred(), question, self._clock.now())
         self._asks[question.ask] = ask
+        silent = self._silent.get(server.server_id, 0.0) > ask.began
         self._send(question.ask)
+        if silent or self._peers.holder_of(server.server_id) is None:
+            self._finish(question.ask, self._unanswered(question))
         return ask.answer
 
     def _send(self, number: int) -> None:
@@ -114,7 +124,9 @@
         give_up_s = (
             _ADAPTER_GIVE_UP_S if question.adapter else _PROMPT_GIVE_UP_S
         )
-        if self._clock.now() - ask.began > give_up_s:
+        now = self._clock.now()
+        if now - ask.began > give_up_s:
+            self._silent[question.server_id] = now + _SILENT_S
             self._finish(number, self._unanswered(question))
             return
         # The timer first: this node may be the holder and answer at once.
@@ -134,11 +146,15 @@
             )
         ):
             return Answer(True)
-        return Answer(False, reason="holder does not answer")
+        # An engine that was never held is claimed without such a wait.
+        held = question.server_id in self._peers.last_turns
+        wait_s = _TAKEOVER_S if held else 0.0
+        return Answer(False, wait_s, reason="holder does not answer")
 
     def _answered(
         self, message: messages.EngineAnswer, host: str, port: int
     ) -> None:
+        self._silent.pop(message.server_id, None)
         self._finish(
             message.ask,
             Answer(
@@ -188,9 +204,11 @@
         if wished is None:
             return
         self._open.add(key)
-        wished.addCallback(self._answer, key)
+        wished.addCallback(self._answer, key, question.server_id)
 
-    def _answer(self, answer: Answer, key: tuple[str, int, int]) -> None:
+    def _answer(
+        self, answer: Answer, key: tuple[str, int, int], server_id: str
+    ) -> None:
         host, port, ask = key
         self._open.discard(key)
         self._counters.count(
@@ -198,6 +216,7 @@
         )
         told = messages.EngineAnswer(
             ask,
+            server_id,
             answer.granted,
             int(answer.wait_s * 1000 + 0.999),
             int(answer.backlog_s * 1000),
--- a/azureline/relay/claims.py
+++ b/azureline/relay/claims.py
@@ -122,37 +122,33 @@
           now: monotonic time in seconds.
         """
         vacant = set(wanted) - set(held)
+        # Claims of one moment are spread as well: what is vacant counts for the
+        # node that comes first for it.
         loads = collections.Counter(held.values())
         for name in set(self._vacant_since) - vacant:
             del self._vacant_since[name]
         names = sorted(set(nodes) | {self._node})
         found = []
-        for name in vacant:
+        for name in sorted(vacant):
             since = self._vacant_since.setdefault(name, now)
-            place = self._place(name, names, loads, last.get(name, ""))
+            order = _order(name, names, loads, last.get(name, ""))
+            loads[order[0]] += 1
+            place = order.index(self._node)
             if since + _STEP_S * place <= now:
                 found.append(name)
         return found
 
-    def _place(
-        self,
-        name: str,
-        nodes: list[str],
-        loads: Mapping[str, int],
-        last: str,
-    ) -> int:
-        """Returns how many nodes come before this one.
-
-        The VM whose turn was the last needs not wait for its own orders.
-        After it come nodes that hold little: one that is lost takes all that
-        it holds with it.
-        """
-        order = sorted(
-            nodes,
-            key=lambda n: (
-                n != last,
-                loads.get(n, 0),
-                -placement.rank(name, n),
-            ),
-        )
-        return order.index(self._node)
+
+def _order(
+    name: str, nodes: list[str], loads: Mapping[str, int], last: str
+) -> list[str]:
+    """Returns the nodes in the order in which they may claim.
+
+    The VM whose turn was the last needs not wait for its own orders.  After it
+    come nodes that hold little: one that is lost takes all that it holds with
+    it.
+    """
+    return sorted(
+        nodes,
+        key=lambda n: (n != last, loads.get(n, 0), -placement.rank(name, n)),
+    )
--- a/azureline/relay/holding.py
+++ b/azureline/relay/holding.py
@@ -147,11 +147,18 @@
         left = self.book.adapter_ready(adapter, now)
         if left is not None:
             return defer.succeed(self._room(question, left, now))
+        if not self._may_act():
+            return defer.succeed(self._barred(now))
         wish = _Wish(adapter, question, now, defer.Deferred())
         self._wishes.append(wish)
         self.step()
         return wish.answer
 
+    def _barred(self, now: float) -> asks.Answer:
+        """Answers a wish while this node may give no orders."""
+        wait_s = max(0.0, self._orders_from - now)
+        return asks.Answer(False, wait_s, reason="no right to order")
+
     def _room(
         self, question: messages.EngineAsk, wait_s: float, now: float
     ) -> asks.Answer:
@@ -287,7 +294,12 @@
             elif wish.adapter.model not in self.book.models:
                 wish.answer.callback(asks.Answer(False, reason="model absent"))
             elif self.book.busy and self.book.free_s(now) > _BUSY_PATIENCE_S:
-                wish.answer.callback(asks.Answer(False, reason="engine busy"))
+                free_s = self.book.free_s(now)
+                wish.answer.callback(
+                    asks.Answer(False, free_s, reason="engine busy")
+                )
+            elif not self._may_act():
+                wish.answer.callback(self._barred(now))
             elif wish.since + _ADAPTER_PATIENCE_S < now:
                 wish.answer.callback(asks.Answer(False, reason="no place"))
             else:
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -71,8 +71,10 @@
 
     Attributes:
       ask: number of the question.
+      server_id: the engine.
       granted: whether the request may be sent.
-      wait_ms: milliseconds to wait before it is sent.
+      wait_ms: milliseconds to wait before it is sent; without a grant,
+        milliseconds until it may be granted, or 0 if nothing tells.
       backlog_ms: milliseconds of prompts that wait to be read there.
       reason: why it is not granted, or "".
       reading_ms: milliseconds to read the rest of the prompt at the nominal
@@ -80,6 +82,7 @@
     """
 
     ask: int
+    server_id: str
     granted: bool
     wait_ms: int
     backlog_ms: int
--- a/azureline/relay/places.py
+++ b/azureline/relay/places.py
@@ -31,6 +31,8 @@
 # Between two rounds of questions for one request.
 _SOONEST_S = 0.03
 _LATEST_S = 0.15
+# A caller that was refused by holders that cannot say when comes back then.
+_RETURN_S = 0.5
 # Engines that are asked for one request.
 _MOST_ASKED = 3
 # Priorities of engines go from 0 to 9; 5 is that of requests without one.
@@ -144,7 +146,7 @@
         if isinstance(candidates, errors.Refusal):
             return candidates
         fresh = [c for c in candidates if c.server_id not in tried]
-        return await self._engine(request, route, fresh or candidates)
+        return await self._engine(request, route, fresh or candidates, deadline)
 
     def done(
         self,
@@ -210,6 +212,7 @@
         request: requests.CallerRequest,
         route: routes.Route,
         holders: list[servers.BackendServer],
+        deadline: float,
     ) -> Place | errors.Refusal:
         candidates = [self._engine_candidate(s, request) for s in holders]
         ordered = placement.by_affinity(candidates, _affinity(request))
@@ -224,7 +227,7 @@
             most_s = route.timeout_s if late else _SHORT_QUEUE_S
             if late:
                 tried.sort(key=lambda s: backlogs[s.server_id])
-            reason = ""
+            reason, ready_s = "", []
             for server in tried:
                 place = Place(server, priority, bool(request.adapter))
                 place = self._take(place)
@@ -236,6 +239,7 @@
                         ahead_s=max(0.0, answer.backlog_s - answer.wait_s),
                     )
                 reason = answer.reason
+                ready_s.append(answer.wait_s or _RETURN_S)
                 backlogs[server.server_id] = answer.backlog_s
             if late or not any(backlogs.values()):
                 break
@@ -245,7 +249,9 @@
         return errors.Refusal(
             errors.ErrorKind.NO_REPLICA,
             f"No engine can take the request: {reason}.",
-            retry_after=0.5,
+            retry_after=patience.return_after(
+                self._clock.now(), deadline, min(ready_s)
+            ),
             ran=errors.Ran.NO,
         )
 
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -169,6 +169,16 @@
         assert busy.due(["e4"], held, {}, ["n1", "n2", "n3"], 0.0) == []
         assert busy.due(["e4"], held, {}, ["n1", "n2", "n3"], 2.0) == ["e4"]
 
+    def test_claims_of_one_moment_are_spread_over_the_nodes(self):
+        nodes = [f"n{i}" for i in range(7)]
+        engines = [f"e{i}" for i in range(6)]
+        due = [
+            claims.Vacancies(name).due(engines, {}, {}, nodes, 0.0)
+            for name in nodes
+        ]
+        assert max(len(claimed) for claimed in due) == 1
+        assert sorted(e for claimed in due for e in claimed) == engines
+
     def test_the_vm_of_the_last_turn_claims_first(self):
         nodes = ["n1", "n2", "n3"]
         for name in nodes:
