--- /dev/null
+++ b/tests/builders_store.py
@@ -0,0 +1,150 @@
+"""The users' store in memory, on a clock that moves by hand, with faults."""
+
+from collections.abc import Callable
+import enum
+from typing import Any
+
+from twisted.internet import defer
+
+from azureline.platform import store as store_lib
+
+_ABSENT = store_lib.Item("", b"", 0)
+
+
+class Fault(enum.Enum):
+    """What happens to the calls of one node."""
+
+    NONE = "none"
+    REFUSED = "refused"  # Nothing is done, and the answer says so.
+    SILENT = "silent"  # Nothing is done, and no answer comes.
+    LOST = "lost"  # It is done, but no answer comes.
+    LATE = "late"  # It is done seconds later, and no answer comes.
+
+
+class Backing:
+    """What the store keeps; shared by the clients of all nodes."""
+
+    def __init__(self, now: Callable[[], float]):
+        self._now = now
+        self.items: dict[str, store_lib.Item] = {}
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._revision = 10
+        self._late: list[tuple[float, Callable[[], Any]]] = []
+
+    def change(
+        self,
+        expected: dict[str, int],
+        puts: tuple[store_lib.Put, ...],
+        removed: tuple[str, ...],
+    ) -> Any:
+        """Makes a change if its condition holds."""
+        if any(self._revision_of(k) != r for k, r in expected.items()):
+            found = [self.items[k] for k in expected if k in self.items]
+            return store_lib.Conflict(tuple(found))
+        if any(p.lease and p.lease not in self._leases for p in puts):
+            return store_lib.NoLease()
+        self._revision += 1
+        for put in puts:
+            self.items[put.key] = store_lib.Item(
+                put.key, put.value, self._revision, put.lease
+            )
+        for key in removed:
+            self.items.pop(key, None)
+        return store_lib.Committed(self._revision)
+
+    def grant(self, ttl_s: float) -> store_lib.Lease:
+        """Begins a lease."""
+        self._revision += 1
+        self._leases[self._revision] = (ttl_s, self._now() + ttl_s)
+        return store_lib.Lease(self._revision, ttl_s)
+
+    def renew(self, lease_id: int) -> bool:
+        """Prolongs a lease that has not ended."""
+        if lease_id not in self._leases:
+            return False
+        ttl_s, _ = self._leases[lease_id]
+        self._leases[lease_id] = (ttl_s, self._now() + ttl_s)
+        return True
+
+    def end(self, lease_id: int) -> None:
+        """Ends a lease; its keys go away."""
+        if self._leases.pop(lease_id, None) is not None:
+            self.items = {
+                k: i for k, i in self.items.items() if i.lease != lease_id
+            }
+
+    def revoke_all(self) -> None:
+        """Ends all leases, as after trouble of the store."""
+        for lease_id in list(self._leases):
+            self.end(lease_id)
+
+    def later(self, delay_s: float, call: Callable[[], Any]) -> None:
+        """Carries out a call later."""
+        self._late.append((self._now() + delay_s, call))
+
+    def step(self) -> None:
+        """Does what is due."""
+        now = self._now()
+        due = [call for at, call in self._late if at <= now]
+        self._late = [(at, call) for at, call in self._late if at > now]
+        for call in due:
+            call()
+        for lease_id, (_, ends_at) in list(self._leases.items()):
+            if ends_at <= now:
+                self.end(lease_id)
+
+    def _revision_of(self, key: str) -> int:
+        return self.items.get(key, _ABSENT).revision
+
+
+class Client:
+    """One node's calls, with the methods of the store's client."""
+
+    def __init__(self, backing: Backing, reactor: Any, timeout_s: float):
+        self._backing = backing
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+        self.fault = Fault.NONE
+        self.late_s = 0.0
+
+    async def change(
+        self,
+        expected: dict[str, int],
+        puts: tuple[store_lib.Put, ...],
+        removed: tuple[str, ...] = (),
+    ) -> Any:
+        """Makes a change."""
+        return await self._call(
+            lambda: self._backing.change(expected, puts, removed)
+        )
+
+    async def grant(self, ttl_s: float) -> Any:
+        """Begins a lease."""
+        return await self._call(lambda: self._backing.grant(ttl_s))
+
+    async def renew(self, lease_id: int) -> Any:
+        """Prolongs a lease."""
+        return await self._call(lambda: self._backing.renew(lease_id))
+
+    async def end(self, lease_id: int) -> None:
+        """Ends a lease."""
+        await self._call(lambda: self._backing.end(lease_id))
+
+    async def _call(self, call: Callable[[], Any]) -> Any:
+        result: Any = store_lib.Unavailable("timeout", done=True)
+        match self.fault:
+            case Fault.NONE:
+                return call()
+            case Fault.REFUSED:
+                return store_lib.Unavailable("status 503", done=False)
+            case Fault.LOST:
+                call()
+            case Fault.LATE:
+                self._backing.later(self.late_s, call)
+        await self._sleep(self._timeout_s)
+        return result
+
+    def _sleep(self, seconds: float) -> defer.Deferred[None]:
+        waiter: defer.Deferred[None] = defer.Deferred()
+        self._reactor.callLater(seconds, waiter.callback, None)
+        return waiter
