Call the store less often from second watchers and in outages

Ruled out: renewals of leases; there are more of them, at a tenth of the price.

Change: a second watcher takes the first one's word and watches every 0.7 s (two seconds are allowed for a change, also when the first one has just been lost). Nodes of one domain together ask a silent store ten times a second. Leases are tried again after 0.2 to 0.8 s, claims after 0.6 s. A watch that returns while the node is to list anew is not taken. The follower's pause has a bound on its doublings: an outage of ten minutes ended it.

--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -14,12 +14,20 @@
 from azureline.relay import feed as feeds
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
+from azureline.util import backoff
 from azureline.util import events
 
 # After a failed call, with jitter, growing to the longest: a store that is
 # overloaded or turns this VM away is not asked more often for it.
 _SHORTEST_RETRY_S = 0.1
 _LONGEST_RETRY_S = 0.8
+# In a large failure domain the nodes together ask a store that gives no answers
+# so many times a second; they hear of its return from their watchers.
+_DOMAIN_RETRIES_PER_S = 10.0
+# A second watcher hears the first one's word; its own watches only cover it.
+# Changes must be in force 2 s after they were accepted, also when the first
+# one has just been lost.
+_SECOND_PAUSE_S = 0.7
 # A store that was away may stay silent: until it answers, watches are short,
 # so that the last one before its return does not hide it.
 _PROBE_WAIT_S = 0.3
@@ -135,7 +143,7 @@
                 continue
             else:
                 done = await self._watch(self._revision)
-            await self._sleep(self._pace.pause_s if done else self._retry_s())
+            await self._sleep(self._pause_s() if done else self._retry_s())
 
     async def _list(self) -> bool:
         listing = await self._store.listing(_ALL)
@@ -162,11 +170,12 @@
                 return True
             case store_lib.Changes():
                 self._answered()
-                self._take(seen)
+                if self._revision is not None:  # Else it is to be listed anew.
+                    self._take(seen)
         return True
 
     def _take(self, seen: store_lib.Changes) -> None:
-        known = self._revision or 0
+        known = self._revision
         fresh = [e for e in seen.events if e.revision > known]
         for event in fresh:
             match event:
@@ -226,7 +235,8 @@
         fed = self._role is feeds.Role.FED
         if self._revision is None:
             return
-        if not (fed or self._failures or self._is_behind(feed, now)):
+        told = fed or self._role is feeds.Role.SECOND
+        if not (told or self._failures or self._is_behind(feed, now)):
             return
         # A store that turns this VM away may serve others of its domain.
         if fed:
@@ -247,7 +257,7 @@
         for row in rows:
             self._take_row(row)
         self._revision = max(self._revision, feed.upto)
-        self._feed_log.add((), self._revision)
+        self._feed_log.add_rows(rows, self._revision)
 
     def _is_behind(self, feed: messages.Feed, now: float) -> bool:
         """Returns whether another node has long known more than this one.
@@ -333,8 +343,15 @@
         self._failures = 0
         self._receiver.back(self._since)
 
+    def _pause_s(self) -> float:
+        if self._role is feeds.Role.SECOND:
+            return max(self._pace.pause_s, _SECOND_PAUSE_S)
+        return self._pace.pause_s
+
     def _retry_s(self) -> float:
-        longest = min(_LONGEST_RETRY_S, _SHORTEST_RETRY_S * 2.0**self._failures)
+        nodes = 1 + len(self._neighbours())
+        most_s = max(_LONGEST_RETRY_S, nodes / _DOMAIN_RETRIES_PER_S)
+        longest = backoff.pause_s(_SHORTEST_RETRY_S, most_s, self._failures)
         return self._rng.uniform(0.5, 1.0) * longest
 
     async def _wait_for_role(self) -> None:
--- a/azureline/relay/leases.py
+++ b/azureline/relay/leases.py
@@ -11,9 +11,13 @@
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
 from azureline.platform import store as store_lib
+from azureline.util import backoff
 from azureline.util import events
 
+# After a call without an answer, growing to the longest: every node renews, and
+# all of them at once would only prolong a store's trouble.
 _RETRY_S = 0.2
+_LONGEST_RETRY_S = 0.8
 
 
 class LeaseKeeper:
@@ -107,12 +111,16 @@
             self._log.error("lease_failed", reason=failure.getTraceback())
 
     async def _run(self) -> None:
+        failures = 0
         while True:
             if self._lease is None:
                 done = await self._begin()
             else:
                 done = await self._renew(self._lease)
-            pause_s = self._renew_s if done else _RETRY_S
+            pause_s = self._renew_s
+            if not done:
+                pause_s = backoff.pause_s(_RETRY_S, _LONGEST_RETRY_S, failures)
+            failures = 0 if done else failures + 1
             pause_s *= self._rng.uniform(0.9, 1.1)
             await task.deferLater(self._reactor, pause_s, lambda: None)
 
--- a/azureline/relay/tenancy.py
+++ b/azureline/relay/tenancy.py
@@ -19,6 +19,8 @@
 # than that of claims, as all nodes have one.
 _RECORD_TTL_S = 4.0
 _RECORD_RENEW_S = 1.2
+# After a claim that the store did not answer, before another one.
+_CLAIM_RETRY_S = 0.6
 
 
 class Tenancy:
@@ -53,6 +55,7 @@
         self._tenure = claims.Tenure(terms)
         self._turns: dict[str, claims.Turn] = {}
         self._claiming: set[str] = set()
+        self._claims_from = float("-inf")
         self._on_lost: Callable[[str], None] | None = None
         self._stopping = False
 
@@ -91,6 +94,8 @@
         """
         if name in self._claiming or name in self._turns or self._stopping:
             return
+        if self._clock.now() < self._claims_from:
+            return
         lease = self._duty.lease
         if lease is None:
             if not self._duty.running:
@@ -221,6 +226,8 @@
     def _claimed(
         self, name: str, lease: store_lib.Lease, wait_s: float, result: Any
     ) -> None:
+        if isinstance(result, store_lib.Unavailable):
+            self._claims_from = self._clock.now() + _CLAIM_RETRY_S
         if not isinstance(result, store_lib.Committed):
             # After a lost answer the follower finds whose the key is.
             self._counters.count("claims.failed")
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -111,6 +111,32 @@
         self._feed(10, 12, self._row(11), self._row(12))
         assert self.receiver.keys == ["servers/i-11", "servers/i-12"]
 
+    def test_a_store_that_is_away_for_long_is_asked_again(self):
+        self.reactor.pump([0.5] * 3000)
+        before = len(self.store.waits)
+        assert before > 1100
+        self.reactor.pump([0.5] * 4)
+        assert len(self.store.waits) > before
+
+    def test_nodes_of_a_large_domain_ask_a_silent_store_less_often(self):
+        for number in range(2, 41):
+            record = keys.NodeRecord(f"n{number}", "127.0.0.9", number, "d1")
+            self.peers.set_node(record)
+        self.reactor.pump([0.1] * 100)
+        self.store.waits.clear()
+        self.reactor.pump([0.1] * 600)
+        # Forty nodes at ten questions a second: one in four seconds each.
+        assert 10 <= len(self.store.waits) <= 30
+
+    def test_a_second_watcher_takes_the_first_ones_word(self):
+        record = keys.NodeRecord("n0", "127.0.0.9", 1, "d1", 1000)
+        self.peers.set_node(record)
+        self.store.silent = True
+        self.reactor.pump([0.1] * 10)
+        assert self.follower.role is feeds.Role.SECOND
+        self._feed(10, 11, self._row(11))
+        assert self.receiver.keys == ["servers/i-11"]
+
     def test_what_was_heard_of_another_node_is_told_on(self):
         self.reactor.pump([0.1] * 20)
         self._feed(10, 11, self._row(11))
