--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -53,7 +53,7 @@
       shared: (name, tokens) of the parts that other prompts have too.
       most_ms: milliseconds of waiting prompts that the request puts up with.
       pace_percent: time that the engine took of late to read the asker's
-        prompts for the model, in parts of the nominal time; 0 if unknown.
+        prompts for the model, in percent of the nominal time; 0 if unknown.
     """
 
     ask: int
