Let long prompts of all failure domains meet

Nodes put engines of their own domain first, so each shared part was read once in every domain.

Change: near engines come first for short prompts only.

--- a/azureline/relay/placement.py
+++ b/azureline/relay/placement.py
@@ -42,13 +42,15 @@
 
 
 def by_affinity(
-    candidates: Sequence[Candidate], affinity: str
+    candidates: Sequence[Candidate], affinity: str, near_first: bool = True
 ) -> list[Candidate]:
     """Returns the engines in the order in which to try them.
 
     Args:
       candidates: engines that can serve the request.
       affinity: text that requests with a common prompt share.
+      near_first: whether engines of this failure domain come first; if not,
+        requests of all domains meet.
     """
     if not candidates:
         return []
@@ -58,7 +60,8 @@
     def key(c: Candidate) -> tuple[bool, bool, bool, float]:
         over = c.load * c.penalty > bound or c.penalty > 3.0
         stuck = c.busy and not c.ready
-        return (stuck, over, c.far, -rank(affinity, c.server.server_id))
+        far = near_first and c.far
+        return (stuck, over, far, -rank(affinity, c.server.server_id))
 
     return sorted(candidates, key=key)
 
--- a/azureline/relay/places.py
+++ b/azureline/relay/places.py
@@ -219,9 +219,13 @@
         deadline: float,
     ) -> Place | errors.Refusal:
         candidates = [self._engine_candidate(s, request) for s in holders]
-        ordered = placement.by_affinity(candidates, _affinity(request))
+        # Reading a long prompt again takes longer than its answer's way.
+        long = request.prompt_tokens >= _LONG_TOKENS
+        ordered = placement.by_affinity(
+            candidates, _affinity(request), near_first=not long
+        )
         priority = min(_LOWEST_PRIORITY, route.rank)
-        if not request.adapter and request.prompt_tokens < _LONG_TOKENS:
+        if not request.adapter and not long:
             return self._take(Place(ordered[0].server, priority))
         tried = [c.server for c in ordered[:_MOST_ASKED]]
         give_up_at = self._clock.now() + route.target_s * _QUEUE_PART
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -43,6 +43,24 @@
         }
         assert len(firsts) == 5
 
+    def test_long_prompts_of_all_domains_meet(self):
+        for part in range(20):
+            views = [
+                [_candidate(f"e{i}", far=i % 3 != own) for i in range(6)]
+                for own in range(3)
+            ]
+            firsts = {
+                _names(placement.by_affinity(v, str(part), near_first=False))[0]
+                for v in views
+            }
+            assert len(firsts) == 1
+
+    def test_short_prompts_stay_in_their_domain(self):
+        fleet = [_candidate(f"e{i}", far=i % 3 != 0) for i in range(6)]
+        for part in range(20):
+            first = placement.by_affinity(fleet, str(part))[0]
+            assert not first.far
+
     def test_a_crowded_engine_is_passed_over(self):
         fleet = [_candidate("e1", 9.0), _candidate("e2"), _candidate("e3")]
         for part in range(20):
