Order nothing about models while an adapter in use goes

The holder sent the model order again and again, held it open, and gave no adapter meanwhile; it kept wishes for 1 s while askers give up after 0.6 s, take it to be gone and refuse everything for its engine for the next second.

Ruled out: lost holders (the log shows their orders), a full link.

Change: no order about a model while an adapter leaves, and reports are asked for to learn when it has gone; a refused order is given up unless an earlier copy may still come; a wish is answered "no place" after 0.35 s.

Tests play the engine's refusals; the book's hypothesis machine has adapters in use now.

--- a/azureline/relay/book.py
+++ b/azureline/relay/book.py
@@ -67,6 +67,8 @@
         self._on_disk = server.on_disk
         # Sent, and not known whether accepted.
         self._open: orders.Order | None = None
+        # Whether a copy of it had no answer, and may still come.
+        self._astray = False
         # Accepted, about a model, and under way.
         self._work: _Work | None = None
         self._doubt_since: float | None = now
@@ -236,6 +238,8 @@
         """Returns whether a report should be asked for."""
         if self._doubt_since is not None:
             return self._doubt_since + REPORT_LAG_S < now
+        if self._leaving and self._missing():
+            return True
         if self._busy and self._work is None:
             return True
         work = self._work
@@ -248,8 +252,10 @@
             return self._open
         if self.doubtful or self._busy or self._work is not None:
             return None
-        missing = [m for m in self._target if m not in self._models]
-        if not missing:
+        missing = self._missing()
+        # Engines take no order about a model until the requests of an adapter
+        # that they unload have ended.
+        if not missing or self._leaving:
             return None
         if self._fits(missing[0]):
             return self._order(orders.Verb.LOAD, missing[0])
@@ -258,6 +264,9 @@
             return self._order(orders.Verb.UNLOAD, extra[-1])
         return None
 
+    def _missing(self) -> list[str]:
+        return [m for m in self._target if m not in self._models]
+
     def adapter_ready(self, adapter: Adapter, now: float) -> float | None:
         """Returns seconds until an adapter can be used, and marks its use.
 
@@ -290,6 +299,8 @@
 
     def sent(self, order: orders.Order) -> None:
         """Notes an order before it is sent."""
+        if order != self._open:
+            self._astray = False
         self._open = order
 
     def answered(
@@ -307,10 +318,13 @@
                 self._open = None
                 self._hold(order, now)
             case orders.Outcome.UNKNOWN:
-                return
+                self._astray = True
             case _:
-                # An earlier copy of the same order may have been accepted.
+                # The sequence is another one, or the engine is busy.  An
+                # earlier copy of the same order may have been accepted.
                 self._doubt_since = now
+                if not self._astray:
+                    self._open = None
 
     def _accept(self, order: orders.Order, now: float) -> None:
         if not order.adapter:
--- a/azureline/relay/holding.py
+++ b/azureline/relay/holding.py
@@ -27,8 +27,9 @@
 # again.
 _ORDER_S = 0.5
 _REPORT_S = 0.8
-# An adapter is not waited for longer: the request could not be on time.
-_ADAPTER_PATIENCE_S = 1.0
+# An adapter is not waited for longer: askers take a holder that says nothing for
+# 0.6 s to be gone, and holders look after their engines every 0.2 s.
+_ADAPTER_PATIENCE_S = 0.35
 # Longer work on a model is not waited for: another engine may be free.
 _BUSY_PATIENCE_S = 0.25
 # Longer idleness makes no difference to a successor.
--- a/tests/test_relay_book.py
+++ b/tests/test_relay_book.py
@@ -97,6 +97,57 @@
     assert book.adapter_order(books.Adapter("a", "a2"), 1.5) is None
 
 
+def _with_adapter_leaving(**fields):
+    """Returns a book whose engine unloads an adapter that is in use."""
+    book = _settled("a", "b", adapter_places=2, **fields)
+    for name, at in (("a1", 1.0), ("a2", 2.0)):
+        book.sent(book.adapter_order(books.Adapter("a", name), at))
+        book.answered(book.open_order, orders.Outcome.ACCEPTED, at)
+    book.sent(book.adapter_order(books.Adapter("a", "a3"), 9.0))
+    assert book.open_order.verb is orders.Verb.UNLOAD
+    book.answered(book.open_order, orders.Outcome.ACCEPTED, 9.0)
+    return book
+
+
+def test_no_order_about_a_model_while_an_adapter_in_use_is_unloaded():
+    book = _with_adapter_leaving()
+    book.set_target(("c", "a", "b"))
+    # Engines refuse it until the requests of that adapter have ended.
+    assert book.next_order() is None
+    assert book.overdue(9.1), "Only a report tells when."
+    listed = [builders.resident("a", "a2"), builders.resident("b")]
+    book.settle(3, listed, False, 9.5, 10.0)
+    assert book.next_order() == orders.Order(orders.Verb.LOAD, "c", "", 3)
+
+
+def test_adapters_are_loaded_while_another_one_is_unloaded():
+    book = _with_adapter_leaving()
+    book.set_target(("c", "a", "b"))
+    listed = [builders.resident("a", "a2"), builders.resident("b")]
+    book.settle(3, listed, False, 9.5, 10.0)
+    order = book.adapter_order(books.Adapter("b", "a4"), 10.0)
+    assert order.verb is orders.Verb.LOAD
+
+
+def test_an_order_that_the_engine_refused_is_given_up():
+    book = _settled("a", "b")
+    book.set_target(("c", "a", "b"))
+    _carry(book, orders.Outcome.OUT_OF_TURN, 1.0)
+    assert book.open_order is None and book.doubtful
+    listed = [builders.resident("a"), builders.resident("b")]
+    book.settle(0, listed, False, 1.5, 2.0)
+    adapter = books.Adapter("a", "a1")
+    assert book.adapter_order(adapter, 2.0) is not None
+
+
+def test_a_refused_order_stays_while_a_copy_of_it_may_still_come():
+    book = _settled("a", "b")
+    book.set_target(("c", "a", "b"))
+    lost = _carry(book, orders.Outcome.UNKNOWN)
+    _carry(book, orders.Outcome.OUT_OF_TURN)
+    assert book.open_order == lost
+
+
 class _Engine:
     """An engine that carries out orders, also late ones."""
 
@@ -104,6 +155,8 @@
         self.sequence = 0
         self.models = ["a", "b"]
         self.adapters = set()
+        self.in_use = set()
+        self.leaving = set()
         self.busy = None
         self.places, self.adapter_places = places, adapter_places
 
@@ -115,6 +168,8 @@
         if not order.adapter:
             if loads is (order.model in self.models):
                 return orders.Outcome.HOLDS
+            if self.leaving:
+                return orders.Outcome.OUT_OF_TURN
             self.sequence += 1
             self.busy = order
             held = len(self.models) + loads
@@ -128,9 +183,20 @@
             self.adapters.add(adapter)
             assert len(self.adapters) <= self.adapter_places, "adapters"
             return orders.Outcome.ACCEPTED
+        if adapter in self.in_use:
+            self.leaving.add(adapter)
+            return orders.Outcome.ACCEPTED
         self.adapters.discard(adapter)
         return orders.Outcome.HOLDS
 
+    def use(self):
+        self.in_use = set(self.adapters)
+
+    def end_uses(self):
+        self.in_use = set()
+        self.adapters -= self.leaving
+        self.leaving = set()
+
     def finish(self):
         order, self.busy = self.busy, None
         if order is None:
@@ -158,6 +224,14 @@
         self.book = _book("a", "b", adapter_places=2)
         self.late = []
 
+    @stateful.rule()
+    def use(self):
+        self.engine.use()
+
+    @stateful.rule()
+    def end_uses(self):
+        self.engine.end_uses()
+
     @stateful.rule(models=st.permutations(MODELS))
     def target(self, models):
         self.book.set_target(tuple(models[:3]))
