Keep adapters that running requests use

Cause: a holder took an adapter to be free 2 s after it was last granted.

Ruled out: a longer time (more is refused), unloading by the count of requests that engines report (it does not say whose they are).

Grants are counted once per question, and given back if they come too late or the caller has left. An adapter goes only if nothing uses it. The test that fixed the 2 s is replaced by two: what is in use stays however long, and what was loaded half a second ago stays.

--- a/azureline/relay/asks.py
+++ b/azureline/relay/asks.py
@@ -19,6 +19,7 @@
 from azureline.relay import prefill
 from azureline.relay import residency as residencies
 from azureline.relay import servers
+from azureline.relay import uses
 
 # A datagram may be lost: the question is sent again, it is idempotent.
 _AGAIN_S = 0.08
@@ -42,6 +43,8 @@
       backlog_s: seconds of prompts that wait to be read there.
       reason: why it is not granted, or "".
       reading_s: seconds to read the rest of the prompt at the nominal rate.
+      ask: number by which the holder is told that the request has ended; 0 if
+        it need not be told.
     """
 
     granted: bool
@@ -49,6 +52,7 @@
     backlog_s: float = 0.0
     reason: str = ""
     reading_s: float = 0.0
+    ask: int = 0
 
 
 class _Ask(NamedTuple):
@@ -108,7 +112,11 @@
             int(most_s * 1000),
             round(prompt.pace * 100),
         )
-        ask = _Ask(defer.Deferred(), question, self._clock.now())
+        # An answer to a question that was cancelled comes too late.
+        answer: defer.Deferred[Answer] = defer.Deferred(
+            lambda _: self._asks.pop(question.ask, None)
+        )
+        ask = _Ask(answer, question, self._clock.now())
         self._asks[question.ask] = ask
         silent = self._silent.get(server.server_id, 0.0) > ask.began
         self._send(question.ask)
@@ -116,6 +124,12 @@
             self._finish(question.ask, self._unanswered(question))
         return ask.answer
 
+    def done(self, server_id: str, number: int) -> None:
+        """Tells a holder that a request that it granted has ended."""
+        holder = self._peers.holder_of(server_id)
+        if holder is not None:
+            self._peers.send(holder, messages.EngineDone(number, server_id))
+
     def _send(self, number: int) -> None:
         ask = self._asks.get(number)
         if ask is None:
@@ -155,6 +169,9 @@
         self, message: messages.EngineAnswer, host: str, port: int
     ) -> None:
         self._silent.pop(message.server_id, None)
+        if message.ask not in self._asks and message.granted:
+            # Too late: nobody waits for it any more.
+            self.done(message.server_id, message.ask)
         self._finish(
             message.ask,
             Answer(
@@ -163,6 +180,7 @@
                 message.backlog_ms / 1000,
                 message.reason,
                 message.reading_ms / 1000,
+                message.ask,
             ),
         )
 
@@ -178,7 +196,9 @@
     def __init__(
         self,
         peers: peers_lib.Peers,
-        wish: Callable[[messages.EngineAsk], defer.Deferred[Answer] | None],
+        wish: Callable[
+            [messages.EngineAsk, uses.User], defer.Deferred[Answer] | None
+        ],
         counters: metrics.Counters,
     ):
         """Creates the answering side of a node.
@@ -191,31 +211,28 @@
         self._peers = peers
         self._wish = wish
         self._counters = counters
-        self._open: set[tuple[str, int, int]] = set()
+        self._open: set[uses.User] = set()
         peers.on(messages.EngineAsk, self._asked)
 
     def _asked(
         self, question: messages.EngineAsk, host: str, port: int
     ) -> None:
-        key = (host, port, question.ask)
+        key = uses.User(host, port, question.ask)
         if key in self._open:
             return  # Sent again while the first one waits.
-        wished = self._wish(question)
+        wished = self._wish(question, key)
         if wished is None:
             return
         self._open.add(key)
         wished.addCallback(self._answer, key, question.server_id)
 
-    def _answer(
-        self, answer: Answer, key: tuple[str, int, int], server_id: str
-    ) -> None:
-        host, port, ask = key
+    def _answer(self, answer: Answer, key: uses.User, server_id: str) -> None:
         self._open.discard(key)
         self._counters.count(
             "asks.granted" if answer.granted else "asks.denied"
         )
         told = messages.EngineAnswer(
-            ask,
+            key.ask,
             server_id,
             answer.granted,
             int(answer.wait_s * 1000 + 0.999),
@@ -223,4 +240,4 @@
             answer.reason,
             round(answer.reading_s * 1000),
         )
-        self._peers.reply(host, port, told)
+        self._peers.reply(key.host, key.port, told)
--- a/azureline/relay/book.py
+++ b/azureline/relay/book.py
@@ -6,6 +6,7 @@
 finds another sequence and does nothing.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -13,8 +14,9 @@
 from azureline.relay import routes
 from azureline.relay import servers
 
-# An adapter that was granted to a request this recently may be in use.
-_GRANT_S = 2.0
+# An adapter that was loaded or granted this recently stays: the request for it
+# may be on its way.
+_GRANT_S = 0.5
 # From an accepted order until requests can use an adapter: transfers take up
 # to 10 ms while few are on their way.
 ADAPTER_S = 0.012
@@ -280,11 +282,20 @@
         return max(0.0, self._ready_at.get(adapter, 0.0) - now)
 
     def adapter_order(
-        self, adapter: Adapter, now: float
+        self,
+        adapter: Adapter,
+        now: float,
+        in_use: Collection[tuple[str, str]] = (),
     ) -> orders.Order | None:
         """Returns the order that gets an adapter or makes room for it.
 
-        None if there is no room, or the order must wait for another.
+        Args:
+          adapter: the adapter.
+          now: monotonic time in seconds.
+          in_use: (model, adapter) that running requests use.
+
+        Returns:
+          The order; None if there is no room, or it must wait for another.
         """
         if self._open is not None or self.busy:
             # Engines take no order beside one about a model.
@@ -294,7 +305,7 @@
         if adapter.model == self._going_model():
             return None
         if not self._adapter_fits(adapter):
-            return self._eviction(now)
+            return self._eviction(now, in_use)
         return self._order(orders.Verb.LOAD, adapter.model, adapter.name)
 
     def sent(self, order: orders.Order) -> None:
@@ -429,14 +440,20 @@
         after = self._used_mb() + self._adapter_mb(adapter)
         return after <= self._kind.memory_mb
 
-    def _eviction(self, now: float) -> orders.Order | None:
-        """Returns the order that drops the adapter used longest ago."""
-        if self._leaving:
-            return None  # One is going already.
+    def _eviction(
+        self, now: float, in_use: Collection[tuple[str, str]]
+    ) -> orders.Order | None:
+        """Returns the order that drops the adapter used longest ago.
+
+        One in use would go only when its requests have ended, and until then
+        its engine takes no order about a model.
+        """
         idle = [
             (used, a)
             for a, used in self._adapters.items()
             if used + _GRANT_S <= now
+            and a not in self._leaving
+            and a not in in_use
         ]
         if not idle:
             return None
--- a/azureline/relay/duties.py
+++ b/azureline/relay/duties.py
@@ -17,6 +17,7 @@
 from azureline.relay import routes
 from azureline.relay import servers
 from azureline.relay import tenancy as tenancies
+from azureline.relay import uses
 
 # Between two looks at vacancies, overdue orders and plans.
 _STEP_S = 0.2
@@ -51,6 +52,7 @@
         self._loop.clock = tools.reactor
         tenancy.on_lost(self._lost)
         peers.on(messages.Target, self._targeted)
+        peers.on(messages.EngineDone, self._ended)
 
     def start(self) -> None:
         """Begins to look after vacancies and orders."""
@@ -72,13 +74,13 @@
         self._holders = {}
 
     def wish(
-        self, question: messages.EngineAsk
+        self, question: messages.EngineAsk, user: uses.User
     ) -> defer.Deferred[asks.Answer] | None:
         """Asks an engine held here for room; None if it is not held here."""
         holder = self._holders.get(question.server_id)
         if holder is None:
             return None
-        return holder.wish(question)
+        return holder.wish(question, user)
 
     def updated(self, server: servers.BackendServer) -> None:
         """Learns that an engine's entry is newer."""
@@ -171,6 +173,11 @@
         if holder is not None:
             holder.set_target(target)
 
+    def _ended(self, done: messages.EngineDone, host: str, port: int) -> None:
+        holder = self._holders.get(done.server_id)
+        if holder is not None:
+            holder.ended(uses.User(host, port, done.ask))
+
     def _engines(self) -> Iterable[servers.BackendServer]:
         return [s for s in self._catalogue if self._kind(s.service)]
 
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -256,7 +256,7 @@
         now = self._tools.clock.now()
         if result.wrong_server:
             self._tools.places.denied(place, self._request)
-        elif result.status == 503 and place.loads:
+        elif result.status == 503 and place.adapter_ask:
             # The adapter that was just ordered is not there yet.
             await task.deferLater(
                 self._tools.reactor, _SAME_SERVER_S, lambda: None
--- a/azureline/relay/holding.py
+++ b/azureline/relay/holding.py
@@ -20,6 +20,7 @@
 from azureline.relay import requests
 from azureline.relay import routes
 from azureline.relay import servers
+from azureline.relay import uses
 from azureline.util import events
 from azureline.util import http1
 
@@ -27,8 +28,8 @@
 # again.
 _ORDER_S = 0.5
 _REPORT_S = 0.8
-# An adapter is not waited for longer: askers take a holder that says nothing for
-# 0.6 s to be gone, and holders look after their engines every 0.2 s.
+# An adapter is not waited for longer: askers take a holder that says nothing
+# for 0.6 s to be gone, and holders look after their engines every 0.2 s.
 _ADAPTER_PATIENCE_S = 0.35
 # Longer work on a model is not waited for: another engine may be free.
 _BUSY_PATIENCE_S = 0.25
@@ -68,6 +69,7 @@
 class _Wish(NamedTuple):
     adapter: books.Adapter
     question: messages.EngineAsk
+    user: uses.User
     since: float
     answer: defer.Deferred[asks.Answer]
 
@@ -102,6 +104,7 @@
             tools.read_tokens_per_s, kind.cache_tokens
         )
         self._wishes: list[_Wish] = []
+        self._uses = uses.Uses()
         self._calling = False
         self._reporting = False
         self._reported_at = float("-inf")
@@ -140,29 +143,39 @@
         self.book.set_target(target.models)
         self.step()
 
-    def wish(self, question: messages.EngineAsk) -> defer.Deferred[asks.Answer]:
+    def wish(
+        self, question: messages.EngineAsk, user: uses.User
+    ) -> defer.Deferred[asks.Answer]:
         """Answers a request for room, once its adapter is on its way."""
         now = self._tools.clock.now()
         if not question.adapter:
-            return defer.succeed(self._room(question, 0.0, now))
+            return defer.succeed(self._room(question, user, 0.0, now))
         adapter = books.Adapter(question.model, question.adapter)
         left = self.book.adapter_ready(adapter, now)
         if left is not None:
-            return defer.succeed(self._room(question, left, now))
+            return defer.succeed(self._room(question, user, left, now))
         if not self._may_act():
             return defer.succeed(self._barred(now))
-        wish = _Wish(adapter, question, now, defer.Deferred())
+        wish = _Wish(adapter, question, user, now, defer.Deferred())
         self._wishes.append(wish)
         self.step()
         return wish.answer
 
+    def ended(self, user: uses.User) -> None:
+        """Learns that a request that was granted an adapter has ended."""
+        self._uses.end(user)
+
     def _barred(self, now: float) -> asks.Answer:
         """Answers a wish while this node may give no orders."""
         wait_s = max(0.0, self._orders_from - now)
         return asks.Answer(False, wait_s, reason="no right to order")
 
     def _room(
-        self, question: messages.EngineAsk, wait_s: float, now: float
+        self,
+        question: messages.EngineAsk,
+        user: uses.User,
+        wait_s: float,
+        now: float,
     ) -> asks.Answer:
         """Grants a prompt its place in the queue, if that is short enough."""
         prompt = prefill.Prompt(
@@ -174,6 +187,8 @@
         backlog_s = self._prefill.wait_s(prompt, now)
         if backlog_s > question.most_ms / 1000:
             return asks.Answer(False, wait_s, backlog_s, "prompts wait")
+        if question.adapter:
+            self._uses.begin(user, question.model, question.adapter, now)
         nominal_s = self._prefill.nominal_s(prompt)
         wait_s = max(wait_s, self._prefill.reserve(prompt, now))
         return asks.Answer(True, wait_s, backlog_s, reading_s=nominal_s)
@@ -201,8 +216,9 @@
     def _next(self, now: float) -> orders.Order | None:
         if self.book.open_order is not None:
             return self.book.open_order
+        in_use = self._uses.adapters(now)
         for wish in self._wishes:
-            order = self.book.adapter_order(wish.adapter, now)
+            order = self.book.adapter_order(wish.adapter, now, in_use)
             if order is not None:
                 return order
         return self.book.next_order()
@@ -292,7 +308,9 @@
         for wish in self._wishes:
             left = self.book.adapter_ready(wish.adapter, now)
             if left is not None:
-                wish.answer.callback(self._room(wish.question, left, now))
+                wish.answer.callback(
+                    self._room(wish.question, wish.user, left, now)
+                )
             elif wish.adapter.model not in self.book.models:
                 wish.answer.callback(asks.Answer(False, reason="model absent"))
             elif self.book.busy and self.book.free_s(now) > _BUSY_PATIENCE_S:
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -95,6 +95,18 @@
     reading_ms: int
 
 
+class EngineDone(NamedTuple):
+    """Tells a holder that a request it granted an adapter to has ended.
+
+    Attributes:
+      ask: number of the `EngineAsk`.
+      server_id: the engine.
+    """
+
+    ask: int
+    server_id: str
+
+
 class ModelDemand(NamedTuple):
     """Requests for a model at one node.
 
@@ -196,6 +208,7 @@
     10: Feed,
     11: FeedAsk,
     12: ToDomain,
+    13: EngineDone,
 }
 
 
--- a/azureline/relay/places.py
+++ b/azureline/relay/places.py
@@ -45,7 +45,8 @@
     Attributes:
       server: the server.
       priority: rank at an engine; None at plain servers.
-      loads: whether an adapter was ordered for the request.
+      adapter_ask: number of the question by which its engine's holder granted
+        it an adapter; 0 if it did not.
       model: the request's model, or "".
       reading_s: seconds to read its prompt at the nominal rate.
       ahead_s: seconds that prompts before it take at the engine.
@@ -53,7 +54,7 @@
 
     server: servers.BackendServer
     priority: int | None = None
-    loads: bool = False
+    adapter_ask: int = 0
     model: str = ""
     reading_s: float = 0.0
     ahead_s: float = 0.0
@@ -72,6 +73,9 @@
     ) -> defer.Deferred[asks_lib.Answer]:
         """Returns what the engine's holder says."""
 
+    def done(self, server_id: str, number: int) -> None:
+        """Tells a holder that a request that it granted has ended."""
+
 
 class Demand(Protocol):
     """Learns what callers ask for."""
@@ -156,6 +160,8 @@
     ) -> None:
         """Learns that a place is free again, and how it went."""
         server = place.server
+        if place.adapter_ask:
+            self._asks.done(server.server_id, place.adapter_ask)
         left = self._under_way.get(server.server_id, 1) - 1
         if left > 0:
             self._under_way[server.server_id] = left
@@ -237,11 +243,11 @@
                 tried.sort(key=lambda s: backlogs[s.server_id])
             reason, ready_s = "", []
             for server in tried:
-                place = Place(server, priority, bool(request.adapter))
-                place = self._take(place)
+                place = self._take(Place(server, priority))
                 answer = await self._ask(request, place, most_s)
                 if answer.granted:
                     return place._replace(
+                        adapter_ask=answer.ask if request.adapter else 0,
                         model=request.model,
                         reading_s=answer.reading_s,
                         ahead_s=max(0.0, answer.backlog_s - answer.wait_s),
@@ -275,14 +281,17 @@
                 place.server.server_id, request.model, self._clock.now()
             ),
         )
+        granted = place
         try:
             answer = await self._asks.ask(
                 place.server, request.model, request.adapter, prompt, most_s
             )
+            if answer.granted and request.adapter:
+                granted = place._replace(adapter_ask=answer.ask)
             if answer.granted and answer.wait_s > 0:
                 await self._sleep(answer.wait_s)
         except defer.CancelledError:
-            self.done(place)
+            self.done(granted)
             raise
         if not answer.granted:
             self.done(place)
--- a/tests/test_relay_asks.py
+++ b/tests/test_relay_asks.py
@@ -69,6 +69,29 @@
     assert answer.granted
 
 
+def test_a_grant_that_comes_too_late_is_given_back():
+    fixture = _Fixture()
+    fixture.held_by("n2")
+    (gave_up,) = [fixture.ask()]
+    number = fixture.peers.sent[-1].ask
+    fixture.clock.pump([0.1] * 8)
+    assert not gave_up[0].granted
+    fixture.answer()
+    assert fixture.peers.sent[-1] == messages.EngineDone(number, "e1")
+
+
+def test_a_grant_to_a_caller_that_has_left_is_given_back():
+    fixture = _Fixture()
+    fixture.held_by("n2")
+    server = builders_relay.server("e1", "m")
+    asked = fixture.asks.ask(server, "m", "a1", PROMPT, 0.2)
+    asked.addErrback(lambda failure: None)
+    asked.cancel()
+    number = fixture.peers.sent[-1].ask
+    fixture.answer()
+    assert fixture.peers.sent[-1] == messages.EngineDone(number, "e1")
+
+
 def test_a_silent_holder_is_waited_for_once():
     fixture = _Fixture()
     fixture.held_by("n2")
--- a/tests/test_relay_book.py
+++ b/tests/test_relay_book.py
@@ -90,11 +90,24 @@
 
 
 def test_an_adapter_in_use_is_not_evicted():
+    book = _settled("a", adapter_places=2)
+    for at, name in ((1.0, "a1"), (2.0, "a2")):
+        order = book.adapter_order(books.Adapter("a", name), at)
+        book.sent(order)
+        book.answered(order, orders.Outcome.ACCEPTED, at)
+    wanted = books.Adapter("a", "a3")
+    order = book.adapter_order(wanted, 9.0, {("a", "a1")})
+    assert (order.verb, order.adapter) == (orders.Verb.UNLOAD, "a2")
+    both = {("a", "a1"), ("a", "a2")}
+    assert book.adapter_order(wanted, 9.0, both) is None
+
+
+def test_an_adapter_that_was_just_loaded_is_not_evicted():
     book = _settled("a", adapter_places=1)
     order = book.adapter_order(books.Adapter("a", "a1"), 1.0)
     book.sent(order)
     book.answered(order, orders.Outcome.ACCEPTED, 1.0)
-    assert book.adapter_order(books.Adapter("a", "a2"), 1.5) is None
+    assert book.adapter_order(books.Adapter("a", "a2"), 1.4) is None
 
 
 def _with_adapter_leaving(**fields):
--- a/tests/test_relay_holding.py
+++ b/tests/test_relay_holding.py
@@ -8,6 +8,7 @@
 from azureline.relay import claims
 from azureline.relay import holding
 from azureline.relay import messages
+from azureline.relay import uses
 from azureline.util import events
 from tests import builders_relay
 from tests import builders_serving
@@ -51,7 +52,8 @@
     holder = _holder(clock)
     answers = []
     question = messages.EngineAsk(1, "e1", "a", "a1", 600, (), 200, 0)
-    holder.wish(question).addCallback(answers.append)
+    user = uses.User("127.0.0.1", 1, 1)
+    holder.wish(question, user).addCallback(answers.append)
     while clock.now() < ASKERS_WAIT_S - TRAVEL_S - STEP_S:
         clock.advance(STEP_S)
         holder.step()
