Silence connections of the soak's proxy that are being opened

The server accepts a connection before the proxy's thread has noted it, so silence() in between missed it and its bytes went on. Two more faults of the same kind were found while tracing it: a connection that the selector had just seen was passed on after silence(), and a new connection could have the identity of an old silent one and be silent too.

Change: connections are opened and noted under the lock that silence() takes; silent ones are looked up when bytes come; they are kept.

--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -39,6 +39,29 @@
     server.close()
 
 
+def test_a_connection_that_is_just_being_opened_is_silenced_too(monkeypatch):
+    server, proxy, address = _echo_pair()
+    connect = socket.create_connection
+
+    def slow(target, *args, **kwargs):
+        made = connect(target, *args, **kwargs)
+        if target == server.getsockname():
+            time.sleep(0.2)
+        return made
+
+    monkeypatch.setattr(socket, "create_connection", slow)
+    client, end = _connect(server, address)
+    proxy.silence()
+    client.sendall(b"x")
+    end.settimeout(0.5)
+    with pytest.raises(TimeoutError):
+        end.recv(1)
+    for one in (client, end):
+        one.close()
+    proxy.close()
+    server.close()
+
+
 def test_silent_connections_stay_open_while_new_ones_work():
     server, proxy, address = _echo_pair()
     client, end = _connect(server, address)
--- a/tools/soak_proxy.py
+++ b/tools/soak_proxy.py
@@ -24,7 +24,8 @@
         self._target = target
         self._listener = socket.create_server((host, 0), backlog=256)
         self._pairs: list[tuple[socket.socket, socket.socket]] = []
-        self._silent: set[int] = set()
+        # By identity; kept, so that no later pair gets the same one.
+        self._silent: dict[int, tuple[socket.socket, socket.socket]] = {}
         self._delay_s = 0.0
         self._one_way = False
         self._lock = threading.Lock()
@@ -62,7 +63,7 @@
     def silence(self) -> None:
         """Makes open connections silent for good; new ones work."""
         with self._lock:
-            self._silent |= {id(pair) for pair in self._pairs}
+            self._silent.update({id(pair): pair for pair in self._pairs})
 
     def one_way(self, cut: bool) -> None:
         """Drops what the server says, or ceases to."""
@@ -100,17 +101,22 @@
 
     def _accept(self) -> None:
         client, _ = self._listener.accept()
-        try:
-            server = socket.create_connection(self._target, timeout=1.0)
-        except OSError:
-            client.close()
-            return
+        # The server may see the connection before this thread goes on: what
+        # befalls all connections then must befall this one too.
         with self._lock:
+            try:
+                server = socket.create_connection(self._target, timeout=1.0)
+            except OSError:
+                client.close()
+                return
             self._pairs.append((client, server))
 
     def _pass_on(
         self, source: socket.socket, pair: tuple[socket.socket, socket.socket]
     ) -> None:
+        with self._lock:
+            if id(pair) in self._silent:
+                return  # Since the selector has seen its bytes.
         client, server = pair
         other = server if source is client else client
         try:
