Forget holders that were silent long ago

Cause: listed as known and not mended: the note of holders that left a question unanswered kept an entry for each server that ever did.

Change: entries whose time is over go when another one is added.

--- a/azureline/relay/asks.py
+++ b/azureline/relay/asks.py
@@ -85,6 +85,11 @@
         self._silent: dict[str, float] = {}
         peers.on(messages.EngineAnswer, self._answered)
 
+    @property
+    def silent_holders(self) -> int:
+        """Engines whose holders are remembered for their silence."""
+        return len(self._silent)
+
     def ask(
         self,
         server: servers.BackendServer,
@@ -140,6 +145,7 @@
         )
         now = self._clock.now()
         if now - ask.began > give_up_s:
+            self._silent = {s: t for s, t in self._silent.items() if t > now}
             self._silent[question.server_id] = now + _SILENT_S
             self._finish(number, self._unanswered(question))
             return
--- a/tests/test_relay_asks.py
+++ b/tests/test_relay_asks.py
@@ -105,6 +105,18 @@
     assert not fixture.ask()
 
 
+def test_holders_that_were_silent_are_forgotten():
+    fixture = _Fixture()
+    fixture.held_by("n2")
+    for name in ("e1", "e2", "e3"):
+        fixture.peers.set_holder(name, keys.HolderRecord("n2", "x"))
+        server = builders_relay.server(name, "m")
+        asked = fixture.asks.ask(server, "m", "a1", PROMPT, 0.2)
+        fixture.clock.pump([0.1] * 20)
+        assert asked.called
+    assert fixture.asks.silent_holders <= 1
+
+
 def test_a_holder_that_answers_again_is_waited_for():
     fixture = _Fixture()
     fixture.held_by("n2")
