Ask other failure domains when the store turns a domain away

A node whose calls fail takes the word of a watcher of its domain, but there is none: versions 5 and 7 were in force there at 11.5 s, elsewhere at 2.8 and 7.2 s, and an engine that was gone at 8.5 s got requests until 13.9 s.

Ruled out: more watchers (all nodes of the domain are turned away).

Change: after two failed calls a node asks a node of another domain, drawn anew each time, for the changes after the last one it knows, as often as it asks the store. A node that cannot list does not give up its place in the changes when it is told that some are no longer kept.

--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -33,6 +33,9 @@
 _PROBE_WAIT_S = 0.3
 # Items that a watcher could not pass on are read no more often than this.
 _FETCH_EVERY_S = 0.4
+# A call may fail by chance; after so many the store may turn this node away, or
+# all of its failure domain, while it serves others.
+_TURNED_AWAY_CALLS = 2
 # A watch that works brings changes well within this time.
 _BEHIND_S = 1.0
 _ALL = ""
@@ -143,6 +146,8 @@
                 continue
             else:
                 done = await self._watch(self._revision)
+            if not done:
+                self._ask_elsewhere()
             await self._sleep(self._pause_s() if done else self._retry_s())
 
     async def _list(self) -> bool:
@@ -243,6 +248,8 @@
             self._failures = 0
         self._since = now - feed.steady_ms / 1000
         self._receiver.back(self._since)
+        if feed.after < 0 and self._failures:
+            return  # A listing would fail; the store says later what it lacks.
         if feed.after < 0:
             self._counters.count("feed.resets")
             self._revision = None
@@ -259,6 +266,20 @@
         self._revision = max(self._revision, feed.upto)
         self._feed_log.add_rows(rows, self._revision)
 
+    def _ask_elsewhere(self) -> None:
+        """Asks another failure domain for changes that the store withholds.
+
+        Watchers of this domain, if there are any, tell theirs unasked.
+        """
+        if self._revision is None or self._failures < _TURNED_AWAY_CALLS:
+            return
+        domain = self._peers.domain
+        far = [r for r in self._peers.nodes.values() if r.domain != domain]
+        if far:
+            self._counters.count("feed.asked_elsewhere")
+            ask = messages.FeedAsk(self._revision)
+            self._peers.send(self._rng.choice(far), ask)
+
     def _is_behind(self, feed: messages.Feed, now: float) -> bool:
         """Returns whether another node has long known more than this one.
 
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -104,6 +104,38 @@
         self._feed(10, 11, self._row(11), away=True)
         assert self.receiver.keys == []
 
+    def _far_asks(self):
+        """Lets two other domains be known; returns what they are asked."""
+        asked = []
+        for number, domain in ((2, "d2"), (3, "d3"), (4, "d1")):
+            record = keys.NodeRecord(f"n{number}", "127.0.0.9", number, domain)
+            self.peers.set_node(record)
+        self.peers.send = lambda record, message: asked.append(
+            (record.domain, message)
+        )
+        return asked
+
+    def test_a_node_that_the_store_turns_away_asks_other_domains(self):
+        asked = self._far_asks()
+        self.reactor.pump([0.1] * 30)
+        far = [domain for domain, message in asked if domain != "d1"]
+        assert {"d2", "d3"} == set(far)
+        assert messages.FeedAsk(10) in [message for _, message in asked]
+        # No more often than it asks the store.
+        assert len(far) <= len(self.store.waits)
+
+    def test_a_node_whose_store_answers_asks_no_other_domain(self):
+        asked = self._far_asks()
+        self.store.silent = True
+        self.reactor.pump([0.1] * 30)
+        assert {domain for domain, _ in asked} <= {"d1"}
+
+    def test_a_node_that_cannot_list_keeps_its_place_in_the_changes(self):
+        self.reactor.pump([0.1] * 20)
+        self._feed(-1, 900)
+        self._feed(10, 11, self._row(11))
+        assert self.receiver.keys == ["servers/i-11"]
+
     def test_a_gap_is_not_jumped(self):
         self.reactor.pump([0.1] * 20)
         self._feed(11, 12, self._row(12))
