Say what the number in a holder's answer is

A description only: it said that the number is 0 if the holder need not be told of the request's end, but answers about prompts without an adapter have one too; the caller of `ask` decides by the request's adapter.

--- a/azureline/relay/asks.py
+++ b/azureline/relay/asks.py
@@ -43,8 +43,8 @@
       backlog_s: seconds of prompts that wait to be read there.
       reason: why it is not granted, or "".
       reading_s: seconds to read the rest of the prompt at the nominal rate.
-      ask: number by which the holder is told that the request has ended; 0 if
-        it need not be told.
+      ask: number of the question, by which a holder that granted an adapter is
+        told that the request has ended; 0 if no holder answered.
     """
 
     granted: bool
