Place models by what engines can bear and let them share places in time

Change: relay/capacity.py tells what part of requests an engine loses, from slots, reading, adapters, targets, pauses and patience, as queues; nodes tell the planner what their requests take, as measured, and how many are at engines. A model costs what its callers lose by waiting for it, a swap also the time in which its engine waits for running requests. Room is counted in MB. A request waits while a load could still serve it; an announced load counts its unload; one that is overdue is not believed. A node that cannot reach an engine says that the model is missing.

--- a/azureline/relay/book.py
+++ b/azureline/relay/book.py
@@ -76,6 +76,7 @@
         self._doubt_since: float | None = now
         self._busy = False
         self._target: tuple[str, ...] = ()
+        self._target_at = now
 
     @property
     def open_order(self) -> orders.Order | None:
@@ -112,9 +113,15 @@
         """Takes what a newer configuration says of engines."""
         self._kind = kind
 
-    def set_target(self, models: tuple[str, ...]) -> None:
-        """Takes the models that the engine shall hold."""
+    def set_target(self, models: tuple[str, ...], ready_at: float) -> None:
+        """Takes the models that the engine shall hold.
+
+        Args:
+          models: the models, the most wanted first.
+          ready_at: monotonic time at which it should hold them.
+        """
         self._target = tuple(m for m in models if m in self._kind.models)
+        self._target_at = ready_at
 
     def usable(self, now: float) -> tuple[tuple[str, tuple[str, ...]], ...]:
         """Returns (model, adapters) that requests may use."""
@@ -154,7 +161,8 @@
         wanted = [m for m in self._target if m not in self._models]
         if not wanted:
             return "", 0.0
-        return wanted[0], self.load_s(wanted[0]) + 0.1
+        left = max(self._target_at - now, self.load_s(wanted[0]))
+        return wanted[0], left
 
     def load_s(self, model: str) -> float:
         """Returns the seconds that a load takes with the copies at hand."""
@@ -427,11 +435,8 @@
 
     def _fits(self, model: str) -> bool:
         spec = self._kind.models[model]
-        # Leaves room for a full set of adapters beside the models.
-        most = max(m.adapter_mb for m in self._kind.models.values())
-        reserve = most * self._kind.adapter_places
         held = sum(self._adapter_mb(a) for a in self._adapters)
-        free = self._kind.memory_mb - self._used_mb() + held - reserve
+        free = self._kind.room_mb - self._used_mb() + held
         return spec.size_mb <= free
 
     def _adapter_fits(self, adapter: Adapter) -> bool:
--- a/azureline/relay/demand.py
+++ b/azureline/relay/demand.py
@@ -5,6 +5,7 @@
 
 from twisted.internet import task
 
+from azureline.relay import capacity
 from azureline.relay import messages
 
 # Each message costs bytes between failure domains; demand moves in seconds.
@@ -18,8 +19,17 @@
     def __init__(self):
         self.arrived = 0
         self.waiting = 0
+        self.under_way = 0
         self.refused = 0
         self.rank = _MOST_RANK
+        self.work = capacity.Work()
+        self.aims: capacity.Aims | None = None
+
+    def clear(self) -> None:
+        """Forgets what was counted, but not what is there now."""
+        waiting, under_way = self.waiting, self.under_way
+        self.__init__()
+        self.waiting, self.under_way = waiting, under_way
 
 
 class DemandTeller:
@@ -52,10 +62,27 @@
         if self._urgent is not None and self._urgent.active():
             self._urgent.cancel()
 
-    def arrived(self, service: str, model: str, rank: int) -> None:
-        """Counts a request."""
+    def arrived(
+        self,
+        service: str,
+        model: str,
+        rank: int,
+        work: capacity.Work,
+        aims: capacity.Aims,
+    ) -> None:
+        """Counts a request.
+
+        Args:
+          service: the service that it goes to.
+          model: its model.
+          rank: its rank; 0 is the most urgent.
+          work: seconds that it should take.
+          aims: what its caller puts up with.
+        """
         row = self._row(service, model, rank)
         row.arrived += 1
+        row.work = row.work.plus(work)
+        row.aims = _strictest(row.aims, aims)
 
     def waiting(self, service: str, model: str, rank: int, by: int) -> None:
         """Counts requests that begin (1) or cease (-1) to wait."""
@@ -64,6 +91,10 @@
         if by > 0 and (self._urgent is None or not self._urgent.active()):
             self._urgent = self._reactor.callLater(_URGENT_S, self.flush)
 
+    def under_way(self, service: str, model: str, by: int) -> None:
+        """Counts requests that go to an engine (1) or have ended (-1)."""
+        self._row(service, model, _MOST_RANK).under_way += by
+
     def refused(self, service: str, model: str, rank: int) -> None:
         """Counts a request that was refused for want of its model."""
         self._row(service, model, rank).refused += 1
@@ -72,19 +103,10 @@
         """Sends the counts since the last message."""
         by_service: dict[str, list[messages.ModelDemand]] = {}
         for (service, model), row in list(self._rows.items()):
-            by_service.setdefault(service, []).append(
-                messages.ModelDemand(
-                    service,
-                    model,
-                    row.arrived,
-                    row.waiting,
-                    row.refused,
-                    row.rank,
-                )
-            )
-            row.arrived = row.refused = 0
-            row.rank = _MOST_RANK
-            if not row.waiting:
+            told = by_service.setdefault(service, [])
+            told.append(_message(service, model, row))
+            row.clear()
+            if not row.waiting and not row.under_way:
                 del self._rows[(service, model)]
         for service, rows in by_service.items():
             self._tell(service, messages.Demand(tuple(rows)))
@@ -93,3 +115,29 @@
         row = self._rows.setdefault((service, model), _Row())
         row.rank = min(row.rank, rank)
         return row
+
+
+def _message(service: str, model: str, row: _Row) -> messages.ModelDemand:
+    aims = row.aims or capacity.Aims(0.0, 0.0, 0.0)
+    return messages.ModelDemand(
+        service,
+        model,
+        row.arrived,
+        row.waiting,
+        row.under_way,
+        row.refused,
+        row.rank,
+        *(round(seconds * 1000) for seconds in (*row.work, *aims)),
+    )
+
+
+def _strictest(old: capacity.Aims | None, new: capacity.Aims) -> capacity.Aims:
+    """Returns the aims that satisfy both."""
+    if old is None:
+        return new
+    gaps = [gap for gap in (old.gap_s, new.gap_s) if gap > 0.0]
+    return capacity.Aims(
+        min(old.target_s, new.target_s),
+        min(gaps, default=0.0),
+        min(old.patience_s, new.patience_s),
+    )
--- a/azureline/relay/duties.py
+++ b/azureline/relay/duties.py
@@ -6,13 +6,13 @@
 from twisted.internet import task
 
 from azureline.core import clock as clocks
+from azureline.relay import allowance
 from azureline.relay import asks
 from azureline.relay import claims
 from azureline.relay import holding
 from azureline.relay import keys
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
-from azureline.relay import planner as planners
 from azureline.relay import planning
 from azureline.relay import routes
 from azureline.relay import servers
@@ -34,7 +34,7 @@
         table: routes.RouteTable,
         peers: peers_lib.Peers,
         tenancy: tenancies.Tenancy,
-        ceiling: planners.Ceiling,
+        ceiling: allowance.Ceiling,
     ):
         """Creates duties that hold nothing."""
         self._tools = tools
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -165,6 +165,7 @@
                 self._unsent += 1
                 self._sends -= 1
                 self._tried.append(place.server.server_id)
+                self._tools.places.unreachable(place)
                 if self._unsent < _MAX_UNSENT:
                     return False
                 self._refuse(self._truthful(self._unreachable()))
@@ -204,7 +205,8 @@
             lambda first_s: tools.places.first_part(place, first_s),
         )
         self._attempt = attempt
-        resumed = self._reader.passed > 0
+        before = self._reader.passed
+        resumed = before > 0
         last_event = self._reader.last_event if resumed else None
         request = wire.encode(
             self._request,
@@ -225,7 +227,8 @@
         if attempt.first_s is not None:
             waited = now - self._began + attempt.first_s
             tools.exposition.first_byte.labels(route.name).observe(waited)
-        tools.places.done(place, result, took)
+        parts = self._reader.passed - before
+        tools.places.done(place, result, took, parts)
         tools.log.info(
             "attempt",
             request=self._request.request_id,
--- a/azureline/relay/holding.py
+++ b/azureline/relay/holding.py
@@ -142,8 +142,11 @@
         """Takes the models that the engine shall hold."""
         if target.born_ms != self._server.born_ms or target.plan < self._plan:
             return
+        if target.plan > self._plan:
+            now = self._tools.clock.now()
+            ready_at = now + target.ready_ms / 1000
+            self.book.set_target(target.models, ready_at)
         self._plan = target.plan
-        self.book.set_target(target.models)
         self.step()
 
     def wish(
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -117,16 +117,30 @@
       model: the model.
       arrived: requests since the last message.
       waiting: requests that wait for the model now.
+      under_way: requests that are at engines for it now.
       refused: requests refused for want of it since the last message.
       rank: the most urgent rank among them.
+      reading_ms: milliseconds of reading that those that arrived need.
+      running_ms: milliseconds that they should be in slots, together.
+      adapted_ms: milliseconds of these with an adapter.
+      target_ms: least latency target among those that arrived.
+      gap_ms: least pause in a stream that their callers bear; 0 if any is.
+      patience_ms: least time after which their callers leave unanswered.
     """
 
     service: str
     model: str
     arrived: int
     waiting: int
+    under_way: int
     refused: int
     rank: int
+    reading_ms: int = 0
+    running_ms: int = 0
+    adapted_ms: int = 0
+    target_ms: int = 0
+    gap_ms: int = 0
+    patience_ms: int = 0
 
 
 class Demand(NamedTuple):
@@ -143,12 +157,14 @@
       born_ms: Unix time of the start for which it holds.
       plan: number of the plan; a lower one is older.
       models: the models, the most wanted first.
+      ready_ms: milliseconds after which it should hold them.
     """
 
     server_id: str
     born_ms: int
     plan: int
     models: tuple[str, ...]
+    ready_ms: int = 0
 
 
 class ToDomain(NamedTuple):
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -17,6 +17,7 @@
 from azureline.metrics import exposition as expositions
 from azureline.platform import requests as wire
 from azureline.platform import store as store_lib
+from azureline.relay import allowance
 from azureline.relay import asks
 from azureline.relay import budget
 from azureline.relay import claims
@@ -29,9 +30,9 @@
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
 from azureline.relay import places as places_lib
-from azureline.relay import planner as planners
 from azureline.relay import residency as residencies
 from azureline.relay import routes
+from azureline.relay import run_times
 from azureline.relay import servers
 from azureline.relay import settings as settings_lib
 from azureline.relay import tenancy as tenancies
@@ -112,6 +113,7 @@
                 self._counters,
             ),
             self._demand,
+            run_times.RunTimes(settings.engines.read_tokens_per_s),
             self._counters,
         )
         self._exchange_tools = exchange.Tools(
@@ -141,7 +143,7 @@
             self._table,
             self._peers,
             self._tenancy,
-            planners.Ceiling(*settings.loads),
+            allowance.Ceiling(*settings.loads),
         )
         asks.Answers(self._peers, self._duties.wish, self._counters)
         self._peers.on(messages.EngineState, self._told_state)
--- a/azureline/relay/patience.py
+++ b/azureline/relay/patience.py
@@ -5,9 +5,14 @@
 from azureline.core import errors
 
 # A load that was just asked for is announced within this time, unless the
-# engines are busy; a request waits for that by its own target.
+# engines are busy.
 ANNOUNCE_S = 0.35
-_ANNOUNCE_PART = 0.3
+# A request waits for an announcement for this part of the time in which a
+# load could still begin for it.
+_ANNOUNCE_PART = 0.5
+# A load that is so late is not believed in: its order may be lost, or its
+# engine gone.
+_OVERDUE_S = 0.5
 # A request needs this long after the model is there to begin its answer: the
 # node learns of it, others wait too, and the prompt has to be read.
 _SERVE_S = 0.5
@@ -31,7 +36,7 @@
     since: float,
     answer_by: float,
     deadline: float,
-    target_s: float,
+    load_s: float,
     ready_at: float | None,
 ) -> Wait | errors.Refusal:
     """Decides on a request whose model no engine can serve now.
@@ -41,16 +46,18 @@
       since: when it began to wait.
       answer_by: when the caller leaves unless the answer has begun.
       deadline: when the caller's time is over, also for coming back.
-      target_s: seconds within which its answer is worth most.
+      load_s: seconds that a load of its model takes.
       ready_at: when the model can be used, or None if nobody loads it.
 
     Returns:
       How long to wait, or the refusal with the time to come back.
     """
-    if ready_at is not None and ready_at + _SERVE_S < answer_by:
-        # A load may end a little later than announced.
-        return Wait(min(max(ready_at, now) + 0.5, answer_by - _SERVE_S))
-    announce_s = max(ANNOUNCE_S, _ANNOUNCE_PART * target_s)
+    if ready_at is not None and now >= ready_at + _OVERDUE_S:
+        ready_at = None
+    if ready_at is not None and max(ready_at, now) + _SERVE_S < answer_by:
+        return Wait(min(ready_at + _OVERDUE_S, answer_by - _SERVE_S))
+    latest = answer_by - _SERVE_S - load_s
+    announce_s = max(ANNOUNCE_S, _ANNOUNCE_PART * (latest - since))
     announced_by = min(since + announce_s, answer_by - _SERVE_S)
     if ready_at is None and now < announced_by:
         return Wait(announced_by)
--- a/azureline/relay/places.py
+++ b/azureline/relay/places.py
@@ -12,6 +12,7 @@
 from azureline.metrics import counters as metrics
 from azureline.relay import asks as asks_lib
 from azureline.relay import attempt as attempts
+from azureline.relay import capacity
 from azureline.relay import health as healths
 from azureline.relay import patience
 from azureline.relay import placement
@@ -19,6 +20,7 @@
 from azureline.relay import requests
 from azureline.relay import residency as residencies
 from azureline.relay import routes
+from azureline.relay import run_times
 from azureline.relay import servers
 
 # Prompts of this length take an engine long enough to hold up its streams.
@@ -50,6 +52,7 @@
       model: the request's model, or "".
       reading_s: seconds to read its prompt at the nominal rate.
       ahead_s: seconds that prompts before it take at the engine.
+      route: name of the request's route, or "".
     """
 
     server: servers.BackendServer
@@ -58,6 +61,7 @@
     model: str = ""
     reading_s: float = 0.0
     ahead_s: float = 0.0
+    route: str = ""
 
 
 class Asks(Protocol):
@@ -80,12 +84,22 @@
 class Demand(Protocol):
     """Learns what callers ask for."""
 
-    def arrived(self, service: str, model: str, rank: int) -> None:
-        """Counts a request."""
+    def arrived(
+        self,
+        service: str,
+        model: str,
+        rank: int,
+        work: capacity.Work,
+        aims: capacity.Aims,
+    ) -> None:
+        """Counts a request, what it should take and what its caller wants."""
 
     def waiting(self, service: str, model: str, rank: int, by: int) -> None:
         """Counts requests that begin (1) or cease (-1) to wait."""
 
+    def under_way(self, service: str, model: str, by: int) -> None:
+        """Counts requests that go to an engine (1) or have ended (-1)."""
+
     def refused(self, service: str, model: str, rank: int) -> None:
         """Counts a request that was refused for want of its model."""
 
@@ -103,6 +117,7 @@
         residency: residencies.Residency,
         asks: Asks,
         demand: Demand,
+        times: run_times.RunTimes,
         counters: metrics.Counters,
     ):
         """Creates a chooser with nothing under way."""
@@ -114,6 +129,7 @@
         self._residency = residency
         self._asks = asks
         self._demand = demand
+        self._times = times
         self._counters = counters
         self._health = healths.Health()
         self._paces = prefill.Paces()
@@ -143,7 +159,13 @@
         """
         if service.engine is None or not request.model:
             return self._plain(service, tried)
-        self._demand.arrived(service.name, request.model, route.rank)
+        self._demand.arrived(
+            service.name,
+            request.model,
+            route.rank,
+            self._times.work(route, request),
+            self._times.aims(route),
+        )
         candidates = await self._holders(
             request, route, service, answer_by, deadline
         )
@@ -157,8 +179,16 @@
         place: Place,
         result: attempts.Result | None = None,
         took_s: float = 0.0,
+        parts: int = 0,
     ) -> None:
-        """Learns that a place is free again, and how it went."""
+        """Learns that a place is free again, and how it went.
+
+        Args:
+          place: the place.
+          result: how the attempt ended; None if nothing was sent.
+          took_s: seconds that it took.
+          parts: events of the answer that were passed on.
+        """
         server = place.server
         if place.adapter_ask:
             self._asks.done(server.server_id, place.adapter_ask)
@@ -167,11 +197,15 @@
             self._under_way[server.server_id] = left
         else:
             self._under_way.pop(server.server_id, None)
+        if place.model:
+            self._demand.under_way(server.service, place.model, -1)
         if result is None or result.end is attempts.End.CANCELLED:
             return
         good = result.end is attempts.End.DELIVERED
         if result.wrong_server:
             return
+        if good and place.route:
+            self._times.note(place.route, took_s, parts, place.reading_s)
         self._health.note(server.incarnation, good, took_s, self._clock.now())
 
     def first_part(self, place: Place, first_s: float) -> None:
@@ -194,6 +228,13 @@
             place.server.server_id, request.model, self._clock.now()
         )
 
+    def unreachable(self, place: Place) -> None:
+        """Learns that a server could not be connected to."""
+        if place.model:
+            self._residency.deny(
+                place.server.server_id, place.model, self._clock.now()
+            )
+
     def load_told(self, server_id: str) -> None:
         """Learns that a server's load was told just now."""
         self._then[server_id] = self._under_way.get(server_id, 0)
@@ -232,7 +273,14 @@
         )
         priority = min(_LOWEST_PRIORITY, route.rank)
         if not request.adapter and not long:
-            return self._take(Place(ordered[0].server, priority))
+            return self._take(
+                Place(
+                    ordered[0].server,
+                    priority,
+                    model=request.model,
+                    route=route.name,
+                )
+            )
         tried = [c.server for c in ordered[:_MOST_ASKED]]
         give_up_at = self._clock.now() + route.target_s * _QUEUE_PART
         backlogs = dict.fromkeys((s.server_id for s in tried), 0.0)
@@ -243,12 +291,18 @@
                 tried.sort(key=lambda s: backlogs[s.server_id])
             reason, ready_s = "", []
             for server in tried:
-                place = self._take(Place(server, priority))
+                place = self._take(
+                    Place(
+                        server,
+                        priority,
+                        model=request.model,
+                        route=route.name,
+                    )
+                )
                 answer = await self._ask(request, place, most_s)
                 if answer.granted:
                     return place._replace(
                         adapter_ask=answer.ask if request.adapter else 0,
-                        model=request.model,
                         reading_s=answer.reading_s,
                         ahead_s=max(0.0, answer.backlog_s - answer.wait_s),
                     )
@@ -307,6 +361,8 @@
     ) -> list[servers.BackendServer] | errors.Refusal:
         """Returns the engines with the request's model, once there are any."""
         model, since = request.model, self._clock.now()
+        assert service.engine is not None
+        spec = service.engine.models.get(model)
         waits = False
         try:
             while True:
@@ -323,7 +379,7 @@
                     since,
                     answer_by,
                     deadline,
-                    route.target_s,
+                    spec.disk_s if spec else 0.0,
                     coming.at if coming else None,
                 )
                 if isinstance(decision, errors.Refusal):
@@ -385,6 +441,8 @@
     def _take(self, place: Place) -> Place:
         name = place.server.server_id
         self._under_way[name] = self._under_way.get(name, 0) + 1
+        if place.model:
+            self._demand.under_way(place.server.service, place.model, 1)
         return place
 
 
--- a/azureline/relay/planner.py
+++ b/azureline/relay/planner.py
@@ -2,50 +2,55 @@
 
 One node plans at a time.  Its plans are advice: an engine's holder decides
 each order by its own book, so two planners can waste loads but break nothing.
+
+Gains and losses are counted in requests that are lost or late within some
+seconds.  A model that no engine holds costs as much as its callers lose by
+waiting for a load, so models whose callers can wait share places in time.
 """
 
 import math
 from typing import NamedTuple
 
-from azureline.relay import messages
+from azureline.relay import allowance
+from azureline.relay import capacity
+from azureline.relay import demand_book
 from azureline.relay import placement
 from azureline.relay import routes
 
-# Demand is averaged over about this time: models rise within seconds, and a
-# load pays within a second when a copy is at hand.
-_MEMORY_S = 3.0
-# What a node tells of waiting requests holds for this long.
-_WAITING_S = 1.2
 # A model that was asked for within this time is in use.
 _IN_USE_S = 5.0
 # A model stays at least this long, so that two do not take turns.
 _STAY_S = 1.0
-# Part of all places that models in demand may fill with extra replicas.
-_SPREAD = 0.75
-# An engine with this part of its slots taken gives no more good service: it
-# is slow, or its models need more replicas.
-_CROWDED_PART = 0.35
 # Seconds that an unload takes while the model runs nothing.
 _UNLOAD_S = 0.1
-# Requests a second that one replica serves without a queue.
-_COMFORT_RATE = 4.0
-# Replicas are wanted so that none has more requests a second than this.
-_REPLICA_RATE = 2.0
+# From a request for a missing model until its load is ordered, and from the
+# load's end until nodes send requests.
+_NOTICE_S = 0.3
+# Nodes should know of a replica that was placed so long ago.
+_SETTLED_S = 3.0
 # Gains and losses are requests within this time: demand moves on after some
 # seconds.
 _HORIZON_S = 4.0
-# A request on a crowded engine is late rather than lost.
-_SPREAD_WORTH = 0.5
-# A model that nobody asked for just now may be asked for again.
-_RECENT = 0.3
+# A request that waits for a load and still is in time keeps its engine busy
+# later than others, and may yet be late.
+_WAITED_LOSS = 0.1
+# A request that no engine can serve counts as so many that are served late or
+# in time: every model is to stay reachable.
+_UNREACHABLE = 4.0
+# Replicas whose gain is looked at together.
+_TOGETHER = (1, 2, 4)
+# Part of a model's requests that are late because the only engine with it is
+# gone or takes no orders about adapters.
+_SINGLE_LOSS = 0.02
+# A replica must bring so much: each load takes its engine's time.
+_LEAST_GAIN = 0.2
 # A load from the weight store must bring this much: it costs one there and
 # holds up the engine's adapters for seconds.
 _STORE_GAIN = 1.0
-# Part of the requests for a model with adapters that name one which the
-# engine does not hold yet.
-_ADAPTER_PART = 0.3
-# Loads that a window allows beside its rate (the platform's rule).
-_SPARE_LOADS = 3.0
+# A model makes room only for one that gains so many times what it loses.
+_MARGIN = 1.4
+# A model that nobody asked for just now may be asked for again.
+_RECENT = 0.3
 # Loss of the only copy on any disk, in requests.
 _ONLY_COPY = 0.4
 
@@ -74,98 +79,6 @@
     requests: int = 0
 
 
-class _Demand(NamedTuple):
-    rate: float
-    at: float
-    last_at: float
-
-
-class _Waiting(NamedTuple):
-    count: int
-    at: float
-
-
-class DemandBook:
-    """Requests for each model, of late."""
-
-    def __init__(self):
-        self._rates: dict[str, _Demand] = {}
-        self._waiting: dict[str, dict[str, _Waiting]] = {}
-
-    def take(self, node: str, row: messages.ModelDemand, now: float) -> None:
-        """Counts what one node tells of a model."""
-        asked = row.arrived + row.refused
-        old = self._rates.get(row.model)
-        last_at = old.last_at if old else -math.inf
-        if asked or row.waiting:
-            last_at = now
-        rate = self._faded(row.model, now) + asked / _MEMORY_S
-        self._rates[row.model] = _Demand(rate, now, last_at)
-        by_node = self._waiting.setdefault(row.model, {})
-        by_node[node] = _Waiting(row.waiting + row.refused, now)
-
-    def rate(self, model: str, now: float) -> float:
-        """Returns requests a second."""
-        return self._faded(model, now)
-
-    def waiting(self, model: str, now: float) -> int:
-        """Returns requests that wait for a model, or were just refused."""
-        told = self._waiting.get(model, {}).values()
-        return sum(w.count for w in told if w.at + _WAITING_S > now)
-
-    def idle_s(self, model: str, now: float) -> float:
-        """Returns seconds since a model was asked for."""
-        known = self._rates.get(model)
-        return now - known.last_at if known else math.inf
-
-    def _faded(self, model: str, now: float) -> float:
-        known = self._rates.get(model)
-        if known is None:
-            return 0.0
-        return known.rate * math.exp(-max(0.0, now - known.at) / _MEMORY_S)
-
-
-class Ceiling(NamedTuple):
-    """Bound on loads from the weight store, over all engines.
-
-    Attributes:
-      window_s: seconds of the sliding window.
-      over: factor on the rate that a window may have.
-    """
-
-    window_s: float
-    over: float
-
-
-class LoadAllowance:
-    """Loads from the weight store that may begin, over all engines."""
-
-    def __init__(self, per_s: float, ceiling: Ceiling, now: float):
-        """Creates an allowance that a predecessor has just used up."""
-        self._ceiling = ceiling
-        self.set_rate(per_s)
-        self._tokens = min(1.0, self._burst)
-        self._at = now
-
-    def set_rate(self, per_s: float) -> None:
-        """Takes the rate of a newer configuration."""
-        self._per_s = per_s
-        # What a window allows beyond the rate, less one load that a holder
-        # begins a little later than it was planned.
-        spare = per_s * self._ceiling.window_s * (self._ceiling.over - 1.0)
-        self._burst = max(1.0, _SPARE_LOADS + spare - 1.0)
-
-    def spend(self, now: float) -> bool:
-        """Takes one load; False if it must wait."""
-        grown = self._tokens + (now - self._at) * self._per_s
-        self._tokens = min(self._burst, grown)
-        self._at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
 class Move(NamedTuple):
     """A plan for one engine.
 
@@ -173,33 +86,65 @@
       server_id: the engine.
       models: what it shall hold, the most wanted first.
       load: the model that is new there.
-      victim: the model that makes room, or "".
+      victims: the models that make room.
       load_s: seconds that the load takes.
+      busy_s: seconds that the engine should take for the whole move.
+      gain: requests that it saves.
+      loss: requests that it costs.
     """
 
     server_id: str
     models: tuple[str, ...]
     load: str
-    victim: str
+    victims: tuple[str, ...]
     load_s: float
+    busy_s: float
+    gain: float
+    loss: float
+
+
+class _Wish(NamedTuple):
+    """A model that lacks a replica, and what one would bring.
+
+    Attributes:
+      model: the model.
+      later: requests within the horizon that are served better with it.
+      waiting: requests that wait for it now, by their weight.
+    """
+
+    model: str
+    later: float
+    waiting: float
+
+    @property
+    def gain(self) -> float:
+        """Requests that a replica saves that is there at once."""
+        return self.later + self.waiting
 
 
 class _Option(NamedTuple):
-    cost: float
+    net: float
     tie: float
     engine: EngineView
-    victim: str
+    victims: tuple[str, ...]
     load_s: float
+    busy_s: float
+    gain: float
+    loss: float
 
 
 class Planner:
     """Plans one move after another."""
 
-    def __init__(self, kind: routes.EngineKind, ceiling: Ceiling, now: float):
+    def __init__(
+        self, kind: routes.EngineKind, ceiling: allowance.Ceiling, now: float
+    ):
         """Creates a planner of one service's engines."""
         self._kind = kind
-        self.demand = DemandBook()
-        self._allowance = LoadAllowance(kind.loads_per_s, ceiling, now)
+        self.demand = demand_book.DemandBook()
+        self._allowance = allowance.LoadAllowance(
+            kind.loads_per_s, ceiling, now
+        )
         self._placed_at: dict[tuple[str, str], float] = {}
 
     def set_kind(self, kind: routes.EngineKind) -> None:
@@ -207,158 +152,245 @@
         self._kind = kind
         self._allowance.set_rate(kind.loads_per_s)
 
-    @property
-    def places(self) -> int:
-        """Models of the largest size that an engine holds."""
-        sizes = [m.size_mb for m in self._kind.models.values()]
-        adapters = [m.adapter_mb for m in self._kind.models.values()]
-        if not sizes:
-            return 0
-        room = self._kind.memory_mb
-        room -= max(adapters) * self._kind.adapter_places
-        return max(1, int(room // max(sizes)))
-
     def plan(self, engines: list[EngineView], now: float) -> list[Move]:
         """Returns the moves to make now, at most one an engine."""
         engines = list(engines)
         moves: list[Move] = []
-        for gain, model in self._wanted(engines, now):
-            option = self._best(model, gain, engines, now)
+        wishes = self._wanted(engines, now)
+        # What an engine could do elsewhere in a second that it is busy.
+        pressure = sum(w.gain for w in wishes) / _HORIZON_S
+        pressure /= max(1, len(engines))
+        for wish in wishes:
+            option = self._best(wish, engines, pressure, now)
             if option is None or option.engine.free_s > 0:
-                # An engine that is busy may still be the soonest.
+                # An engine that is busy may still be the best.
                 continue
-            if not self._affordable(model, gain, option, now):
+            if not self._affordable(wish, option, now):
                 continue
-            move = self._move(model, option, now)
+            move = self._move(wish.model, option, now)
             moves.append(move)
-            self._placed_at[(move.server_id, model)] = now
+            self._placed_at[(move.server_id, wish.model)] = now
             engines = [
-                e._replace(models=move.models, free_s=option.load_s)
+                e._replace(models=move.models, free_s=option.busy_s)
                 if e.server_id == move.server_id
                 else e
                 for e in engines
             ]
         return moves
 
-    def _affordable(
-        self, model: str, gain: float, option: _Option, now: float
-    ) -> bool:
-        if not _from_store(model, option.engine):
+    def _affordable(self, wish: _Wish, option: _Option, now: float) -> bool:
+        if not _from_store(wish.model, option.engine):
             return True
-        return gain >= _STORE_GAIN and self._allowance.spend(now)
+        return wish.gain >= _STORE_GAIN and self._allowance.spend(now)
 
     def _move(self, model: str, option: _Option, now: float) -> Move:
-        kept = [m for m in option.engine.models if m != option.victim]
+        kept = [m for m in option.engine.models if m not in option.victims]
         kept.sort(key=lambda m: -self.demand.rate(m, now))
         return Move(
             option.engine.server_id,
-            (model, *kept[: self.places - 1]),
+            (model, *kept),
             model,
-            option.victim,
+            option.victims,
             option.load_s,
+            option.busy_s,
+            option.gain,
+            option.loss,
         )
 
-    def _wanted(
-        self, engines: list[EngineView], now: float
-    ) -> list[tuple[float, str]]:
-        """Returns (gain, model) of replicas that lack, the best first."""
-        counts = _replicas(engines, int(self._kind.slots * _CROWDED_PART))
-        total = sum(self.demand.rate(m, now) for m in self._kind.models)
-        places = self.places * len(engines)
-        short = []
+    def _wanted(self, engines: list[EngineView], now: float) -> list[_Wish]:
+        """Returns the replicas that lack, the best first."""
+        fleet = _Fleet(engines, self._kind, self.demand, now)
+        wishes = []
         for model in self._kind.models:
-            have = counts.get(model, 0)
-            want = min(self._target(model, total, places, now), len(engines))
-            if have < want:
-                short.append((self._gain(model, have, now), model))
-        return sorted(short, key=lambda pair: (-pair[0], pair[1]))
-
-    def _target(self, model: str, total: float, places: int, now: float) -> int:
-        """Returns the replicas that a model should have."""
-        if self.demand.idle_s(model, now) > _IN_USE_S:
-            return 0
-        rate = self.demand.rate(model, now)
-        part = rate / total if total > 0 else 0.0
-        by_share = round(part * places * _SPREAD)
-        by_rate = math.ceil(rate / _REPLICA_RATE)
-        return max(1, min(by_share, by_rate))
-
-    def _gain(self, model: str, have: int, now: float) -> float:
-        """Returns what one more replica brings, in requests."""
-        rate = self.demand.rate(model, now)
-        if have == 0:
-            waiting = self.demand.waiting(model, now)
-            return waiting + _HORIZON_S * rate
-        crowd = min(1.0, rate / have / _COMFORT_RATE)
-        return _SPREAD_WORTH * _HORIZON_S * rate / (have + 1) * crowd
-
-    def _loss(self, model: str, have: int, now: float) -> float:
+            have = fleet.sound.get(model, 0)
+            more = len(engines) - fleet.replicas.get(model, 0)
+            if more <= 0:
+                continue
+            if self.demand.idle_s(model, now) > _IN_USE_S:
+                continue
+            wish = self._wish(model, have, more, fleet, now)
+            if wish.gain >= _LEAST_GAIN:
+                wishes.append(wish)
+        return sorted(wishes, key=lambda w: (-w.gain, w.model))
+
+    def _wish(
+        self, model: str, have: int, more: int, fleet: "_Fleet", now: float
+    ) -> _Wish:
+        """Returns what one more replica brings.
+
+        One alone may bring nothing where demand takes several, so the mean of
+        several counts too.
+        """
+        missed = self._missed(model, have, fleet, now)
+        later = max(
+            (missed - self._missed(model, have + n, fleet, now)) / n
+            for n in _TOGETHER
+            if n <= more
+        )
+        held = model in fleet.replicas
+        waits = not held or fleet.settled(model) and self._old(model, now)
+        # Requests that wait although engines hold the model cannot reach them.
+        waiting = self.demand.waiting(model, now) if waits else 0
+        return _Wish(model, max(0.0, later), waiting * _UNREACHABLE)
+
+    def _old(self, model: str, now: float) -> bool:
+        """Returns whether all replicas were placed long ago."""
+        placed = [t for (_, m), t in self._placed_at.items() if m == model]
+        return max(placed, default=-math.inf) + _SETTLED_S < now
+
+    def _loss(
+        self, model: str, have: int, fleet: "_Fleet", now: float
+    ) -> float:
         """Returns what a replica is worth, in requests."""
-        rate = self.demand.rate(model, now)
+        loss = self._missed(model, have - 1, fleet, now)
+        loss -= self._missed(model, have, fleet, now)
         if have > 1:
-            crowd = min(1.0, rate / (have - 1) / _COMFORT_RATE)
-            return _SPREAD_WORTH * _HORIZON_S * rate / have * crowd
+            return max(0.0, loss)
         idle_s = self.demand.idle_s(model, now)
         recent = math.exp(-idle_s / _IN_USE_S) if idle_s < math.inf else 0.0
         waiting = self.demand.waiting(model, now)
-        return _HORIZON_S * rate + waiting + _RECENT * recent
+        return max(0.0, loss) + waiting * _UNREACHABLE + _RECENT * recent
+
+    def _missed(
+        self, model: str, replicas: int, fleet: "_Fleet", now: float
+    ) -> float:
+        """Returns requests that so many replicas lose, by their worth."""
+        within = _HORIZON_S * self.demand.rate(model, now)
+        lost = fleet.lost(model, max(1, replicas))
+        if replicas > 1:
+            return within * lost
+        if replicas == 1:
+            return within * (lost + _SINGLE_LOSS)
+        return within * max(self._absent_loss(model), lost + _SINGLE_LOSS)
+
+    def _absent_loss(self, model: str) -> float:
+        """Returns what a request loses that waits until a load has ended."""
+        spec = self._kind.models.get(model)
+        if spec is None:
+            return 0.0  # The configuration dropped it.
+        aims = self.demand.aims(model)
+        ready_s = _NOTICE_S + spec.disk_s
+        if ready_s > aims.patience_s:
+            return 1.0
+        return capacity.LATE_LOSS if ready_s > aims.target_s else _WAITED_LOSS
 
     def _best(
-        self, model: str, gain: float, engines: list[EngineView], now: float
+        self,
+        wish: _Wish,
+        engines: list[EngineView],
+        pressure: float,
+        now: float,
     ) -> _Option | None:
-        """Returns the option that brings a replica soonest at least loss."""
-        fleet = _Fleet(engines)
+        """Returns the option that brings most beyond what it costs."""
+        fleet = _Fleet(engines, self._kind, self.demand, now)
         options = []
         for engine in engines:
-            if model in engine.models:
+            if wish.model in engine.models:
                 continue
-            option = self._option(model, engine, fleet, gain, now)
+            option = self._option(wish, engine, fleet, pressure, now)
             if option is not None:
                 options.append(option)
-        return min(options, key=lambda o: (o.cost, o.tie), default=None)
+        return max(options, key=lambda o: (o.net, -o.tie), default=None)
 
     def _option(
         self,
-        model: str,
+        wish: _Wish,
         engine: EngineView,
         fleet: "_Fleet",
-        gain: float,
+        pressure: float,
         now: float,
     ) -> _Option | None:
-        victim, loss = "", 0.0
-        if len(engine.models) >= self.places:
-            fit = [
-                (self._loss(m, fleet.replicas.get(m, 0), now), m)
-                for m in engine.models
-                if self._may_go(engine, m, now)
-            ]
-            if not fit:
-                return None
-            loss, victim = min(fit)
-            if loss >= 0.7 * gain:
-                return None
-        load_s = self._load_s(model, engine)
-        ready_s = engine.free_s + load_s + (_UNLOAD_S if victim else 0.0)
-        cost = ready_s * gain / _HORIZON_S + loss
-        cost += load_s * self._held_up(engine, victim, fleet, now)
-        if _from_store(model, engine) and fleet.only_copy(
+        victims = self._victims(wish.model, engine, fleet, now)
+        if victims is None:
+            return None
+        loss = sum(loss for loss, _ in victims)
+        names = tuple(name for _, name in victims)
+        load_s = self._load_s(wish.model, engine)
+        unload_s = sum(fleet.unload_s(v) for v in names)
+        busy_s = unload_s + load_s
+        loss += unload_s * sum(self._turned_away(v, fleet, now) for v in names)
+        gain = self._gain_after(wish, engine.free_s + busy_s)
+        if victims and loss * _MARGIN >= gain:
+            return None
+        net = gain - loss - busy_s * pressure
+        net -= busy_s * self._held_up(engine, names, fleet, now)
+        if _from_store(wish.model, engine) and fleet.only_copy(
             engine, self._disk_places
         ):
-            cost += _ONLY_COPY
-        tie = placement.rank(model, engine.server_id)
-        return _Option(cost, tie, engine, victim, load_s)
+            net -= _ONLY_COPY
+        tie = placement.rank(wish.model, engine.server_id)
+        return _Option(net, tie, engine, names, load_s, busy_s, gain, loss)
+
+    def _turned_away(self, model: str, fleet: "_Fleet", now: float) -> float:
+        """Returns requests lost in each second of an unload."""
+        if fleet.replicas.get(model, 0) > 1:
+            return 0.0
+        return self.demand.rate(model, now) * capacity.LATE_LOSS
+
+    def _gain_after(self, wish: _Wish, ready_s: float) -> float:
+        """Returns what a replica brings that is there after so long.
+
+        Demand moves on meanwhile, and callers leave; some come back.
+        """
+        left_s = self.demand.aims(wish.model).patience_s
+        later = wish.later * _HORIZON_S / (_HORIZON_S + ready_s)
+        return later + wish.waiting * left_s / (left_s + ready_s)
+
+    def _victims(
+        self, model: str, engine: EngineView, fleet: "_Fleet", now: float
+    ) -> list[tuple[float, str]] | None:
+        """Returns (loss, model) of those that make room; None if none can."""
+        lacks_mb = self._size_mb(model) - self._kind.room_mb
+        lacks_mb += sum(self._size_mb(m) for m in engine.models)
+        if lacks_mb <= 0:
+            return []
+        fit = sorted(
+            (self._loss(m, fleet.replicas.get(m, 0), fleet, now), m)
+            for m in engine.models
+            if self._may_go(engine, m, now)
+        )
+        for loss, name in fit:
+            if self._size_mb(name) >= lacks_mb:
+                alone = (loss, name)
+                break
+        else:
+            alone = None
+        several: list[tuple[float, str]] = []
+        for loss, name in fit:
+            if lacks_mb <= 0:
+                break
+            several.append((loss, name))
+            lacks_mb -= self._size_mb(name)
+        if lacks_mb > 0:
+            return [alone] if alone else None
+        if alone and alone[0] <= sum(loss for loss, _ in several):
+            return [alone]
+        return several
+
+    def _size_mb(self, model: str) -> float:
+        spec = self._kind.models.get(model)
+        if spec is not None:
+            return spec.size_mb
+        # A model that the configuration dropped still takes its memory.
+        return max((m.size_mb for m in self._kind.models.values()), default=0)
 
     def _held_up(
-        self, engine: EngineView, victim: str, fleet: "_Fleet", now: float
+        self,
+        engine: EngineView,
+        victims: tuple[str, ...],
+        fleet: "_Fleet",
+        now: float,
     ) -> float:
         """Returns requests a second whose adapters an engine's load delays."""
         held_up = 0.0
         for model in engine.models:
             spec = self._kind.models.get(model)
-            if model == victim or spec is None or not spec.adapters:
+            if model in victims or spec is None or not spec.adapters:
                 continue
             others = fleet.free_with(model) - 1
-            rate = self.demand.rate(model, now) * _ADAPTER_PART
+            work = self.demand.work(model, now)
+            part = work.adapted / work.running if work.running else 0.0
+            rate = self.demand.rate(model, now) * part
             held_up += rate if others <= 0 else rate * 0.1 / others
         return held_up
 
@@ -379,10 +411,25 @@
 
 
 class _Fleet:
-    """Counts over all engines."""
+    """What all engines hold and have to do."""
 
-    def __init__(self, engines: list[EngineView]):
+    def __init__(
+        self,
+        engines: list[EngineView],
+        kind: routes.EngineKind,
+        demand: demand_book.DemandBook,
+        now: float,
+    ):
+        self._bounds = capacity.Bounds(kind.slots, kind.adapter_places)
+        self._engines = max(1, len(engines))
+        self._demand = demand
+        self._work = {m: demand.work(m, now) for m in kind.models}
+        self._under_way = {m: demand.under_way(m, now) for m in kind.models}
+        self._total = capacity.Work()
+        for work in self._work.values():
+            self._total = self._total.plus(work)
         self.replicas = _replicas(engines)
+        self.sound = _replicas([e for e in engines if not self._overloaded(e)])
         self._free: dict[str, int] = {}
         self._copies: dict[str, int] = {}
         for engine in engines:
@@ -392,6 +439,33 @@
                 for model in engine.models:
                     self._free[model] = self._free.get(model, 0) + 1
 
+    def lost(self, model: str, replicas: int) -> float:
+        """Returns the part of a model's requests that replicas lose."""
+        own = self._work.get(model, capacity.Work())
+        beside = self._total.less(own).times(1 / self._engines)
+        return capacity.lost_part(
+            own.times(1 / replicas).plus(beside),
+            self._demand.each(model),
+            self._bounds,
+            self._demand.aims(model),
+        )
+
+    def unload_s(self, model: str) -> float:
+        """Returns seconds until the requests of a replica should have ended.
+
+        The last of n requests with random ends takes the harmonic number of n
+        times as long as one.
+        """
+        running = self._under_way.get(model, 0)
+        running /= max(1, self.replicas.get(model, 1))
+        each_s = self._demand.each(model).running
+        return _UNLOAD_S + each_s * math.log1p(running)
+
+    def settled(self, model: str) -> bool:
+        """Returns whether no engine with a model has an order under way."""
+        held = self.replicas.get(model, 0)
+        return self._free.get(model, 0) == held
+
     def free_with(self, model: str) -> int:
         """Returns the engines with a model that can load adapters now."""
         return self._free.get(model, 0)
@@ -403,19 +477,26 @@
         oldest = engine.on_disk[0]
         return self._copies.get(oldest, 0) <= 1
 
+    def _overloaded(self, engine: EngineView) -> bool:
+        """Returns whether an engine does not get on with its requests."""
+        expected = sum(
+            self._work[m].running / self.replicas[m]
+            for m in engine.models
+            if m in self._work
+        )
+        return capacity.is_overloaded(
+            engine.requests, expected, self._bounds.slots
+        )
+
 
 def _from_store(model: str, engine: EngineView) -> bool:
     return model not in engine.in_memory and model not in engine.on_disk
 
 
-def _replicas(
-    engines: list[EngineView], crowded: int | None = None
-) -> dict[str, int]:
-    """Returns the engines by model, without crowded ones if asked for."""
+def _replicas(engines: list[EngineView]) -> dict[str, int]:
+    """Returns the number of engines by model that they hold."""
     counts: dict[str, int] = {}
     for engine in engines:
-        if crowded is not None and engine.requests > crowded:
-            continue
         for model in engine.models:
             counts[model] = counts.get(model, 0) + 1
     return counts
--- a/azureline/relay/planning.py
+++ b/azureline/relay/planning.py
@@ -4,6 +4,7 @@
 
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
+from azureline.relay import allowance
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
 from azureline.relay import planner as planners
@@ -17,24 +18,34 @@
 
 # An engine without a holder gets none that may give orders sooner.
 _NO_HOLDER_S = 5.0
-# A plan that is not carried out by so much after its load is dropped: its
-# holder or its engine may be gone.
+# A plan that is not carried out by so much after it should have been is
+# dropped: its holder or its engine may be gone.
 _LATE_S = 2.5
 # An engine that is busy is taken to be so for at least this long.
 _BUSY_S = 0.2
+# One that is busy for longer than it should be is taken to stay so for this
+# part of the time that it has been.
+_OVERDUE_PART = 0.5
 
 
 class _Told(NamedTuple):
     state: messages.EngineState
     at: float
+    busy_since: float
 
 
 class _Sent:
-    def __init__(self, target: messages.Target, load_s: float, at: float):
+    def __init__(self, target: messages.Target, busy_s: float, at: float):
         self.target = target
-        self.load_s = load_s
         self.at = at
-        self._late_at = at + load_s + _LATE_S
+        self._began = at
+        self._due_at = at + busy_s
+        self._late_at = at + 2 * busy_s + _LATE_S
+
+    def left_s(self, now: float) -> float:
+        """Returns seconds until it should have been carried out."""
+        overdue_s = (now - self._began) * _OVERDUE_PART
+        return self._due_at - now if now < self._due_at else overdue_s
 
     def is_late(self, now: float) -> bool:
         """Returns whether it should have been carried out by now."""
@@ -49,7 +60,7 @@
         clock: clocks.Clock,
         catalogue: servers.Catalogue,
         peers: peers_lib.Peers,
-        ceiling: planners.Ceiling,
+        ceiling: allowance.Ceiling,
         log: events.Log,
         counters: metrics.Counters,
     ):
@@ -69,7 +80,15 @@
 
     def state(self, state: messages.EngineState) -> None:
         """Takes what a holder tells of its engine."""
-        self._states[state.server_id] = _Told(state, self._clock.now())
+        now = self._clock.now()
+        known = self._states.get(state.server_id)
+        goes_on = (
+            known is not None
+            and known.state.busy
+            and known.state.born_ms == state.born_ms
+        )
+        since = known.busy_since if known is not None and goes_on else now
+        self._states[state.server_id] = _Told(state, now, since)
 
     def load(self, load: messages.EngineLoad) -> None:
         """Takes what a holder tells of its engine's load."""
@@ -110,20 +129,24 @@
                 server.born_ms,
                 term * 100000 + self._serial,
                 move.models,
+                round(move.busy_s * 1000),
             )
             self._counters.count("plans.made")
             self._log.info(
                 "planned",
                 server=move.server_id,
                 load=move.load,
-                unload=move.victim,
+                unload=list(move.victims),
+                gain=round(move.gain, 2),
+                loss=round(move.loss, 2),
                 rate=round(planner.demand.rate(move.load, now), 2),
                 waiting=planner.demand.waiting(move.load, now),
                 load_s=move.load_s,
+                busy_s=round(move.busy_s, 2),
                 on_disk=list(server.on_disk),
                 models=list(move.models),
             )
-            self._sent[move.server_id] = _Sent(target, move.load_s, now)
+            self._sent[move.server_id] = _Sent(target, move.busy_s, now)
             self._send(target)
         self._repeat(now)
 
@@ -138,7 +161,8 @@
             models = tuple(name for name, _ in told.state.models)
             left_s = told.at + told.state.coming_ms / 1000 - now
             if told.state.busy:
-                free_s = max(free_s, left_s, _BUSY_S)
+                overdue_s = (now - told.busy_since) * _OVERDUE_PART
+                free_s = max(free_s, left_s, overdue_s, _BUSY_S)
             held_s = told.at + told.state.held_ms / 1000 - now
             free_s = max(free_s, held_s)
         sent = self._sent.get(server.server_id)
@@ -150,7 +174,7 @@
             else:
                 # Under way: it counts as holding what it shall hold.
                 models = sent.target.models
-                free_s = max(free_s, sent.load_s, _BUSY_S)
+                free_s = max(free_s, sent.left_s(now), _BUSY_S)
         return planners.EngineView(
             server.server_id,
             server.born_ms,
--- a/azureline/relay/routes.py
+++ b/azureline/relay/routes.py
@@ -60,6 +60,13 @@
         """
         return max(2.0, 4.0 * self.target_s, 8.0 * self.gap_s)
 
+    @property
+    def patience_s(self) -> float:
+        """Seconds after which callers leave if no answer has begun."""
+        if self.kind is not Kind.STREAMING:
+            return self.timeout_s
+        return min(self.timeout_s, self.first_event_s)
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
@@ -111,6 +118,12 @@
     loads_per_s: float
     models: dict[str, Model]
 
+    @property
+    def room_mb(self) -> float:
+        """Memory for models beside a full set of the largest adapters."""
+        largest = max((m.adapter_mb for m in self.models.values()), default=0.0)
+        return self.memory_mb - largest * self.adapter_places
+
 
 class Service(NamedTuple):
     """A service.
--- /dev/null
+++ b/tests/test_relay_run_times.py
@@ -0,0 +1,68 @@
+"""Tests of what nodes learn of the time that requests take."""
+
+import pytest
+
+from azureline.relay import requests
+from azureline.relay import run_times
+from tests import builders_relay as builders
+
+_PARTS = (
+    requests.PromptPart("a", 3000),
+    requests.PromptPart("b", 3300),
+    requests.PromptPart("own", 2890),
+)
+
+
+def _request(**fields):
+    return builders.request(prompt_tokens=9190, parts=_PARTS, **fields)
+
+
+def test_shared_parts_are_taken_to_be_read_until_a_holder_tells():
+    times = run_times.RunTimes(38000.0)
+    route = builders.route()
+    first = times.work(route, _request())
+    assert first.reading == pytest.approx(2890 / 38000 * 1.2)
+    times.note(route.name, 1.0, 10, 0.2)
+    assert times.work(route, _request()).reading == pytest.approx(0.24)
+
+
+def test_a_holder_that_was_not_asked_changes_no_reading_time():
+    times = run_times.RunTimes(38000.0)
+    times.note("r", 1.0, 10, 0.2)
+    times.note("r", 1.0, 10, 0.0)
+    assert times.work(builders.route(), _request()).reading == pytest.approx(
+        0.24
+    )
+
+
+def test_run_times_follow_what_is_seen():
+    times = run_times.RunTimes(38000.0)
+    route = builders.route(target_s=0.25)
+    assert times.work(route, _request()).running == 0.25
+    for _ in range(100):
+        times.note(route.name, 1.8, 56, 0.0)
+    work = times.work(route, _request(adapter="a1"))
+    assert work.running == work.adapted == pytest.approx(1.8)
+    assert times.work(route, _request()).adapted == 0.0
+
+
+def test_pauses_that_are_left_for_prompts():
+    times = run_times.RunTimes(38000.0)
+    route = builders.route(gap_s=0.15)
+    assert times.aims(route).gap_s == 0.15
+    times.note(route.name, 1.68, 56, 0.0)
+    assert times.aims(route).gap_s == pytest.approx(0.12)
+    times.note("slow", 10.0, 10, 0.0)
+    slow = builders.route("slow", gap_s=0.15)
+    assert times.aims(slow).gap_s == pytest.approx(0.015)
+    assert times.aims(builders.route("free", gap_s=0.0)).gap_s == 0.0
+
+
+def test_routes_that_are_remembered_are_bounded():
+    times = run_times.RunTimes(38000.0)
+    for number in range(5000):
+        times.note(f"r{number}", 1.0, 1, 0.0)
+    old, new = builders.route("r0"), builders.route("r4999")
+    assert times.work(new, builders.request()).running == 1.0
+    old = old._replace(target_s=0.3)
+    assert times.work(old, builders.request()).running == 0.3
