Keep an adapter that a holder granted twice while its request runs

Ruled out: dropping second answers; one that comes after the request has ended stands for a grant that nobody uses. Change: a node remembers granted adapters until their requests end. Refusals for want of a model say whether its load is late or overdue, and connections that fail are counted.

--- a/azureline/relay/asks.py
+++ b/azureline/relay/asks.py
@@ -82,6 +82,8 @@
         self._counters = counters
         self._numbers = itertools.count(1)
         self._asks: dict[int, _Ask] = {}
+        # Adapters that were granted to requests which have not ended.
+        self._granted: set[int] = set()
         self._silent: dict[str, float] = {}
         peers.on(messages.EngineAnswer, self._answered)
 
@@ -90,6 +92,11 @@
         """Engines whose holders are remembered for their silence."""
         return len(self._silent)
 
+    @property
+    def granted(self) -> int:
+        """Grants of adapters to requests that have not ended."""
+        return len(self._granted)
+
     def ask(
         self,
         server: servers.BackendServer,
@@ -131,6 +138,7 @@
 
     def done(self, server_id: str, number: int) -> None:
         """Tells a holder that a request that it granted has ended."""
+        self._granted.discard(number)
         holder = self._peers.holder_of(server_id)
         if holder is not None:
             self._peers.send(holder, messages.EngineDone(number, server_id))
@@ -175,7 +183,8 @@
         self, message: messages.EngineAnswer, host: str, port: int
     ) -> None:
         self._silent.pop(message.server_id, None)
-        if message.ask not in self._asks and message.granted:
+        in_use = message.ask in self._granted
+        if message.granted and message.ask not in self._asks and not in_use:
             # Too late: nobody waits for it any more.
             self.done(message.server_id, message.ask)
         self._finish(
@@ -193,6 +202,8 @@
     def _finish(self, number: int, answer: Answer) -> None:
         ask = self._asks.pop(number, None)
         if ask is not None:
+            if answer.granted and answer.ask and ask.question.adapter:
+                self._granted.add(number)
             ask.answer.callback(answer)
 
 
--- a/azureline/relay/patience.py
+++ b/azureline/relay/patience.py
@@ -52,7 +52,11 @@
     Returns:
       How long to wait, or the refusal with the time to come back.
     """
+    detail = "No engine holds the model."
+    if ready_at is not None:
+        detail = "No engine holds the model in time: its load ends too late."
     if ready_at is not None and now >= ready_at + _OVERDUE_S:
+        detail = "No engine holds the model: its load is overdue."
         ready_at = None
     if ready_at is not None and max(ready_at, now) + _SERVE_S < answer_by:
         return Wait(min(ready_at + _OVERDUE_S, answer_by - _SERVE_S))
@@ -64,7 +68,7 @@
     wanted = ANNOUNCE_S if ready_at is None else max(0.0, ready_at - now)
     return errors.Refusal(
         errors.ErrorKind.NO_REPLICA,
-        "No engine holds the model.",
+        detail,
         retry_after=return_after(now, deadline, wanted),
         ran=errors.Ran.NO,
     )
--- a/azureline/relay/places.py
+++ b/azureline/relay/places.py
@@ -231,6 +231,7 @@
     def unreachable(self, place: Place) -> None:
         """Learns that a server could not be connected to."""
         if place.model:
+            self._counters.count("engines.unreachable")
             self._residency.deny(
                 place.server.server_id, place.model, self._clock.now()
             )
--- a/tests/test_relay_asks.py
+++ b/tests/test_relay_asks.py
@@ -128,3 +128,32 @@
     assert not waiting
     fixture.answer()
     assert waiting[0].granted
+
+
+def test_a_grant_that_is_told_twice_is_kept_until_the_request_ends():
+    """A question that was sent again may be answered again."""
+    fixture = _Fixture()
+    fixture.held_by("n2")
+    answers = fixture.ask()
+    number = fixture.peers.sent[-1].ask
+    fixture.clock.advance(0.1)  # It is sent again.
+    fixture.answer()
+    assert answers[0].granted
+    sent = len(fixture.peers.sent)
+    fixture.answer()
+    assert fixture.peers.sent[sent:] == []
+    done = messages.EngineDone(number, "e1")
+    fixture.asks.done("e1", number)
+    assert fixture.peers.sent[sent:] == [done]
+    # The holder may have granted it once more since.
+    told = messages.EngineAnswer(number, "e1", True, 0, 0, "", 0)
+    fixture.peers.datagram("127.0.0.1", 2, told)
+    assert fixture.peers.sent[sent:] == [done, done]
+
+
+def test_grants_without_an_adapter_are_not_remembered():
+    fixture = _Fixture()
+    fixture.held_by("n2")
+    fixture.ask(adapter="")
+    fixture.answer()
+    assert fixture.asks.granted == 0
