--- a/azureline/relay/patience.py
+++ b/azureline/relay/patience.py
@@ -9,7 +9,7 @@
 ANNOUNCE_S = 0.35
 # A request waits for an announcement for this part of the time in which a
 # load could still begin for it.
-_ANNOUNCE_PART = 0.5
+_ANNOUNCE_PART = 0.9
 # A load that is so late is not believed in: its order may be lost, or its
 # engine gone.
 _OVERDUE_S = 0.5
