Bound answers that backend servers send without end

A plain answer, a failure of a stream and whatever is fetched (reports, the store) were collected without a bound, and interim answers were read for ever: 3 s of a route's time at link speed is more than a node's memory. Ruled out: heads, chunk sizes, extensions, trailers and events without end: they were bounded already, and have tests now. Change: at most 4 MiB of an answer that is collected whole and 16 interim answers; the connection is closed and the request counts as broken. Of the new tests those of bodies, chunks, lengths, interim answers, plain answers and failures of streams fail without the bound. Conclusion: a node's memory per connection is bounded by these figures.

--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -77,7 +77,7 @@
         self._part_at: float | None = None
         self._head: http1.Head | None = None
         self._reply: wire.Reply | None = None
-        self._parts: list[bytes] = []
+        self._body = http1.Body()
         self._call: http1.Call | None = None
         self.done: defer.Deferred[Result] = defer.Deferred()
         # Seconds to the first part of the answer, and the longest pause
@@ -119,7 +119,8 @@
             return
         self._note_part()
         if not self._streams():
-            self._parts.append(data)
+            if not self._body.add(data):
+                self._break(http1.TOO_LARGE)
             return
         read = self._reader.feed(data)
         if read.pieces:
@@ -148,14 +149,14 @@
         elif self._streams():
             self._end_stream()
         elif head.status >= 500:
-            kept = http1.Answer(head, b"".join(self._parts))
+            kept = http1.Answer(head, self._body.whole())
             self._finish(
                 Result(
                     End.FAILED, f"status {head.status}", head.status, kept=kept
                 )
             )
         else:
-            pass_on(self._received, http1.Answer(head, b"".join(self._parts)))
+            pass_on(self._received, http1.Answer(head, self._body.whole()))
             self._finish(Result(End.DELIVERED, status=head.status))
 
     def failed(self, failure: http1.Failed) -> None:
--- a/azureline/util/http1.py
+++ b/azureline/util/http1.py
@@ -22,6 +22,12 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 MAX_HEAD_BYTES = 65536
+# Interim answers (1xx) before an answer.
+MAX_INTERIM = 16
+# Of an answer that is collected whole.
+MAX_BODY_BYTES = 4 << 20
+# Reason of a failure.
+TOO_LARGE = "answer: too large"
 # Below the shortest idle timeout that backend servers announce.
 MAX_IDLE_S = 4.0
 # A peer that announces N seconds may close up to this much earlier.
@@ -213,6 +219,7 @@
         """
         fetching = _Fetch()
         call = self.start(address, request, fetching, fresh)
+        fetching.call = call
 
         def expired() -> None:
             sent = call.connection is not None
@@ -281,23 +288,47 @@
             waiting.popleft().abort()
 
 
+class Body:
+    """Collects the body of one answer, up to a bound."""
+
+    def __init__(self):
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def add(self, data: bytes) -> bool:
+        """Takes a part; False if the body is too large."""
+        self._size += len(data)
+        if self._size > MAX_BODY_BYTES:
+            self._parts = []
+            return False
+        self._parts.append(data)
+        return True
+
+    def whole(self) -> bytes:
+        """Returns what was collected."""
+        return b"".join(self._parts)
+
+
 class _Fetch:
     """Collects one answer."""
 
     def __init__(self):
         self.result: defer.Deferred[Answer | Failed] = defer.Deferred()
+        self.call: Call | None = None
         self._head: Head | None = None
-        self._parts: list[bytes] = []
+        self._body = Body()
 
     def head(self, head: Head) -> None:
         self._head = head
 
     def data(self, data: bytes) -> None:
-        self._parts.append(data)
+        if not self._body.add(data) and self.call is not None:
+            self.call.cancel()
+            self.failed(Failed(TOO_LARGE, sent=True))
 
     def ended(self) -> None:
         assert self._head is not None
-        self._finish(Answer(self._head, b"".join(self._parts)))
+        self._finish(Answer(self._head, self._body.whole()))
 
     def failed(self, failure: Failed) -> None:
         self._finish(failure)
@@ -319,6 +350,7 @@
         )
         self._call: Call | None = None
         self._calls = 0
+        self._interim = 0
         self._keep_s = MAX_IDLE_S
         self._ended = False
 
@@ -334,6 +366,7 @@
         """Sends a call's request."""
         self._call = call
         self._calls += 1
+        self._interim = 0
         call.connection = self
         request = call.request
         headers = list(request.headers)
@@ -400,6 +433,10 @@
             self.abort()
             return
         match event:
+            case h11.InformationalResponse():
+                self._interim += 1
+                if self._interim > MAX_INTERIM:
+                    self._give_up("answer: too many interim answers")
             case h11.Response():
                 head = Head(
                     event.status_code, bytes(event.reason), tuple(event.headers)
--- a/tests/builders_http1.py
+++ b/tests/builders_http1.py
@@ -80,3 +80,43 @@
     """Returns an answer with a length."""
     lines = [b"HTTP/1.1 200 OK", b"Content-Length: %d" % len(body), *headers]
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class Endless(protocol.Protocol):
+    """Sends the same bytes until the other side closes."""
+
+    def connectionMade(self):  # noqa: N802
+        self._producing = False
+
+    def dataReceived(self, data):  # noqa: N802
+        if self._producing:
+            return
+        self._producing = True
+        self.transport.write(self.factory.start)
+        self.transport.registerProducer(self, streaming=False)
+
+    def resumeProducing(self):  # noqa: N802
+        """Sends once more; called when the bytes before have gone."""
+        self.factory.sent += len(self.factory.again)
+        self.transport.write(self.factory.again)
+
+    def stopProducing(self):  # noqa: N802
+        """Learns that the connection is gone."""
+
+    def connectionLost(self, reason):  # noqa: N802
+        if not self.factory.closed.called:
+            self.factory.closed.callback(None)
+
+
+def serve_endless(
+    case: Any, start: bytes, again: bytes
+) -> tuple[http1.Address, Any]:
+    """Serves bytes without end; returns the address and the factory."""
+    factory = protocol.Factory.forProtocol(Endless)
+    factory.start = start
+    factory.again = again
+    factory.sent = 0
+    factory.closed = defer.Deferred()
+    port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+    case.addCleanup(port.stopListening)
+    return http1.Address("127.0.0.1", port.getHost().port), factory
--- /dev/null
+++ b/tests/test_relay_attempt.py
@@ -0,0 +1,70 @@
+"""Tests of one send to a backend server, over real connections."""
+
+from twisted.internet import reactor
+from twisted.trial import unittest
+
+from azureline.platform import requests as wire
+from azureline.relay import attempt
+from azureline.relay import pieces
+from azureline.util import http1
+from tests import builders_http1
+from tests import builders_relay
+
+
+class _Received:
+    """A caller's side that counts what it gets."""
+
+    begun = False
+
+    def __init__(self):
+        self.got = 0
+
+    def head(self, status, reason, headers):
+        self.begun = True
+
+    def part(self, data):
+        self.got += len(data)
+
+
+class EndlessAnswerTest(unittest.TestCase):
+    async def _attempt(self, status, **fields):
+        seal = b"Azureline-Server-Seal: x\r\n"
+        echo = b"Azureline-Request-Id: 9c41d07be2a35f68\r\n"
+        start = b"HTTP/1.1 %s\r\n%s%s\r\n" % (status, seal, echo)
+        address, factory = builders_http1.serve_endless(
+            self, start, b"x" * 65536
+        )
+        received = _Received()
+        one = attempt.Attempt(
+            received,
+            "9c41d07be2a35f68",
+            builders_relay.route(**fields),
+            pieces.EventReader(""),
+            reactor.seconds,
+            lambda first_s: None,
+        )
+        caller = builders_relay.request(headers=((b"host", b"x"),))
+        request = wire.encode(caller, 5.0, "e1", None, None)
+        client = builders_http1.client(self)
+        one.begin(client, address, request, fresh=True)
+        result = await one.done.addTimeout(5.0, reactor)
+        await factory.closed.addTimeout(2.0, reactor)
+        return result, received, factory.sent
+
+    async def test_a_plain_answer(self):
+        result, received, sent = await self._attempt(b"200 OK")
+        assert result.end is attempt.End.BROKEN
+        assert result.reason == http1.TOO_LARGE
+        assert received.got == 0 and sent < 4 * http1.MAX_BODY_BYTES
+
+    async def test_a_failure_of_a_stream(self):
+        kind = builders_relay.routes.Kind.STREAMING
+        result, _, sent = await self._attempt(b"500 Oops", kind=kind)
+        assert result.end is attempt.End.BROKEN
+        assert sent < 4 * http1.MAX_BODY_BYTES
+
+    async def test_an_event_of_a_stream(self):
+        kind = builders_relay.routes.Kind.STREAMING
+        result, received, sent = await self._attempt(b"200 OK", kind=kind)
+        assert result.end is attempt.End.BROKEN
+        assert received.got == 0 and sent < 8 * pieces.MAX_EVENT_BYTES
--- a/tests/test_util_http1.py
+++ b/tests/test_util_http1.py
@@ -116,3 +116,58 @@
             None
         )
         await closed.addTimeout(1.0, reactor)
+
+
+class EndlessPeerTest(unittest.TestCase):
+    """Peers that send without end until the other side closes."""
+
+    def setUp(self):
+        self.client = builders.client(self)
+
+    async def _fetch_from(self, start, again):
+        """Returns the outcome and the bytes that were sent until the close."""
+        address, factory = builders.serve_endless(self, start, again)
+        result = await self.client.fetch(address, builders.get(address), 10.0)
+        assert isinstance(result, http1.Failed) and result.sent
+        assert "timeout" not in result.reason
+        await factory.closed.addTimeout(2.0, reactor)
+        return factory.sent
+
+    async def test_a_body_without_end(self):
+        start = b"HTTP/1.1 200 OK\r\n\r\n"
+        sent = await self._fetch_from(start, b"x" * 65536)
+        assert sent < 4 * http1.MAX_BODY_BYTES
+
+    async def test_chunks_without_end(self):
+        start = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        sent = await self._fetch_from(start, b"8000\r\n%s\r\n" % (b"x" * 32768))
+        assert sent < 4 * http1.MAX_BODY_BYTES
+
+    async def test_a_length_that_is_too_large(self):
+        start = b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n"
+        sent = await self._fetch_from(start, b"x" * 65536)
+        assert sent < 4 * http1.MAX_BODY_BYTES
+
+    async def test_a_head_without_end(self):
+        sent = await self._fetch_from(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n" * 999)
+        assert sent < 64 * http1.MAX_HEAD_BYTES
+
+    async def test_a_chunk_size_without_end(self):
+        start = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        sent = await self._fetch_from(start, b"0" * 8192)
+        assert sent < 64 * http1.MAX_HEAD_BYTES
+
+    async def test_a_chunk_extension_without_end(self):
+        start = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;"
+        sent = await self._fetch_from(start, b"x" * 8192)
+        assert sent < 64 * http1.MAX_HEAD_BYTES
+
+    async def test_trailers_without_end(self):
+        start = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n"
+        sent = await self._fetch_from(start, b"a: b\r\n" * 999)
+        assert sent < 64 * http1.MAX_HEAD_BYTES
+
+    async def test_interim_answers_without_end(self):
+        again = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 99
+        sent = await self._fetch_from(b"HTTP/1.1 100 Continue\r\n\r\n", again)
+        assert sent < 64 * http1.MAX_HEAD_BYTES
