--- a/azureline/relay/planner.py
+++ b/azureline/relay/planner.py
@@ -14,6 +14,7 @@
 from azureline.relay import allowance
 from azureline.relay import capacity
 from azureline.relay import demand_book
+from azureline.relay import engines as engines_lib
 from azureline.relay import placement
 from azureline.relay import routes
 
@@ -21,8 +22,6 @@
 _IN_USE_S = 5.0
 # A model stays at least this long, so that two do not take turns.
 _STAY_S = 1.0
-# Seconds that an unload takes while the model runs nothing.
-_UNLOAD_S = 0.1
 # From a request for a missing model until its load is ordered, and from the
 # load's end until nodes send requests.
 _NOTICE_S = 0.3
@@ -55,30 +54,6 @@
 _ONLY_COPY = 0.4
 
 
-class EngineView(NamedTuple):
-    """What the planner knows of an engine.
-
-    Attributes:
-      server_id: the engine.
-      born_ms: Unix time of its start, or 0.
-      domain: its failure domain.
-      models: what it holds or is about to hold.
-      in_memory: models of which its host memory has copies.
-      on_disk: models of which its disk has copies.
-      free_s: seconds until it can take another order about a model.
-      requests: requests that run or wait there.
-    """
-
-    server_id: str
-    born_ms: int
-    domain: str
-    models: tuple[str, ...]
-    in_memory: tuple[str, ...] = ()
-    on_disk: tuple[str, ...] = ()
-    free_s: float = 0.0
-    requests: int = 0
-
-
 class Move(NamedTuple):
     """A plan for one engine.
 
@@ -125,7 +100,7 @@
 class _Option(NamedTuple):
     net: float
     tie: float
-    engine: EngineView
+    engine: engines_lib.EngineView
     victims: tuple[str, ...]
     load_s: float
     busy_s: float
@@ -152,7 +127,9 @@
         self._kind = kind
         self._allowance.set_rate(kind.loads_per_s)
 
-    def plan(self, engines: list[EngineView], now: float) -> list[Move]:
+    def plan(
+        self, engines: list[engines_lib.EngineView], now: float
+    ) -> list[Move]:
         """Returns the moves to make now, at most one an engine."""
         engines = list(engines)
         moves: list[Move] = []
@@ -197,9 +174,11 @@
             option.loss,
         )
 
-    def _wanted(self, engines: list[EngineView], now: float) -> list[_Wish]:
+    def _wanted(
+        self, engines: list[engines_lib.EngineView], now: float
+    ) -> list[_Wish]:
         """Returns the replicas that lack, the best first."""
-        fleet = _Fleet(engines, self._kind, self.demand, now)
+        fleet = engines_lib.Fleet(engines, self._kind, self.demand, now)
         wishes = []
         for model in self._kind.models:
             have = fleet.sound.get(model, 0)
@@ -214,7 +193,12 @@
         return sorted(wishes, key=lambda w: (-w.gain, w.model))
 
     def _wish(
-        self, model: str, have: int, more: int, fleet: "_Fleet", now: float
+        self,
+        model: str,
+        have: int,
+        more: int,
+        fleet: engines_lib.Fleet,
+        now: float,
     ) -> _Wish:
         """Returns what one more replica brings.
 
@@ -239,7 +223,7 @@
         return max(placed, default=-math.inf) + _SETTLED_S < now
 
     def _loss(
-        self, model: str, have: int, fleet: "_Fleet", now: float
+        self, model: str, have: int, fleet: engines_lib.Fleet, now: float
     ) -> float:
         """Returns what a replica is worth, in requests."""
         loss = self._missed(model, have - 1, fleet, now)
@@ -252,7 +236,7 @@
         return max(0.0, loss) + waiting * _UNREACHABLE + _RECENT * recent
 
     def _missed(
-        self, model: str, replicas: int, fleet: "_Fleet", now: float
+        self, model: str, replicas: int, fleet: engines_lib.Fleet, now: float
     ) -> float:
         """Returns requests that so many replicas lose, by their worth."""
         within = _HORIZON_S * self.demand.rate(model, now)
@@ -277,12 +261,12 @@
     def _best(
         self,
         wish: _Wish,
-        engines: list[EngineView],
+        engines: list[engines_lib.EngineView],
         pressure: float,
         now: float,
     ) -> _Option | None:
         """Returns the option that brings most beyond what it costs."""
-        fleet = _Fleet(engines, self._kind, self.demand, now)
+        fleet = engines_lib.Fleet(engines, self._kind, self.demand, now)
         options = []
         for engine in engines:
             if wish.model in engine.models:
@@ -295,8 +279,8 @@
     def _option(
         self,
         wish: _Wish,
-        engine: EngineView,
-        fleet: "_Fleet",
+        engine: engines_lib.EngineView,
+        fleet: engines_lib.Fleet,
         pressure: float,
         now: float,
     ) -> _Option | None:
@@ -321,7 +305,9 @@
         tie = placement.rank(wish.model, engine.server_id)
         return _Option(net, tie, engine, names, load_s, busy_s, gain, loss)
 
-    def _turned_away(self, model: str, fleet: "_Fleet", now: float) -> float:
+    def _turned_away(
+        self, model: str, fleet: engines_lib.Fleet, now: float
+    ) -> float:
         """Returns requests lost in each second of an unload."""
         if fleet.replicas.get(model, 0) > 1:
             return 0.0
@@ -337,7 +323,11 @@
         return later + wish.waiting * left_s / (left_s + ready_s)
 
     def _victims(
-        self, model: str, engine: EngineView, fleet: "_Fleet", now: float
+        self,
+        model: str,
+        engine: engines_lib.EngineView,
+        fleet: engines_lib.Fleet,
+        now: float,
     ) -> list[tuple[float, str]] | None:
         """Returns (loss, model) of those that make room; None if none can."""
         lacks_mb = self._size_mb(model) - self._kind.room_mb
@@ -376,9 +366,9 @@
 
     def _held_up(
         self,
-        engine: EngineView,
+        engine: engines_lib.EngineView,
         victims: tuple[str, ...],
-        fleet: "_Fleet",
+        fleet: engines_lib.Fleet,
         now: float,
     ) -> float:
         """Returns requests a second whose adapters an engine's load delays."""
@@ -399,104 +389,18 @@
         sizes = [m.size_mb for m in self._kind.models.values()]
         return int(self._kind.disk_mb // max(sizes)) if sizes else 0
 
-    def _load_s(self, model: str, engine: EngineView) -> float:
+    def _load_s(self, model: str, engine: engines_lib.EngineView) -> float:
         spec = self._kind.models[model]
         if model in engine.in_memory:
             return spec.memory_s
         return spec.disk_s if model in engine.on_disk else spec.store_s
 
-    def _may_go(self, engine: EngineView, model: str, now: float) -> bool:
+    def _may_go(
+        self, engine: engines_lib.EngineView, model: str, now: float
+    ) -> bool:
         placed = self._placed_at.get((engine.server_id, model), -math.inf)
         return placed + _STAY_S <= now
 
 
-class _Fleet:
-    """What all engines hold and have to do."""
-
-    def __init__(
-        self,
-        engines: list[EngineView],
-        kind: routes.EngineKind,
-        demand: demand_book.DemandBook,
-        now: float,
-    ):
-        self._bounds = capacity.Bounds(kind.slots, kind.adapter_places)
-        self._engines = max(1, len(engines))
-        self._demand = demand
-        self._work = {m: demand.work(m, now) for m in kind.models}
-        self._under_way = {m: demand.under_way(m, now) for m in kind.models}
-        self._total = capacity.Work()
-        for work in self._work.values():
-            self._total = self._total.plus(work)
-        self.replicas = _replicas(engines)
-        self.sound = _replicas([e for e in engines if not self._overloaded(e)])
-        self._free: dict[str, int] = {}
-        self._copies: dict[str, int] = {}
-        for engine in engines:
-            for model in engine.on_disk:
-                self._copies[model] = self._copies.get(model, 0) + 1
-            if engine.free_s <= 0:
-                for model in engine.models:
-                    self._free[model] = self._free.get(model, 0) + 1
-
-    def lost(self, model: str, replicas: int) -> float:
-        """Returns the part of a model's requests that replicas lose."""
-        own = self._work.get(model, capacity.Work())
-        beside = self._total.less(own).times(1 / self._engines)
-        return capacity.lost_part(
-            own.times(1 / replicas).plus(beside),
-            self._demand.each(model),
-            self._bounds,
-            self._demand.aims(model),
-        )
-
-    def unload_s(self, model: str) -> float:
-        """Returns seconds until the requests of a replica should have ended.
-
-        The last of n requests with random ends takes the harmonic number of n
-        times as long as one.
-        """
-        running = self._under_way.get(model, 0)
-        running /= max(1, self.replicas.get(model, 1))
-        each_s = self._demand.each(model).running
-        return _UNLOAD_S + each_s * math.log1p(running)
-
-    def settled(self, model: str) -> bool:
-        """Returns whether no engine with a model has an order under way."""
-        held = self.replicas.get(model, 0)
-        return self._free.get(model, 0) == held
-
-    def free_with(self, model: str) -> int:
-        """Returns the engines with a model that can load adapters now."""
-        return self._free.get(model, 0)
-
-    def only_copy(self, engine: EngineView, places: int) -> bool:
-        """Returns whether one more copy drops the last one of a model."""
-        if len(engine.on_disk) < places:
-            return False
-        oldest = engine.on_disk[0]
-        return self._copies.get(oldest, 0) <= 1
-
-    def _overloaded(self, engine: EngineView) -> bool:
-        """Returns whether an engine does not get on with its requests."""
-        expected = sum(
-            self._work[m].running / self.replicas[m]
-            for m in engine.models
-            if m in self._work
-        )
-        return capacity.is_overloaded(
-            engine.requests, expected, self._bounds.slots
-        )
-
-
-def _from_store(model: str, engine: EngineView) -> bool:
+def _from_store(model: str, engine: engines_lib.EngineView) -> bool:
     return model not in engine.in_memory and model not in engine.on_disk
-
-
-def _replicas(engines: list[EngineView]) -> dict[str, int]:
-    """Returns the number of engines by model that they hold."""
-    counts: dict[str, int] = {}
-    for engine in engines:
-        for model in engine.models:
-            counts[model] = counts.get(model, 0) + 1
-    return counts
--- a/azureline/relay/planning.py
+++ b/azureline/relay/planning.py
@@ -5,6 +5,7 @@
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
 from azureline.relay import allowance
+from azureline.relay import engines
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
 from azureline.relay import planner as planners
@@ -152,7 +153,7 @@
 
     def _view(
         self, server: servers.BackendServer, now: float
-    ) -> planners.EngineView:
+    ) -> engines.EngineView:
         told = self._states.get(server.server_id)
         models = tuple(r.name for r in server.models)
         held = server.server_id in self._peers.holders
@@ -175,7 +176,7 @@
                 # Under way: it counts as holding what it shall hold.
                 models = sent.target.models
                 free_s = max(free_s, sent.left_s(now), _BUSY_S)
-        return planners.EngineView(
+        return engines.EngineView(
             server.server_id,
             server.born_ms,
             server.domain,
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -3,8 +3,8 @@
 import json
 from typing import Any
 
+from azureline.relay import engines
 from azureline.relay import messages
-from azureline.relay import planner
 from azureline.relay import requests
 from azureline.relay import routes
 from azureline.relay import servers
@@ -101,9 +101,9 @@
     return requests.CallerRequest(**values)
 
 
-def engine_view(name: str, *models: str, **fields: Any) -> planner.EngineView:
+def engine_view(name: str, *models: str, **fields: Any) -> engines.EngineView:
     """Returns what the planner knows of an engine."""
-    return planner.EngineView(name, 1, "d1", models, **fields)
+    return engines.EngineView(name, 1, "d1", models, **fields)
 
 
 def demand(name: str, arrived: int = 0, **fields: Any) -> messages.ModelDemand:
