Forget placements that no longer count

Cause: the planner kept the time of each placement for good, one entry for each engine that ever was, and now reads all of them for each model. Change: those older than the time for which they count are dropped; a constant of capacity.py stands with the others. Conclusion: the planner's memory is bounded by the last seconds' moves.

--- a/azureline/relay/capacity.py
+++ b/azureline/relay/capacity.py
@@ -11,6 +11,8 @@
 
 # A late request is worth this part less than one in time.
 LATE_LOSS = 0.5
+# Standard deviations of a Poisson count beyond which it is no chance.
+_UNUSUAL = 3.0
 
 
 class Work(NamedTuple):
@@ -179,7 +181,3 @@
     """
     usual = expected + _UNUSUAL * math.sqrt(max(1.0, expected))
     return requests > min(usual, slots)
-
-
-# Standard deviations of a Poisson count beyond which it is no chance.
-_UNUSUAL = 3.0
--- a/azureline/relay/planner.py
+++ b/azureline/relay/planner.py
@@ -133,6 +133,11 @@
         """Returns the moves to make now, at most one an engine."""
         engines = list(engines)
         moves: list[Move] = []
+        self._placed_at = {
+            key: at
+            for key, at in self._placed_at.items()
+            if at + _SETTLED_S > now
+        }
         wishes = self._wanted(engines, now)
         # What an engine could do elsewhere in a second that it is busy.
         pressure = sum(w.gain for w in wishes) / _HORIZON_S
