--- a/azureline/platform/requests.py
+++ b/azureline/platform/requests.py
@@ -61,6 +61,7 @@
     target: bytes,
     headers: Iterable[tuple[bytes, bytes]],
     body: bytes,
+    caller: str = "",
 ) -> requests.CallerRequest:
     """Returns a caller's request as the relay sees it.
 
@@ -72,6 +73,7 @@
       target: path with its query.
       headers: all headers as received.
       body: the whole body.
+      caller: address from which it came.
     """
     lowered = [(name.lower(), value.strip()) for name, value in headers]
     first: dict[bytes, bytes] = {}
@@ -93,6 +95,7 @@
         output_tokens=output,
         parts=_parts(_text(first, names.PREFIX)),
         last_event=_text(first, names.LAST_EVENT),
+        caller=caller,
     )
 
 
--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -35,6 +35,7 @@
       wrong_server: whether another server, or one without the model,
         answered.
       kept: the server's own failure, which can be passed on.
+      lost: whether the connection ended before the answer was whole.
     """
 
     end: End
@@ -43,6 +44,7 @@
     retry_after_s: float | None = None
     wrong_server: bool = False
     kept: http1.Answer | None = None
+    lost: bool = False
 
 
 class Attempt:
@@ -162,7 +164,7 @@
     def failed(self, failure: http1.Failed) -> None:
         """Learns that no more will come."""
         end = End.BROKEN if failure.sent else End.NOT_SENT
-        self._finish(Result(end, failure.reason))
+        self._finish(Result(end, failure.reason, lost=failure.sent))
 
     def _note_part(self) -> None:
         now = self._now()
@@ -183,7 +185,7 @@
     def _end_stream(self) -> None:
         fault = self._reader.end()
         if fault:
-            self._finish(Result(End.BROKEN, fault))
+            self._finish(Result(End.BROKEN, fault, lost=True))
             return
         self._begin_answer()
         self._received.whole()
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -14,6 +14,8 @@
 from azureline.platform import requests as wire
 from azureline.relay import attempt as attempts
 from azureline.relay import budget
+from azureline.relay import endings
+from azureline.relay import identity
 from azureline.relay import patience
 from azureline.relay import pieces
 from azureline.relay import places
@@ -43,6 +45,7 @@
       table: the routes.
       places: finds the servers of requests.
       repeats: bounds what is sent more than once.
+      endings: tells servers that end under requests.
       counters: counts refusals and repeats by reason.
       exposition: takes latencies.
       log: takes a line for each decision.
@@ -54,6 +57,7 @@
     table: routes.RouteTable
     places: places.Places
     repeats: budget.RepeatBudget
+    endings: endings.Endings
     counters: metrics.Counters
     exposition: exposition.Exposition
     log: events.Log
@@ -221,8 +225,16 @@
             request,
             fresh=not route.repeatable,
         )
-        result = await attempt.done
+        tools.endings.began(place.server, attempt)
+        try:
+            result = await attempt.done
+        finally:
+            tools.endings.ended(place.server, attempt)
         self._attempt = None
+        content = b""
+        if result.lost:
+            content = identity.content(self._request)
+            tools.endings.broke(place.server, content)
         took = tools.clock.now() - now
         if attempt.first_s is not None:
             waited = now - self._began + attempt.first_s
@@ -234,6 +246,7 @@
             request=self._request.request_id,
             route=route.name,
             server=place.server.server_id,
+            born_ms=place.server.born_ms,
             beat=place.server.beat,
             model=self._request.model,
             adapter=self._request.adapter,
@@ -247,6 +260,7 @@
             outcome=result.end.value,
             status=result.status,
             reason=result.reason,
+            content=content.hex(),
         )
         return result
 
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -1,5 +1,6 @@
 """The process of one VM that relays: joins the parts, starts, stops."""
 
+from collections.abc import Awaitable
 import contextlib
 import random
 import signal
@@ -23,6 +24,7 @@
 from azureline.relay import claims
 from azureline.relay import demand as demands
 from azureline.relay import duties as duties_lib
+from azureline.relay import endings
 from azureline.relay import exchange
 from azureline.relay import follower
 from azureline.relay import holding
@@ -39,6 +41,7 @@
 from azureline.relay import views
 from azureline.util import events
 from azureline.util import http1
+from azureline.util import probes
 
 # Between looks at lapsed entries and idle connections.
 _SWEEP_S = 0.5
@@ -116,6 +119,15 @@
             run_times.RunTimes(settings.engines.read_tokens_per_s),
             self._counters,
         )
+        self._endings = endings.Endings(
+            reactor,
+            self._clock,
+            self._catalogue,
+            self._probe,
+            lambda ending: None,
+            self._counters,
+            log,
+        )
         self._exchange_tools = exchange.Tools(
             reactor,
             self._clock,
@@ -123,6 +135,7 @@
             self._table,
             self._places,
             self._repeats,
+            self._endings,
             self._counters,
             self._exposition,
             log,
@@ -158,6 +171,7 @@
             self._duties,
             self._places,
             self._repeats,
+            self._endings,
             log,
             self._counters,
         )
@@ -236,6 +250,7 @@
             received.uri,
             received.received_headers(),
             received.content.read(),
+            received.getClientAddress().host,
         )
         one = exchange.Exchange(self._exchange_tools, received, request)
         self._active.add(one)
@@ -322,6 +337,9 @@
             self._duties.state(state)
             self._places.changed()
 
+    def _probe(self, where: http1.Address) -> Awaitable[probes.Probe]:
+        return probes.probe(self._reactor, where, self._settings.connect_s)
+
     def _tell_demand(self, service: str, demand: messages.Demand) -> None:
         planner = self._peers.holder_of(keys.PLANNER + service)
         if planner is not None:
@@ -330,6 +348,7 @@
     def _swept(self) -> None:
         self._client.sweep()
         self._view.expire()
+        self._endings.expire()
         config = self._table.config
         if config is not None:
             self._factory.set_idle_s(config.limits.idle_s)
--- a/azureline/relay/requests.py
+++ b/azureline/relay/requests.py
@@ -34,6 +34,7 @@
       output_tokens: most tokens of the answer.
       parts: parts of the prompt in order; the last belongs to it alone.
       last_event: id of the last event that the caller has, or "".
+      caller: address from which it came, or "".
     """
 
     request_id: str
@@ -49,6 +50,7 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event: str = ""
+    caller: str = ""
 
     @property
     def path(self) -> str:
--- a/azureline/relay/views.py
+++ b/azureline/relay/views.py
@@ -8,6 +8,7 @@
 from azureline.platform import store as store_lib
 from azureline.relay import budget
 from azureline.relay import duties as duties_lib
+from azureline.relay import endings as endings_lib
 from azureline.relay import keys
 from azureline.relay import peers as peers_lib
 from azureline.relay import places as places_lib
@@ -32,6 +33,7 @@
         duties: duties_lib.Duties,
         places: places_lib.Places,
         repeats: budget.RepeatBudget,
+        endings: endings_lib.Endings,
         log: events.Log,
         counters: metrics.Counters,
     ):
@@ -45,6 +47,7 @@
         self._duties = duties
         self._places = places
         self._repeats = repeats
+        self._endings = endings
         self._log = log
         self._counters = counters
         self.servers_known = False
@@ -164,6 +167,7 @@
                 revision=item.revision,
             )
         self._residency.entered(entry.server_id, self._clock.now())
+        self._endings.started(entry)
         self._duties.updated(entry)
         self._places.changed()
 
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -36,6 +36,7 @@
         table=routes.RouteTable(random.Random(1)),
         places=None,
         repeats=None,
+        endings=None,
         counters=metrics.Counters(),
         exposition=None,
         log=events.Log(logging.getLogger("exchange"), None),
