--- a/standins/common.py
+++ b/standins/common.py
@@ -82,6 +82,7 @@
         self._routes: list[_Route] = []
         self._transports: weakref.WeakSet[Any] = weakref.WeakSet()
         self._answer_s = 0.0
+        self._listener: Any = None
         self.route("POST", "/faults", self._set_faults)
 
     def route(
@@ -107,6 +108,17 @@
         request.setResponseCode(404)
         return b"no such path\n"
 
+    def listen(self, host: str, port: int) -> int:
+        """Begins to accept connections; returns the port."""
+        self._listener = self.reactor.listenTCP(port, self.site(), 512, host)
+        return self._listener.getHost().port
+
+    def hang_up(self) -> None:
+        """Accepts no more connections and cuts off all that are open."""
+        self._listener.stopListening()
+        for transport in list(self._transports):
+            transport.abortConnection()
+
     def site(self) -> server.Site:
         """Returns the factory to listen with."""
         return _Site(self, timeout=None)
@@ -228,8 +240,7 @@
     if not host.startswith("127."):
         raise ValueError(f"{host} is not in 127.0.0.0/8")
     reactor = app.reactor
-    listener = reactor.listenTCP(port, app.site(), 512, host)
-    bound = listener.getHost().port
+    bound = app.listen(host, port)
     if platform:
         vm = {**vm, "host": host, "port": bound, "leaving": False}
         keep_registered(reactor, Poster(reactor, platform), vm)
--- a/standins/site_server.py
+++ b/standins/site_server.py
@@ -6,6 +6,7 @@
 
 import base64
 import json
+import time
 from typing import Any
 from typing import NamedTuple
 
@@ -32,6 +33,14 @@
     model: str
 
 
+class _Deadly(NamedTuple):
+    """Requests that end the server; `mark` is part of their target."""
+
+    mark: str
+    after_s: float = 0.05
+    back_s: float = 1.5
+
+
 class _Busy(NamedTuple):
     verb: str
     model: str
@@ -54,6 +63,11 @@
         self.runs: list[Run] = []
         self.orders: list[dict[str, Any]] = []
         self.overcommits = 0
+        self.ends: list[float] = []
+        self.born = chosen.born
+        # Whether no process runs, between an end and the next start.
+        self.ended = False
+        self._deadly: _Deadly | None = None
         self._busy: _Busy | None = None
         self._running = 0
         self._reset = 0
@@ -75,9 +89,12 @@
 
         `reset` N answers after their run began, `mute` N answers never come,
         `late_orders` N orders without answer that take effect 1 s later,
-        `drain` says that the server is leaving.
+        `drain` says that the server is leaving, `deadly` (`mark`, `after_s`,
+        `back_s`) ends it under certain requests, until it starts again.
         """
         match name:
+            case "deadly":
+                self._deadly = _Deadly(**value)
             case "reset":
                 self._reset = value
             case "mute":
@@ -102,7 +119,7 @@
             "cold_left_ms": 0,
             "models": self._listed(),
             "sequence": self.beat,
-            "born": self._options.born,
+            "born": self.born,
         }
 
     def _listed(self) -> list[dict[str, Any]]:
@@ -120,7 +137,7 @@
                 "sequence": self.sequence,
                 "queued_reqs": 0,
                 "running_reqs": self._running,
-                "born": self._options.born,
+                "born": self.born,
                 "at_hand": {"in_memory": [], "on_disk": list(self.models)},
             }
         )
@@ -131,6 +148,7 @@
                 "runs": [run._asdict() for run in self.runs],
                 "orders": self.orders,
                 "overcommits": self.overcommits,
+                "ends": self.ends,
                 "models": self._listed(),
             }
         )
@@ -204,6 +222,10 @@
             return _not_run(503)
         now = self.reactor.seconds()
         self.runs.append(Run(request_id, now, model))
+        deadly = self._deadly
+        if deadly is not None and deadly.mark in request.uri.decode():
+            self.reactor.callLater(deadly.after_s, self._end, deadly.back_s)
+            return None
         if self._mute > 0:
             self._mute -= 1
             return None
@@ -213,6 +235,23 @@
             return None
         return defer.ensureDeferred(self._answer_run(request, request_id))
 
+    def _end(self, back_s: float) -> None:
+        """Ends as a process does that crashes, and starts again later."""
+        if self.ended:
+            return
+        self.ended = True
+        self.ends.append(self.reactor.seconds())
+        self.hang_up()
+        self.reactor.callLater(back_s, self._start_again)
+
+    def _start_again(self) -> None:
+        self.ended = False
+        self.born = int(time.time() * 1000)
+        self.models = {}
+        self.sequence = self.beat = 0
+        self._busy = None
+        self.listen(self._options.host, self._options.port)
+
     async def _answer_run(
         self, request: server.Request, request_id: str
     ) -> common.Reply | None:
@@ -270,6 +309,9 @@
         return beat.addErrback(self._failed)
 
     async def _beat(self) -> None:
+        if self._app.ended:
+            self._lease = None
+            return
         if self._lease is None:
             ttl_ms = int(self._beat_s * 3000)
             answer = await self._poster.post("/kv-lease", {"ttl_ms": ttl_ms})
--- a/tests/builders_site.py
+++ b/tests/builders_site.py
@@ -85,8 +85,13 @@
 
 
 @contextlib.contextmanager
-def running(nodes: tuple[str, ...] = NODES) -> Iterator[Site]:
-    """Runs a site until the block ends."""
+def running(nodes: tuple[str, ...] = NODES, ledgers: int = 2) -> Iterator[Site]:
+    """Runs a site until the block ends.
+
+    Args:
+      nodes: names of the nodes.
+      ledgers: how many plain servers there are.
+    """
     with deployment.Deployment() as processes:
         processes.site_store(builders_relay.site_document())
         for number, models in ((1, ["m0", "m1"]), (2, ["m0"])):
@@ -97,7 +102,7 @@
                 resident=models,
                 domain=f"d{number}",
             )
-        for number in (1, 2):
+        for number in range(1, ledgers + 1):
             processes.site_server(f"ledger-{number}", service="ledger")
         for number, name in enumerate(nodes, 1):
             processes.relay(name, f"d{number}")
