--- a/azureline/core/errors.py
+++ b/azureline/core/errors.py
@@ -39,6 +39,7 @@
     BACKEND_FAILED = "backend_failed"
     STREAM_LOST = "stream_lost"
     CRASH_SUSPECT = "crash_suspect"
+    ENDED_SERVERS = "ended_servers"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     SHUTTING_DOWN = "shutting_down"
     NOT_READY = "not_ready"
@@ -116,6 +117,9 @@
     ErrorKind.CRASH_SUSPECT: Answer(
         503, Ran.UNKNOWN, 30.0, "The request may crash backend servers"
     ),
+    ErrorKind.ENDED_SERVERS: Answer(
+        502, Ran.YES, 600.0, "Backend servers ended while they ran the request"
+    ),
     ErrorKind.PLATFORM_UNAVAILABLE: Answer(
         503, Ran.NO, 5.0, "The platform's service is unavailable"
     ),
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -21,6 +21,7 @@
 from azureline.relay import places
 from azureline.relay import requests
 from azureline.relay import routes
+from azureline.relay import suspicion
 from azureline.util import events
 from azureline.util import http1
 
@@ -33,6 +34,8 @@
 # store answers; callers that are told to come back lose more.
 _FIRST_CONFIG_S = 0.25
 _CONFIG_POLL_S = 0.02
+# A suspect whose server has changed meanwhile looks for its turn anew.
+_NEXT_TURN_S = 0.05
 
 
 class Tools(NamedTuple):
@@ -46,6 +49,7 @@
       places: finds the servers of requests.
       repeats: bounds what is sent more than once.
       endings: tells servers that end under requests.
+      suspicion: keeps requests apart under which servers ended.
       counters: counts refusals and repeats by reason.
       exposition: takes latencies.
       log: takes a line for each decision.
@@ -58,6 +62,7 @@
     places: places.Places
     repeats: budget.RepeatBudget
     endings: endings.Endings
+    suspicion: suspicion.Suspicion
     counters: metrics.Counters
     exposition: exposition.Exposition
     log: events.Log
@@ -138,12 +143,19 @@
         give_up_at = self._began + _FIRST_CONFIG_S
         table, clock = self._tools.table, self._tools.clock
         while table.config is None and clock.now() < give_up_at:
-            await task.deferLater(
-                self._tools.reactor, _CONFIG_POLL_S, lambda: None
-            )
+            await self._pause(_CONFIG_POLL_S)
 
     async def _once(self, route: routes.Route, service: routes.Service) -> bool:
         """Finds a place and sends; returns whether the request has its end."""
+        turn = await self._tools.suspicion.turn(
+            self._request,
+            service.name,
+            lambda: self._tools.places.usable(self._request, service),
+            self._answer_by(route),
+        )
+        if isinstance(turn, errors.Refusal):
+            self._refuse(self._truthful(turn))
+            return True
         place = await self._tools.places.find(
             self._request,
             route,
@@ -151,15 +163,20 @@
             self._answer_by(route),
             self._deadline,
             tuple(self._tried),
+            turn.server_id,
         )
         if isinstance(place, errors.Refusal):
             self._refuse(self._truthful(place))
             return True
+        if not self._still_allowed(turn, service, place):
+            self._tools.places.done(place)
+            await self._pause(_NEXT_TURN_S)
+            return False
         if not self._may_send(service):
             self._tools.places.done(place)
             self._refuse(self._no_budget())
             return True
-        result = await self._send(place, route)
+        result = await self._send(place, route, turn)
         match result.end:
             case attempts.End.DELIVERED | attempts.End.CANCELLED:
                 return True
@@ -175,7 +192,18 @@
                 self._refuse(self._truthful(self._unreachable()))
                 return True
             case _:
-                return self._after_broken(route, result)
+                return await self._after_broken(route, place, turn, result)
+
+    def _still_allowed(
+        self, turn: suspicion.Turn, service: routes.Service, place: places.Place
+    ) -> bool:
+        return self._tools.suspicion.allows(
+            turn,
+            self._request,
+            service.name,
+            self._tools.places.usable(self._request, service),
+            place.server.server_id,
+        )
 
     def _answer_by(self, route: routes.Route) -> float:
         """Returns when the caller leaves unless the answer has begun."""
@@ -196,7 +224,7 @@
         return False
 
     async def _send(
-        self, place: places.Place, route: routes.Route
+        self, place: places.Place, route: routes.Route, turn: suspicion.Turn
     ) -> attempts.Result:
         tools, now = self._tools, self._tools.clock.now()
         self._sends += 1
@@ -226,15 +254,19 @@
             fresh=not route.repeatable,
         )
         tools.endings.began(place.server, attempt)
+        tools.suspicion.begin(turn)
         try:
             result = await attempt.done
         finally:
             tools.endings.ended(place.server, attempt)
+            tools.suspicion.end(turn)
         self._attempt = None
-        content = b""
+        content = turn.content
         if result.lost:
             content = identity.content(self._request)
             tools.endings.broke(place.server, content)
+        elif result.end in (attempts.End.DELIVERED, attempts.End.FAILED):
+            tools.suspicion.served(self._request, place.server.service)
         took = tools.clock.now() - now
         if attempt.first_s is not None:
             waited = now - self._began + attempt.first_s
@@ -275,9 +307,7 @@
             self._tools.places.denied(place, self._request)
         elif result.status == 503 and place.adapter_ask:
             # The adapter that was just ordered is not there yet.
-            await task.deferLater(
-                self._tools.reactor, _SAME_SERVER_S, lambda: None
-            )
+            await self._pause(_SAME_SERVER_S)
         else:
             self._tried.append(place.server.server_id)
         if self._not_run <= _MAX_NOT_RUN and now < self._deadline:
@@ -296,9 +326,16 @@
         )
         return True
 
-    def _after_broken(
-        self, route: routes.Route, result: attempts.Result
+    async def _after_broken(
+        self,
+        route: routes.Route,
+        place: places.Place,
+        turn: suspicion.Turn,
+        result: attempts.Result,
     ) -> bool:
+        if self._broken or turn.content:
+            # No other server shall end before it is known whether this has.
+            await self._tools.endings.settled(place.server)
         self._broken = True
         now = self._tools.clock.now()
         again = (
@@ -325,6 +362,9 @@
             )
         return True
 
+    async def _pause(self, seconds: float) -> None:
+        await task.deferLater(self._tools.reactor, seconds, lambda: None)
+
     def _truthful(self, refusal: errors.Refusal) -> errors.Refusal:
         """Returns a refusal that promises nothing untrue."""
         if not self._broken:
--- a/azureline/relay/health.py
+++ b/azureline/relay/health.py
@@ -18,6 +18,10 @@
 _FIRST_S = 0.5
 # ... and each second beyond counts as so many times as loaded.
 _SLOW_WEIGHT = 5.0
+# A server that was seen to end gets work only if there is no other, for so
+# long; its next start is not affected.
+_ENDED_S = 3.0
+_ENDED_WEIGHT = 1000.0
 
 
 class _Record(NamedTuple):
@@ -37,6 +41,7 @@
     def __init__(self):
         self._records: dict[tuple[str, int], _Record] = {}
         self._firsts: dict[tuple[str, int], _First] = {}
+        self._ended: dict[tuple[str, int], float] = {}
 
     def note(
         self, server: tuple[str, int], ok: bool, answer_s: float, now: float
@@ -73,6 +78,18 @@
         average_s += (first_s - average_s) * _NEWEST
         self._firsts[server] = _First(average_s, now)
 
+    def note_ended(self, server: tuple[str, int], now: float) -> None:
+        """Learns that a server has ended."""
+        self._ended[server] = now
+        for old, at in list(self._ended.items()):
+            if now - at >= _ENDED_S:
+                del self._ended[old]
+
+    def has_ended(self, server: tuple[str, int], now: float) -> bool:
+        """Returns whether a server was seen to end just now."""
+        at = self._ended.get(server)
+        return at is not None and now - at < _ENDED_S
+
     def penalty(self, server: tuple[str, int], now: float) -> float:
         """Returns a factor, 1 for a server without failures."""
         slow_s = max(0.0, self._first_s(server, now) - _FIRST_S)
@@ -80,6 +97,8 @@
         record = self._records.get(server)
         if record is not None:
             penalty += _FAILURE_WEIGHT * self._failing(record, now)
+        if self.has_ended(server, now):
+            penalty += _ENDED_WEIGHT
         return penalty
 
     def forget(self, server: tuple[str, int]) -> None:
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -109,6 +109,42 @@
     server_id: str
 
 
+class ServerEnded(NamedTuple):
+    """Tells all nodes of a server that ended while requests ran there.
+
+    Attributes:
+      server_id: the server.
+      born_ms: Unix time of the start that ended, or 0.
+      service: its service.
+      age_ms: milliseconds since it ended.
+      contents: digests of requests that have no whole answer from it.
+    """
+
+    server_id: str
+    born_ms: int
+    service: str
+    age_ms: int
+    contents: tuple[bytes, ...]
+
+
+class SuspectServed(NamedTuple):
+    """Tells all nodes that a request ran to its end that was a suspect.
+
+    Attributes:
+      content: digest of the request.
+      service: its service.
+      age_ms: milliseconds since then.
+    """
+
+    content: bytes
+    service: str
+    age_ms: int
+
+
+class SuspectsAsk(NamedTuple):
+    """Asks a node which requests it suspects of ending servers."""
+
+
 class ModelDemand(NamedTuple):
     """Requests for a model at one node.
 
@@ -227,6 +263,9 @@
     11: FeedAsk,
     12: ToDomain,
     13: EngineDone,
+    14: ServerEnded,
+    15: SuspectServed,
+    16: SuspectsAsk,
 }
 
 
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -37,6 +37,7 @@
 from azureline.relay import run_times
 from azureline.relay import servers
 from azureline.relay import settings as settings_lib
+from azureline.relay import suspicion as suspicions
 from azureline.relay import tenancy as tenancies
 from azureline.relay import views
 from azureline.util import events
@@ -119,12 +120,21 @@
             run_times.RunTimes(settings.engines.read_tokens_per_s),
             self._counters,
         )
+        self._suspicion = suspicions.Suspicion(
+            reactor,
+            self._clock,
+            self._rng,
+            self._peers,
+            self._places.server_ended,
+            self._counters,
+            log,
+        )
         self._endings = endings.Endings(
             reactor,
             self._clock,
             self._catalogue,
             self._probe,
-            lambda ending: None,
+            self._suspicion.ended,
             self._counters,
             log,
         )
@@ -136,6 +146,7 @@
             self._places,
             self._repeats,
             self._endings,
+            self._suspicion,
             self._counters,
             self._exposition,
             log,
@@ -215,6 +226,8 @@
         self._tenancy.start()
         self._duties.start()
         self._stack.callback(self._duties.close)
+        self._suspicion.start()
+        self._stack.callback(self._suspicion.close)
         self._demand.start()
         self._stack.callback(self._demand.close)
         self._sweep.start(_SWEEP_S, now=False)
--- a/azureline/relay/places.py
+++ b/azureline/relay/places.py
@@ -64,6 +64,20 @@
     route: str = ""
 
 
+class Usable(NamedTuple):
+    """Servers that could serve a request now.
+
+    Attributes:
+      ids: ids of those that hold what it needs and have not just ended.
+      sound: servers of the service that have not just ended.
+      known: servers of the service.
+    """
+
+    ids: tuple[str, ...]
+    sound: int
+    known: int
+
+
 class Asks(Protocol):
     """Asks holders for room at their engines."""
 
@@ -146,6 +160,7 @@
         answer_by: float,
         deadline: float,
         tried: tuple[str, ...],
+        only: str = "",
     ) -> Place | errors.Refusal:
         """Returns a place, or why there is none.
 
@@ -156,9 +171,10 @@
           answer_by: when its caller leaves unless the answer has begun.
           deadline: when its caller's time is over.
           tried: ids of servers that it shall not go to.
+          only: id of the one server that it shall go to, or "" for any.
         """
         if service.engine is None or not request.model:
-            return self._plain(service, tried)
+            return self._plain(service, tried, only)
         self._demand.arrived(
             service.name,
             request.model,
@@ -172,8 +188,31 @@
         if isinstance(candidates, errors.Refusal):
             return candidates
         fresh = [c for c in candidates if c.server_id not in tried]
+        fresh = [c for c in candidates if c.server_id == only] or fresh
         return await self._engine(request, route, fresh or candidates, deadline)
 
+    def usable(
+        self, request: requests.CallerRequest, service: routes.Service
+    ) -> Usable:
+        """Returns the servers that could serve a request now."""
+        now = self._clock.now()
+        known = self._catalogue.of_service(service.name)
+        sound = [s for s in known if not self._has_ended(s, now)]
+        fit = sound
+        if service.engine is not None and request.model:
+            fit = [
+                s for s in sound if self._residency.holds(s, request.model, now)
+            ]
+        ids = tuple(server.server_id for server in fit)
+        return Usable(ids, len(sound), len(known))
+
+    def server_ended(self, server: tuple[str, int]) -> None:
+        """Learns that a start of a server has ended."""
+        self._health.note_ended(server, self._clock.now())
+
+    def _has_ended(self, server: servers.BackendServer, now: float) -> bool:
+        return self._health.has_ended(server.incarnation, now)
+
     def done(
         self,
         place: Place,
@@ -247,10 +286,11 @@
             waiter.callback(None)
 
     def _plain(
-        self, service: routes.Service, tried: tuple[str, ...]
+        self, service: routes.Service, tried: tuple[str, ...], only: str
     ) -> Place | errors.Refusal:
         known = self._catalogue.of_service(service.name)
         fresh = [s for s in known if s.server_id not in tried]
+        fresh = [s for s in known if s.server_id == only] or fresh
         candidates = [self._candidate(s) for s in fresh or known]
         if not candidates:
             return errors.Refusal(
--- a/azureline/routing/suspects.py
+++ b/azureline/routing/suspects.py
@@ -8,14 +8,30 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+import heapq
 import math
 from typing import NamedTuple
+from typing import Protocol
 
 from azureline import requests
 from azureline.core import errors
 from azureline.routing import affinity
 
 _PAIR = 2
+# A full table makes room for this part of its entries.
+_ROOM_PART = 8
+
+
+class Call(Protocol):
+    """What a decision needs to know of a call."""
+
+    @property
+    def content(self) -> bytes:
+        """Digest by which the call and its repeats are known."""
+
+    @property
+    def model(self) -> str:
+        """Name of what its suspects share servers by."""
 
 
 class Crash(NamedTuple):
@@ -64,6 +80,9 @@
       refuse_cap_s: longest refusal in seconds.
       suspect_s: seconds after which a suspect without a crash is forgotten.
       entries: contents that are remembered at most.
+      free_crashes: crashes up to which a suspect runs like any other content.
+      hold_unheard: whether contents wait for rumours after a crash of one of
+        their first servers.
     """
 
     settle_s: float = 2.0
@@ -74,6 +93,8 @@
     refuse_cap_s: float = 86400.0
     suspect_s: float = 900.0
     entries: int = 4096
+    free_crashes: int = 0
+    hold_unheard: bool = True
 
 
 DEFAULTS = Settings()
@@ -122,7 +143,7 @@
     def check(
         self,
         wall: float,
-        call: requests.ModelCall,
+        call: Call,
         replicas: Sequence[str],
         usable: Sequence[str],
     ) -> Clear | Quarantine | Wait | errors.Refusal:
@@ -135,7 +156,9 @@
           usable: those that may be given work.
         """
         crashes = self._effective(call.content)
-        if not crashes:
+        if len(crashes) <= self._settings.free_crashes:
+            if crashes or not self._settings.hold_unheard:
+                return Clear()
             held = self._held_until(call.content, replicas)
             return Wait(held) if held > wall else Clear()
         last = max(crash.at for crash in crashes)
@@ -187,6 +210,10 @@
             self._merge(seen)
         return calls
 
+    def crashes(self, content: bytes) -> int:
+        """Returns the crashes since a content last ran whole."""
+        return len(self._effective(content))
+
     def heard(
         self, rumours: Iterable[SuspectSeen], wall: float = math.inf
     ) -> None:
@@ -290,7 +317,7 @@
 
     def _turn(
         self,
-        call: requests.ModelCall,
+        call: Call,
         last: float,
         server: str,
         usable: Sequence[str],
@@ -305,7 +332,8 @@
             if seen.model != call.model or content >= call.content:
                 continue
             crashes = self._effective(content)
-            if not crashes or self._convicted(content, crashes):
+            free = len(crashes) <= self._settings.free_crashes
+            if free or self._convicted(content, crashes):
                 continue
             if affinity.home(content, usable) == server:
                 ahead += 1
@@ -322,7 +350,13 @@
             key = (crash.server, crash.incarnation)
             self._by_crash.setdefault(key, set()).add(rumour.content)
         if len(self._known) > self._settings.entries:
-            self._forget(min(self._known, key=self._weight))
+            self._forget_least()
+
+    def _forget_least(self) -> None:
+        """Makes room for many contents at once, as it looks at all."""
+        count = max(1, self._settings.entries // _ROOM_PART)
+        for content in heapq.nsmallest(count, self._known, key=self._weight):
+            self._forget(content)
 
     def _weight(self, content: bytes) -> tuple[int, float]:
         crashes = self._effective(content)
--- /dev/null
+++ b/tests/builders_suspicion.py
@@ -0,0 +1,229 @@
+"""A fleet on a virtual clock: nodes that suspect, servers that end."""
+
+import functools
+import random
+from typing import Any
+from typing import NamedTuple
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from azureline.core import errors
+from azureline.metrics import counters as metrics
+from azureline.relay import endings
+from azureline.relay import identity
+from azureline.relay import keys
+from azureline.relay import peers
+from azureline.relay import places
+from azureline.relay import suspicion
+from azureline.util import events
+from tests import builders_relay
+from tests import builders_serving
+
+SERVICE = "ledger"
+# Until a node has seen that a server has ended.
+SEEN_S = 0.025
+BACK_S = 1.5
+DEADLY_S = 0.05
+PATIENCE_S = 3.0
+
+
+class _Wire:
+    """Carries datagrams of one node, some of them not."""
+
+    def __init__(self, fleet: "Fleet", host: str):
+        self._fleet = fleet
+        self._host = host
+
+    def send(self, host: str, port: int, message: Any) -> None:
+        fleet = self._fleet
+        if fleet.rng.random() >= fleet.loss:
+            delay_s = fleet.rng.uniform(0.001, 0.03)
+            fleet.clock.callLater(
+                delay_s, fleet.deliver, host, self._host, port, message
+            )
+
+
+class Node(NamedTuple):
+    """One node's part."""
+
+    peers: peers.Peers
+    suspicion: suspicion.Suspicion
+
+
+class Run(NamedTuple):
+    """A request that a server began."""
+
+    at: float
+    server: str
+    content: bytes
+
+
+class Fleet:
+    """Nodes before servers; `deadly` bodies end the server that runs them."""
+
+    def __init__(
+        self, seed: int = 1, nodes: int = 5, servers: int = 6, loss: float = 0.0
+    ):
+        """Creates a fleet that knows of no request."""
+        self.clock = builders_serving.Clock()
+        self.clock.advance(1000.0)
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.servers = [f"s{number}" for number in range(servers)]
+        self.back_at = dict.fromkeys(self.servers, 0.0)
+        self.born = dict.fromkeys(self.servers, 1)
+        self.at_servers: dict[str, list[Any]] = {s: [] for s in self.servers}
+        self.runs: list[Run] = []
+        self.ends: list[float] = []
+        self.records = [
+            keys.NodeRecord(f"n{i}", f"h{i}", 1, f"d{i % 2}", 1000)
+            for i in range(nodes)
+        ]
+        self.nodes = [self._node(record) for record in self.records]
+
+    def _node(self, record: keys.NodeRecord) -> Node:
+        counters = metrics.Counters()
+        found = peers.Peers(record, self.clock, counters, self.rng)
+        found._datagrams = _Wire(self, record.host)
+        for other in self.records:
+            found.set_node(other)
+        part = suspicion.Suspicion(
+            self.clock,
+            self.clock,
+            self.rng,
+            found,
+            lambda server: None,
+            counters,
+            events.silent(),
+        )
+        part.start()
+        return Node(found, part)
+
+    def restart(self, number: int) -> None:
+        """Replaces a node by one that knows nothing."""
+        self.nodes[number].suspicion.close()
+        self.nodes[number] = self._node(self.records[number])
+
+    def deliver(self, host: str, source: str, port: int, message: Any) -> None:
+        """Hands a datagram to the node that has its address now."""
+        number = int(host[1:])
+        self.nodes[number].peers.datagram(source, port, message)
+
+    def up(self) -> list[str]:
+        """Returns the servers that run."""
+        now = self.clock.now()
+        return [s for s in self.servers if self.back_at[s] <= now]
+
+    def usable(self) -> places.Usable:
+        """Returns the servers that run, as all nodes see them."""
+        up = self.up()
+        return places.Usable(tuple(up), len(up), len(self.servers))
+
+    def request(self, body: bytes) -> Any:
+        """Returns a request with a body."""
+        return builders_relay.request(caller="c", body=body)
+
+    def check(self, number: int, body: bytes) -> Any:
+        """Returns a node's turn for a request, or the deferred of it."""
+        node, request = self.nodes[number], self.request(body)
+        deadline = self.clock.now() + PATIENCE_S
+        turn = defer.ensureDeferred(
+            node.suspicion.turn(request, SERVICE, self.usable, deadline)
+        )
+        return turn.result if turn.called else turn
+
+    def end(self, server: str, *bodies: bytes, seen_by: int = 0) -> None:
+        """Ends a server while requests of one node are there."""
+        now = self.clock.now()
+        ending = endings.Ending(
+            builders_relay.server(
+                server, service=SERVICE, born_ms=1 + int(1000 * now)
+            ),
+            now,
+            tuple(identity.content(self.request(b)) for b in bodies),
+        )
+        self.nodes[seen_by].suspicion.ended(ending)
+
+    async def send(self, number: int, body: bytes, attempts: int = 2) -> str:
+        """Sends a request through a node; returns how it ended."""
+        deadline = self.clock.now() + PATIENCE_S
+        request = self.request(body)
+        content = identity.content(request)
+        for _ in range(attempts):
+            part = self.nodes[number].suspicion
+            turn = await part.turn(request, SERVICE, self.usable, deadline)
+            if isinstance(turn, errors.Refusal):
+                return turn.kind.value
+            server = turn.server_id or self.rng.choice(self.up() or [""])
+            if server not in self.up():
+                await task.deferLater(self.clock, 0.05, lambda: None)
+                continue
+            part.begin(turn)
+            whole = await self._run(server, number, content, body)
+            part.end(turn)
+            if whole:
+                part.served(request, SERVICE)
+                return "served"
+            if turn.content:
+                await task.deferLater(self.clock, SEEN_S, lambda: None)
+        return "broken"
+
+    async def _run(
+        self, server: str, number: int, content: bytes, body: bytes
+    ) -> bool:
+        ended: defer.Deferred[bool] = defer.Deferred()
+        entry = (number, content, ended)
+        self.at_servers[server].append(entry)
+        self.runs.append(Run(self.clock.now(), server, content))
+        deadly = body.startswith(b"deadly")
+        work_s = DEADLY_S if deadly else self.rng.uniform(0.05, 0.5)
+
+        def over() -> None:
+            if entry not in self.at_servers[server]:
+                return
+            if deadly:
+                self._crash(server)
+            else:
+                self.at_servers[server].remove(entry)
+                ended.callback(True)
+
+        self.clock.callLater(work_s, over)
+        return await ended
+
+    def _crash(self, server: str) -> None:
+        now = self.clock.now()
+        born, self.born[server] = self.born[server], int(now * 1000) + 2
+        self.back_at[server] = now + BACK_S
+        self.ends.append(now)
+        entries, self.at_servers[server] = self.at_servers[server], []
+        by_node: dict[int, list[bytes]] = {}
+        for number, content, _ in entries:
+            by_node.setdefault(number, []).append(content)
+        known = builders_relay.server(server, service=SERVICE, born_ms=born)
+        for number, contents in by_node.items():
+            ending = endings.Ending(known, now, tuple(contents))
+            self.clock.callLater(SEEN_S, self._told, number, ending)
+        for _, _, ended in entries:
+            self.clock.callLater(0.002, ended.callback, False)
+
+    def _told(self, number: int, ending: endings.Ending) -> None:
+        self.nodes[number].suspicion.ended(ending)
+
+    def begin(self, number: int, body: bytes, answers: list[str]) -> None:
+        """Sends a request and notes how it ended."""
+        sending = defer.ensureDeferred(self.send(number, body))
+        sending.addCallback(answers.append)
+
+    def call(self, at: float, number: int, body: bytes, answers: Any) -> None:
+        """Sends a request in so many seconds."""
+        later = functools.partial(self.begin, number, body, answers)
+        self.clock.callLater(at, later)
+
+    def play(self, seconds: float) -> None:
+        """Lets time pass."""
+        until = self.clock.now() + seconds
+        while self.clock.calls and self.clock.calls[0].getTime() <= until:
+            due = self.clock.calls[0].getTime()
+            self.clock.advance(max(0.0, due - self.clock.now()))
+        self.clock.advance(until - self.clock.now())
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -51,7 +51,8 @@
         put = store_lib.Put("k", b"mine")
         await self.store.change({"k": 0}, (put,))
         found = await self.store.change({"k": 0}, (put,))
-        assert not found and found.items[0].value == b"mine"
+        assert isinstance(found, store_lib.Conflict), found
+        assert found.items[0].value == b"mine"
 
     async def test_a_watch_brings_changes_in_order(self):
         after = self.app.put("w/0", b"0")
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -37,6 +37,7 @@
         places=None,
         repeats=None,
         endings=None,
+        suspicion=None,
         counters=metrics.Counters(),
         exposition=None,
         log=events.Log(logging.getLogger("exchange"), None),
--- /dev/null
+++ b/tests/test_relay_suspicion.py
@@ -0,0 +1,186 @@
+"""Tests of what nodes know of requests that end servers."""
+
+import pytest
+
+from azureline.core import errors
+from azureline.relay import endings
+from azureline.relay import identity
+from azureline.relay import suspicion
+from tests import builders_relay
+from tests import builders_suspicion as builders
+
+# The users' bounds: known everywhere within CONTACT_S of the third end, and
+# no more than three sends after that.
+CONTACT_S = 3.0
+RETRIES = 3
+
+
+def _end(fleet, *bodies, server="s0"):
+    fleet.end(server, *bodies)
+    fleet.play(1.0)
+
+
+def test_one_crash_holds_nothing_back():
+    fleet = builders.Fleet()
+    _end(fleet, b"a")
+    turn = fleet.check(3, b"a")
+    assert turn.server_id == "" and turn.content
+
+
+def test_a_request_that_nobody_suspects_needs_no_digest_of_its_body():
+    fleet = builders.Fleet()
+    _end(fleet, b"a")
+    assert fleet.check(3, b"other") == suspicion.Turn()
+
+
+def test_after_two_crashes_all_nodes_send_it_to_the_same_server():
+    fleet = builders.Fleet()
+    _end(fleet, b"a", server="s0")
+    _end(fleet, b"a", server="s1")
+    turns = {fleet.check(n, b"a").server_id for n in range(5)}
+    assert len(turns) == 1 and turns != {""}
+
+
+def test_a_copy_waits_while_the_first_is_under_way():
+    fleet = builders.Fleet()
+    _end(fleet, b"a", server="s0")
+    _end(fleet, b"a", server="s1")
+    part, turn = fleet.nodes[0].suspicion, fleet.check(0, b"a")
+    part.begin(turn)
+    waiting = fleet.check(0, b"a")
+    fleet.play(0.5)
+    assert not waiting.called
+    part.end(turn)
+    fleet.play(0.5)
+    assert waiting.result == turn
+
+
+def test_after_three_crashes_no_node_sends_it():
+    fleet = builders.Fleet()
+    for server in ("s0", "s1", "s2"):
+        _end(fleet, b"a", server=server)
+    for number in range(5):
+        refusal = fleet.check(number, b"a")
+        assert refusal.kind is errors.ErrorKind.ENDED_SERVERS
+        assert refusal.answer.status == 502
+        assert refusal.retry_after == pytest.approx(600.0, abs=2.0)
+
+
+def test_one_end_that_several_nodes_see_counts_once():
+    fleet = builders.Fleet()
+    content = identity.content(fleet.request(b"a"))
+    server = builders_relay.server("s0", service=builders.SERVICE)
+    for number in range(5):
+        ending = endings.Ending(server, 0.0, (content,))
+        fleet.nodes[number].suspicion.ended(ending)
+    fleet.play(1.0)
+    assert fleet.check(0, b"a").server_id == ""
+
+
+def test_a_whole_run_clears_a_suspect_on_all_nodes():
+    fleet = builders.Fleet()
+    _end(fleet, b"a", server="s0")
+    _end(fleet, b"a", server="s1")
+    request = fleet.request(b"a")
+    fleet.nodes[2].suspicion.served(request, builders.SERVICE)
+    fleet.play(0.1)
+    assert [fleet.check(n, b"a").server_id for n in range(5)] == [""] * 5
+
+
+def test_a_place_that_was_found_before_the_third_crash_is_not_used():
+    fleet = builders.Fleet()
+    _end(fleet, b"a", server="s0")
+    turn = fleet.check(0, b"a")
+    part, request = fleet.nodes[0].suspicion, fleet.request(b"a")
+    arguments = (turn, request, builders.SERVICE, fleet.usable(), "s5")
+    assert part.allows(*arguments)
+    for server in ("s1", "s2"):
+        _end(fleet, b"a", server=server)
+    assert not part.allows(*arguments)
+
+
+def test_a_turn_that_comes_after_the_caller_left_is_refused_at_once():
+    fleet = builders.Fleet(servers=1)
+    bodies = [b"%d" % number for number in range(9)]
+    _end(fleet, *bodies)
+    fleet.end("s0", *bodies)
+    fleet.play(0.6)
+    refusals = [
+        turn
+        for turn in (fleet.check(0, body) for body in bodies)
+        if isinstance(turn, errors.Refusal)
+    ]
+    assert refusals
+    for refusal in refusals:
+        assert refusal.kind is errors.ErrorKind.DID_NOT_RUN
+        assert refusal.answer.ran is errors.Ran.NO
+        assert 0 < refusal.retry_after <= builders.PATIENCE_S / 3
+
+
+def test_a_node_that_was_restarted_learns_what_the_others_know():
+    fleet = builders.Fleet()
+    for server in ("s0", "s1", "s2"):
+        _end(fleet, b"a", server=server)
+    fleet.restart(3)
+    assert fleet.check(3, b"a") == suspicion.Turn()
+    fleet.play(CONTACT_S)
+    assert fleet.check(3, b"a").kind is errors.ErrorKind.ENDED_SERVERS
+
+
+def test_what_is_remembered_is_bounded():
+    fleet = builders.Fleet(nodes=1)
+    for number in range(200):
+        bodies = [b"%d.%d" % (number, i) for i in range(64)]
+        fleet.end("s0", *bodies)
+        fleet.play(0.005)
+    part = fleet.nodes[0].suspicion
+    assert len(part._suspects.everything()) <= 4096
+    fleet.play(11.0)
+    assert len(part._outlines) <= 4096
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_deadly_requests_end_few_servers_and_all_others_are_served(seed):
+    fleet = builders.Fleet(seed, nodes=4, loss=0.02)
+    rng, innocent, deadly = fleet.rng, [], []
+    for number in range(400):
+        at = rng.uniform(0.0, 12.0)
+        fleet.call(at, rng.randrange(4), b"i%d" % number, innocent)
+    kinds = (b"deadly 1", b"deadly 2")
+    for body in kinds:
+        for turn in range(40):
+            at = rng.uniform(0.0, 0.3) + 0.4 * turn
+            fleet.call(at, turn % 4, body, deadly)
+    fleet.play(6.0)
+    fleet.restart(seed % 4)
+    fleet.play(16.0)
+    for body in kinds:
+        content = identity.content(fleet.request(body))
+        runs = [run.at for run in fleet.runs if run.content == content]
+        assert len(runs) >= 3
+        late = [
+            at for at in runs if at > runs[2] + builders.DEADLY_S + CONTACT_S
+        ]
+        assert len(late) <= RETRIES, runs
+    assert len(fleet.ends) <= 2 * (3 + 2), fleet.ends
+    assert innocent.count("served") >= 0.98 * 400
+    assert "ended_servers" not in innocent
+
+
+class _Unaware(suspicion.Suspicion):
+    """Deliberate fault: a node knows only what it saw itself."""
+
+    def _heard_ended(self, told, host, port):
+        if host == self._peers.own.host:
+            super()._heard_ended(told, host, port)
+
+
+def test_the_checks_catch_nodes_that_do_not_tell_each_other(monkeypatch):
+    monkeypatch.setattr(suspicion, "Suspicion", _Unaware)
+    fleet, answers = builders.Fleet(nodes=12), []
+    for turn in range(40):
+        fleet.call(0.4 * turn, turn % 12, b"deadly", answers)
+    fleet.play(20.0)
+    runs = [run.at for run in fleet.runs]
+    late = [at for at in runs if at > runs[2] + builders.DEADLY_S + CONTACT_S]
+    assert len(late) > RETRIES
