--- a/azureline/platform/names.py
+++ b/azureline/platform/names.py
@@ -15,6 +15,8 @@
 PRIORITY = b"azureline-request-priority"
 LAST_EVENT = b"last-event-id"
 RETRY_AFTER = b"retry-after"
+# "1" in every answer of a backend server that is leaving.
+LEAVING = b"server-leaving"
 
 # Headers that only this system may set towards an engine.
 RESERVED = frozenset(
--- a/azureline/platform/requests.py
+++ b/azureline/platform/requests.py
@@ -1,6 +1,8 @@
 """Callers' requests and backend servers' answers, between wire and types."""
 
 from collections.abc import Iterable
+import email.utils
+import re
 from typing import NamedTuple
 
 from azureline.platform import names
@@ -34,6 +36,26 @@
 )
 
 
+# Seconds of a pause, with a fraction; the standard form is a date besides.
+_SECONDS = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,9})?")
+
+
+class Notice(NamedTuple):
+    """What a backend server says of itself in an answer.
+
+    Attributes:
+      leaving: whether it is leaving.
+      pause_s: seconds in which it wants nothing from this node, or None.
+      resume_at: Unix time in seconds until which it wants nothing, or None.
+      unreadable: a pause that cannot be read, or b"".
+    """
+
+    leaving: bool = False
+    pause_s: float | None = None
+    resume_at: float | None = None
+    unreadable: bytes = b""
+
+
 class Reply(NamedTuple):
     """What an answer's head says.
 
@@ -144,6 +166,21 @@
     )
 
 
+def notice(head: http1.Head) -> Notice:
+    """Returns what an answer's head says of its backend server."""
+    leaving = head.get(names.LEAVING).strip() == b"1"
+    value = head.get(names.RETRY_AFTER).strip()
+    if head.status != 503 or not value:
+        return Notice(leaving)
+    seconds = _seconds(value)
+    if seconds is not None:
+        return Notice(leaving, pause_s=seconds)
+    date = _date(value)
+    if date is not None:
+        return Notice(leaving, resume_at=date)
+    return Notice(leaving, unreadable=value)
+
+
 def passed_on(head: http1.Head) -> http1.Headers:
     """Returns the headers of an answer that go on to the caller."""
     dropped = _HOP_BY_HOP - {b"content-length"}
@@ -190,9 +227,15 @@
 
 
 def _seconds(value: bytes) -> float | None:
+    value = value.strip()
+    return float(value) if _SECONDS.fullmatch(value) else None
+
+
+def _date(value: bytes) -> float | None:
     try:
-        return max(0.0, float(value)) if value else None
-    except ValueError:
+        date = email.utils.parsedate_to_datetime(value.decode("latin-1"))
+        return date.timestamp()
+    except (ValueError, OverflowError):
         return None
 
 
--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -58,6 +58,7 @@
         reader: pieces.EventReader,
         now: Callable[[], float],
         on_first: Callable[[float], None],
+        on_head: Callable[[http1.Head], None],
     ):
         """Creates an attempt that was not sent yet.
 
@@ -68,6 +69,7 @@
           reader: checks a stream's events, over all attempts.
           now: returns monotonic time in seconds.
           on_first: is told the seconds to the first part of the answer.
+          on_head: is told the head of the server's answer.
         """
         self._received = received
         self._request_id = request_id
@@ -75,6 +77,7 @@
         self._reader = reader
         self._now = now
         self._on_first = on_first
+        self._on_head = on_head
         self._began = now()
         self._part_at: float | None = None
         self._head: http1.Head | None = None
@@ -106,6 +109,7 @@
 
     def head(self, head: http1.Head) -> None:
         """Takes the answer's status and headers."""
+        self._on_head(head)
         self._head = head
         self._reply = wire.reply(head, self._request_id)
         if not self._reply.own:
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -1,29 +1,22 @@
 """The way of one request: a place, an attempt, perhaps another, an answer."""
 
 from typing import Any
-from typing import NamedTuple
 
 from twisted.internet import defer
 from twisted.internet import task
 
 from azureline.callers import relay as caller_side
-from azureline.core import clock as clocks
 from azureline.core import errors
-from azureline.metrics import counters as metrics
-from azureline.metrics import exposition
 from azureline.platform import requests as wire
 from azureline.relay import attempt as attempts
-from azureline.relay import budget
-from azureline.relay import endings
+from azureline.relay import exchange_tools
 from azureline.relay import identity
 from azureline.relay import patience
 from azureline.relay import pieces
-from azureline.relay import places
+from azureline.relay import place as place_types
 from azureline.relay import requests
 from azureline.relay import routes
 from azureline.relay import suspicion
-from azureline.util import events
-from azureline.util import http1
 
 # Servers whose connections failed are not tried without end.
 _MAX_UNSENT = 4
@@ -34,46 +27,16 @@
 # store answers; callers that are told to come back lose more.
 _FIRST_CONFIG_S = 0.25
 _CONFIG_POLL_S = 0.02
-# A suspect whose server has changed meanwhile looks for its turn anew.
+# A request whose server may not be sent to any more looks for another.
 _NEXT_TURN_S = 0.05
 
 
-class Tools(NamedTuple):
-    """What exchanges share.
-
-    Attributes:
-      reactor: the Twisted reactor.
-      clock: source of time.
-      client: owner of connections to backend servers.
-      table: the routes.
-      places: finds the servers of requests.
-      repeats: bounds what is sent more than once.
-      endings: tells servers that end under requests.
-      suspicion: keeps requests apart under which servers ended.
-      counters: counts refusals and repeats by reason.
-      exposition: takes latencies.
-      log: takes a line for each decision.
-    """
-
-    reactor: Any
-    clock: clocks.Clock
-    client: http1.Client
-    table: routes.RouteTable
-    places: places.Places
-    repeats: budget.RepeatBudget
-    endings: endings.Endings
-    suspicion: suspicion.Suspicion
-    counters: metrics.Counters
-    exposition: exposition.Exposition
-    log: events.Log
-
-
 class Exchange:
     """Serves one request."""
 
     def __init__(
         self,
-        tools: Tools,
+        tools: exchange_tools.Tools,
         received: caller_side.Received,
         request: requests.CallerRequest,
     ):
@@ -169,6 +132,7 @@
             self._refuse(self._truthful(place))
             return True
         if not self._still_allowed(turn, service, place):
+            # The server changed while the request waited for its place.
             self._tools.places.done(place)
             await self._pause(_NEXT_TURN_S)
             return False
@@ -195,9 +159,14 @@
                 return await self._after_broken(route, place, turn, result)
 
     def _still_allowed(
-        self, turn: suspicion.Turn, service: routes.Service, place: places.Place
+        self,
+        turn: suspicion.Turn,
+        service: routes.Service,
+        place: place_types.Place,
     ) -> bool:
-        return self._tools.suspicion.allows(
+        return self._tools.places.may_send(
+            place
+        ) and self._tools.suspicion.allows(
             turn,
             self._request,
             service.name,
@@ -224,7 +193,10 @@
         return False
 
     async def _send(
-        self, place: places.Place, route: routes.Route, turn: suspicion.Turn
+        self,
+        place: place_types.Place,
+        route: routes.Route,
+        turn: suspicion.Turn,
     ) -> attempts.Result:
         tools, now = self._tools, self._tools.clock.now()
         self._sends += 1
@@ -235,6 +207,7 @@
             self._reader,
             tools.clock.now,
             lambda first_s: tools.places.first_part(place, first_s),
+            lambda head: tools.notices.heard(place.server, head),
         )
         self._attempt = attempt
         before = self._reader.passed
@@ -253,6 +226,7 @@
             request,
             fresh=not route.repeatable,
         )
+        tools.places.sent(place)
         tools.endings.began(place.server, attempt)
         tools.suspicion.begin(turn)
         try:
@@ -297,7 +271,7 @@
         return result
 
     async def _after_not_run(
-        self, place: places.Place, result: attempts.Result
+        self, place: place_types.Place, result: attempts.Result
     ) -> bool:
         self._tools.counters.count("repeats.not_run")
         self._sends -= 1
@@ -329,7 +303,7 @@
     async def _after_broken(
         self,
         route: routes.Route,
-        place: places.Place,
+        place: place_types.Place,
         turn: suspicion.Turn,
         result: attempts.Result,
     ) -> bool:
--- a/azureline/relay/holding.py
+++ b/azureline/relay/holding.py
@@ -14,6 +14,7 @@
 from azureline.relay import asks
 from azureline.relay import book as books
 from azureline.relay import claims
+from azureline.relay import eligibility as eligibilities
 from azureline.relay import messages
 from azureline.relay import orders
 from azureline.relay import prefill
@@ -56,6 +57,8 @@
       counters: counts orders by outcome.
       log: takes a line for each order.
       tell: takes what all nodes shall know of an engine.
+      eligibility: tells engines that asked this node for a pause.
+      heard: takes the heads of engines' answers.
     """
 
     reactor: Any
@@ -66,6 +69,8 @@
     counters: metrics.Counters
     log: events.Log
     tell: Callable[[messages.EngineState | messages.EngineLoad], None]
+    eligibility: eligibilities.Eligibility
+    heard: Callable[[servers.BackendServer, http1.Head], None]
 
 
 class _Wish(NamedTuple):
@@ -204,7 +209,7 @@
         now = self._tools.clock.now()
         self._answer_wishes(now)
         self._tell(now)
-        if self._calling:
+        if self._calling or self._pause_left(now) > 0:
             return
         every_s = _LOADED_EVERY_S if self._load > 1 else _IDLE_EVERY_S
         if self.book.overdue(now) or now - self._reported_at > every_s:
@@ -213,6 +218,15 @@
         if order is not None and self._may_act():
             self._send(order, now)
 
+    def _pause_left(self, now: float) -> float:
+        """Returns seconds in which the engine wants nothing of this node."""
+        until = self._tools.eligibility.paused_until(self._server, now)
+        return 0.0 if until is None else until - now
+
+    def _hear(self, answer: http1.Answer | http1.Failed) -> None:
+        if isinstance(answer, http1.Answer):
+            self._tools.heard(self._server, answer.head)
+
     def close(self) -> None:
         """Ends the waiting for adapters."""
         for wish in self._wishes:
@@ -252,6 +266,7 @@
         self, answer: http1.Answer | http1.Failed, order: orders.Order
     ) -> None:
         self._calling = False
+        self._hear(answer)
         now = self._tools.clock.now()
         outcome = order_calls.outcome(answer)
         self.book.answered(order, outcome, now)
@@ -285,6 +300,7 @@
         self, answer: http1.Answer | http1.Failed, asked_at: float
     ) -> None:
         self._reporting = False
+        self._hear(answer)
         if isinstance(answer, http1.Failed) or answer.head.status != 200:
             return
         report = entries.decode_report(answer.body)
@@ -326,6 +342,11 @@
                 )
             elif not self._may_act():
                 wish.answer.callback(self._barred(now))
+            elif self._pause_left(now) > _ADAPTER_PATIENCE_S:
+                left_s = self._pause_left(now)
+                wish.answer.callback(
+                    asks.Answer(False, left_s, reason="engine pauses")
+                )
             elif wish.since + _ADAPTER_PATIENCE_S < now:
                 wish.answer.callback(asks.Answer(False, reason="no place"))
             else:
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -127,6 +127,18 @@
     contents: tuple[bytes, ...]
 
 
+class ServerLeaving(NamedTuple):
+    """Tells all nodes that a server said in an answer that it leaves.
+
+    Attributes:
+      server_id: the server.
+      born_ms: Unix time of the start that leaves, or 0.
+    """
+
+    server_id: str
+    born_ms: int
+
+
 class SuspectServed(NamedTuple):
     """Tells all nodes that a request ran to its end that was a suspect.
 
@@ -266,6 +278,7 @@
     14: ServerEnded,
     15: SuspectServed,
     16: SuspectsAsk,
+    17: ServerLeaving,
 }
 
 
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -24,12 +24,15 @@
 from azureline.relay import claims
 from azureline.relay import demand as demands
 from azureline.relay import duties as duties_lib
+from azureline.relay import eligibility as eligibilities
 from azureline.relay import endings
 from azureline.relay import exchange
+from azureline.relay import exchange_tools
 from azureline.relay import follower
 from azureline.relay import holding
 from azureline.relay import keys
 from azureline.relay import messages
+from azureline.relay import notices
 from azureline.relay import peers as peers_lib
 from azureline.relay import places as places_lib
 from azureline.relay import residency as residencies
@@ -81,6 +84,7 @@
         self._table = routes.RouteTable(self._rng)
         self._catalogue = servers.Catalogue()
         self._residency = residencies.Residency(self._catalogue)
+        self._eligibility = eligibilities.Eligibility(self._catalogue)
         self._record = keys.NodeRecord(
             settings.name,
             settings.host,
@@ -108,6 +112,7 @@
             settings.domain,
             self._catalogue,
             self._residency,
+            self._eligibility,
             asks.Asks(
                 reactor,
                 self._clock,
@@ -120,6 +125,15 @@
             run_times.RunTimes(settings.engines.read_tokens_per_s),
             self._counters,
         )
+        self._notices = notices.Notices(
+            self._clock,
+            self._catalogue,
+            self._eligibility,
+            self._peers,
+            self._places.changed,
+            self._counters,
+            log,
+        )
         self._suspicion = suspicions.Suspicion(
             reactor,
             self._clock,
@@ -138,7 +152,7 @@
             self._counters,
             log,
         )
-        self._exchange_tools = exchange.Tools(
+        self._exchange_tools = exchange_tools.Tools(
             reactor,
             self._clock,
             self._client,
@@ -146,6 +160,7 @@
             self._places,
             self._repeats,
             self._endings,
+            self._notices,
             self._suspicion,
             self._counters,
             self._exposition,
@@ -161,6 +176,8 @@
                 self._counters,
                 log,
                 self._tell_state,
+                self._eligibility,
+                self._notices.heard,
             ),
             self._clock,
             self._catalogue,
@@ -362,6 +379,7 @@
         self._client.sweep()
         self._view.expire()
         self._endings.expire()
+        self._eligibility.expire(self._clock.now())
         config = self._table.config
         if config is not None:
             self._factory.set_idle_s(config.limits.idle_s)
--- /dev/null
+++ b/azureline/relay/notices.py
@@ -0,0 +1,97 @@
+"""What backend servers say of themselves in any of their answers."""
+
+from collections.abc import Callable
+
+from azureline.core import clock as clocks
+from azureline.metrics import counters as metrics
+from azureline.platform import requests as wire
+from azureline.relay import eligibility as eligibilities
+from azureline.relay import messages
+from azureline.relay import peers as peers_lib
+from azureline.relay import servers
+from azureline.util import events
+from azureline.util import http1
+
+
+class Notices:
+    """Takes notices, and tells other nodes of servers that leave."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        catalogue: servers.Catalogue,
+        eligibility: eligibilities.Eligibility,
+        peers: peers_lib.Peers,
+        changed: Callable[[], None],
+        counters: metrics.Counters,
+        log: events.Log,
+    ):
+        """Begins to listen to other nodes.
+
+        Args:
+          clock: source of time.
+          catalogue: learns which servers leave.
+          eligibility: learns which servers pause.
+          peers: the other nodes.
+          changed: is called when a server leaves.
+          counters: counts notices.
+          log: takes a line for each that changes what this node believes.
+        """
+        self._clock = clock
+        self._catalogue = catalogue
+        self._eligibility = eligibility
+        self._peers = peers
+        self._changed = changed
+        self._counters = counters
+        self._log = log
+        peers.on(messages.ServerLeaving, self._told)
+
+    def heard(self, server: servers.BackendServer, head: http1.Head) -> None:
+        """Takes the head of an answer of a server."""
+        notice = wire.notice(head)
+        if notice.leaving and self._leaves(server.incarnation, "its answer"):
+            self._peers.broadcast(
+                messages.ServerLeaving(server.server_id, server.born_ms)
+            )
+        if notice.unreadable:
+            self._counters.count("pauses.unreadable")
+            self._log.warning(
+                "pause_unreadable",
+                server=server.server_id,
+                value=notice.unreadable.decode("latin-1"),
+            )
+        pause_s = notice.pause_s
+        if notice.resume_at is not None:
+            pause_s = notice.resume_at - self._clock.wall()
+        if pause_s is not None and pause_s > 0:
+            self._pauses(server, pause_s)
+
+    def _pauses(self, server: servers.BackendServer, pause_s: float) -> None:
+        now = self._clock.now()
+        known = self._eligibility.paused_until(server, now)
+        ends_at = self._eligibility.pause(server, pause_s, now)
+        bounded = pause_s > eligibilities.MAX_PAUSE_S
+        self._counters.count("pauses.bounded" if bounded else "pauses.asked")
+        if known is None or ends_at > known:
+            self._log.info(
+                "server_pauses",
+                server=server.server_id,
+                born_ms=server.born_ms,
+                asked_s=pause_s,
+                left_s=round(ends_at - now, 3),
+                bounded=bounded,
+            )
+
+    def _leaves(self, incarnation: tuple[str, int], told_by: str) -> bool:
+        if not self._catalogue.set_leaving(incarnation):
+            return False
+        self._counters.count("servers.leaving")
+        server_id, born_ms = incarnation
+        self._log.info(
+            "server_leaves", server=server_id, born_ms=born_ms, told_by=told_by
+        )
+        self._changed()
+        return True
+
+    def _told(self, told: messages.ServerLeaving, host: str, port: int) -> None:
+        self._leaves((told.server_id, told.born_ms), host)
--- a/azureline/relay/patience.py
+++ b/azureline/relay/patience.py
@@ -19,6 +19,8 @@
 # Callers come back after at most this part of the time they have left.
 _RETURN_PART = 1 / 3
 _SOONEST_S = 0.1
+# Callers come back within this part of a server's pause after its end.
+_RETURN_SPREAD = 0.5
 
 
 class Wait(NamedTuple):
@@ -74,6 +76,33 @@
     )
 
 
+def decide_pause(
+    now: float, until: float, answer_by: float, deadline: float, spread: float
+) -> Wait | errors.Refusal:
+    """Decides on a request all of whose servers asked for a pause.
+
+    Args:
+      now: monotonic time in seconds.
+      until: when the first of the servers may be sent to.
+      answer_by: when the caller leaves unless the answer has begun.
+      deadline: when the caller's time is over, also for coming back.
+      spread: number between 0 and 1, drawn for each request, so that callers
+        do not all come back when the pause ends.
+
+    Returns:
+      How long to wait, or the refusal with the time to come back.
+    """
+    if until + _SERVE_S < answer_by:
+        return Wait(until)
+    wanted_s = (until - now) * (1.0 + _RETURN_SPREAD * spread)
+    return errors.Refusal(
+        errors.ErrorKind.DID_NOT_RUN,
+        "All servers for this request asked for a pause.",
+        retry_after=return_after(now, deadline, wanted_s),
+        ran=errors.Ran.NO,
+    )
+
+
 def return_after(now: float, deadline: float, wanted_s: float) -> float:
     """Returns seconds after which a caller shall come back."""
     most = max(_SOONEST_S, (deadline - now) * _RETURN_PART)
--- a/azureline/relay/places.py
+++ b/azureline/relay/places.py
@@ -1,9 +1,9 @@
 """Finds a backend server for a request, waiting for a model if that pays."""
 
+from collections.abc import Sequence
+import math
 import random
 from typing import Any
-from typing import NamedTuple
-from typing import Protocol
 
 from twisted.internet import defer
 
@@ -12,9 +12,10 @@
 from azureline.metrics import counters as metrics
 from azureline.relay import asks as asks_lib
 from azureline.relay import attempt as attempts
-from azureline.relay import capacity
+from azureline.relay import eligibility as eligibilities
 from azureline.relay import health as healths
 from azureline.relay import patience
+from azureline.relay import place as place_types
 from azureline.relay import placement
 from azureline.relay import prefill
 from azureline.relay import requests
@@ -41,83 +42,6 @@
 _LOWEST_PRIORITY = 9
 
 
-class Place(NamedTuple):
-    """A server that was chosen for a request.
-
-    Attributes:
-      server: the server.
-      priority: rank at an engine; None at plain servers.
-      adapter_ask: number of the question by which its engine's holder granted
-        it an adapter; 0 if it did not.
-      model: the request's model, or "".
-      reading_s: seconds to read its prompt at the nominal rate.
-      ahead_s: seconds that prompts before it take at the engine.
-      route: name of the request's route, or "".
-    """
-
-    server: servers.BackendServer
-    priority: int | None = None
-    adapter_ask: int = 0
-    model: str = ""
-    reading_s: float = 0.0
-    ahead_s: float = 0.0
-    route: str = ""
-
-
-class Usable(NamedTuple):
-    """Servers that could serve a request now.
-
-    Attributes:
-      ids: ids of those that hold what it needs and have not just ended.
-      sound: servers of the service that have not just ended.
-      known: servers of the service.
-    """
-
-    ids: tuple[str, ...]
-    sound: int
-    known: int
-
-
-class Asks(Protocol):
-    """Asks holders for room at their engines."""
-
-    def ask(
-        self,
-        server: servers.BackendServer,
-        model: str,
-        adapter: str,
-        prompt: prefill.Prompt,
-        most_s: float,
-    ) -> defer.Deferred[asks_lib.Answer]:
-        """Returns what the engine's holder says."""
-
-    def done(self, server_id: str, number: int) -> None:
-        """Tells a holder that a request that it granted has ended."""
-
-
-class Demand(Protocol):
-    """Learns what callers ask for."""
-
-    def arrived(
-        self,
-        service: str,
-        model: str,
-        rank: int,
-        work: capacity.Work,
-        aims: capacity.Aims,
-    ) -> None:
-        """Counts a request, what it should take and what its caller wants."""
-
-    def waiting(self, service: str, model: str, rank: int, by: int) -> None:
-        """Counts requests that begin (1) or cease (-1) to wait."""
-
-    def under_way(self, service: str, model: str, by: int) -> None:
-        """Counts requests that go to an engine (1) or have ended (-1)."""
-
-    def refused(self, service: str, model: str, rank: int) -> None:
-        """Counts a request that was refused for want of its model."""
-
-
 class Places:
     """Chooses servers; owns the counts of what this node has under way."""
 
@@ -129,8 +53,9 @@
         domain: str,
         catalogue: servers.Catalogue,
         residency: residencies.Residency,
-        asks: Asks,
-        demand: Demand,
+        eligibility: eligibilities.Eligibility,
+        asks: place_types.Asks,
+        demand: place_types.Demand,
         times: run_times.RunTimes,
         counters: metrics.Counters,
     ):
@@ -141,6 +66,7 @@
         self._domain = domain
         self._catalogue = catalogue
         self._residency = residency
+        self._eligibility = eligibility
         self._asks = asks
         self._demand = demand
         self._times = times
@@ -161,7 +87,7 @@
         deadline: float,
         tried: tuple[str, ...],
         only: str = "",
-    ) -> Place | errors.Refusal:
+    ) -> place_types.Place | errors.Refusal:
         """Returns a place, or why there is none.
 
         Args:
@@ -174,7 +100,7 @@
           only: id of the one server that it shall go to, or "" for any.
         """
         if service.engine is None or not request.model:
-            return self._plain(service, tried, only)
+            return await self._plain(service, answer_by, deadline, tried, only)
         self._demand.arrived(
             service.name,
             request.model,
@@ -193,7 +119,7 @@
 
     def usable(
         self, request: requests.CallerRequest, service: routes.Service
-    ) -> Usable:
+    ) -> place_types.Usable:
         """Returns the servers that could serve a request now."""
         now = self._clock.now()
         known = self._catalogue.of_service(service.name)
@@ -203,8 +129,18 @@
             fit = [
                 s for s in sound if self._residency.holds(s, request.model, now)
             ]
-        ids = tuple(server.server_id for server in fit)
-        return Usable(ids, len(sound), len(known))
+        opened, _ = self._opened(fit, now)
+        ids = tuple(server.server_id for server in opened)
+        return place_types.Usable(ids, len(sound), len(known))
+
+    def may_send(self, place: place_types.Place) -> bool:
+        """Returns whether a place's server may be sent a request now."""
+        verdict = self._eligibility.check(place.server, self._clock.now())
+        return isinstance(verdict, eligibilities.Open)
+
+    def sent(self, place: place_types.Place) -> None:
+        """Learns that a request is sent to a place."""
+        self._eligibility.sent(place.server, self._clock.now())
 
     def server_ended(self, server: tuple[str, int]) -> None:
         """Learns that a start of a server has ended."""
@@ -215,7 +151,7 @@
 
     def done(
         self,
-        place: Place,
+        place: place_types.Place,
         result: attempts.Result | None = None,
         took_s: float = 0.0,
         parts: int = 0,
@@ -247,7 +183,7 @@
             self._times.note(place.route, took_s, parts, place.reading_s)
         self._health.note(server.incarnation, good, took_s, self._clock.now())
 
-    def first_part(self, place: Place, first_s: float) -> None:
+    def first_part(self, place: place_types.Place, first_s: float) -> None:
         """Learns how long an engine took to begin an answer."""
         server = place.server
         self._health.note_first(server.incarnation, first_s, self._clock.now())
@@ -261,13 +197,15 @@
                 self._clock.now(),
             )
 
-    def denied(self, place: Place, request: requests.CallerRequest) -> None:
+    def denied(
+        self, place: place_types.Place, request: requests.CallerRequest
+    ) -> None:
         """Learns that a server does not have what a request needs."""
         self._residency.deny(
             place.server.server_id, request.model, self._clock.now()
         )
 
-    def unreachable(self, place: Place) -> None:
+    def unreachable(self, place: place_types.Place) -> None:
         """Learns that a server could not be connected to."""
         if place.model:
             self._counters.count("engines.unreachable")
@@ -285,19 +223,50 @@
         for waiter in waiting:
             waiter.callback(None)
 
-    def _plain(
-        self, service: routes.Service, tried: tuple[str, ...], only: str
-    ) -> Place | errors.Refusal:
-        known = self._catalogue.of_service(service.name)
-        fresh = [s for s in known if s.server_id not in tried]
-        fresh = [s for s in known if s.server_id == only] or fresh
-        candidates = [self._candidate(s) for s in fresh or known]
-        if not candidates:
-            return errors.Refusal(
-                errors.ErrorKind.NO_REPLICA, "The service has no server."
+    async def _plain(
+        self,
+        service: routes.Service,
+        answer_by: float,
+        deadline: float,
+        tried: tuple[str, ...],
+        only: str,
+    ) -> place_types.Place | errors.Refusal:
+        while True:
+            now = self._clock.now()
+            known = self._catalogue.of_service(service.name)
+            if not known:
+                return errors.Refusal(
+                    errors.ErrorKind.NO_REPLICA, "The service has no server."
+                )
+            opened, opens_at = self._opened(known, now)
+            if opened:
+                break
+            decision = patience.decide_pause(
+                now, opens_at, answer_by, deadline, self._rng.random()
             )
+            if isinstance(decision, errors.Refusal):
+                self._counters.count("pauses.refused")
+                return decision
+            self._counters.count("pauses.waited")
+            await self._wait(decision.until - now)
+        fresh = [s for s in opened if s.server_id not in tried]
+        fresh = [s for s in opened if s.server_id == only] or fresh
+        candidates = [self._candidate(s) for s in fresh or opened]
         best = placement.by_load(candidates, self._rng.random)[0]
-        return self._take(Place(best.server))
+        return self._take(place_types.Place(best.server))
+
+    def _opened(
+        self, known: Sequence[servers.BackendServer], now: float
+    ) -> tuple[list[servers.BackendServer], float]:
+        """Returns servers that may be sent to, and when the next one may."""
+        opened, opens_at = [], math.inf
+        for server in known:
+            match self._eligibility.check(server, now):
+                case eligibilities.Open():
+                    opened.append(server)
+                case eligibilities.Shut(until=until):
+                    opens_at = min(opens_at, until)
+        return opened, opens_at
 
     async def _engine(
         self,
@@ -305,7 +274,7 @@
         route: routes.Route,
         holders: list[servers.BackendServer],
         deadline: float,
-    ) -> Place | errors.Refusal:
+    ) -> place_types.Place | errors.Refusal:
         candidates = [self._engine_candidate(s, request) for s in holders]
         # Reading a long prompt again takes longer than its answer's way.
         long = request.prompt_tokens >= _LONG_TOKENS
@@ -315,7 +284,7 @@
         priority = min(_LOWEST_PRIORITY, route.rank)
         if not request.adapter and not long:
             return self._take(
-                Place(
+                place_types.Place(
                     ordered[0].server,
                     priority,
                     model=request.model,
@@ -333,7 +302,7 @@
             reason, ready_s = "", []
             for server in tried:
                 place = self._take(
-                    Place(
+                    place_types.Place(
                         server,
                         priority,
                         model=request.model,
@@ -365,7 +334,10 @@
         )
 
     async def _ask(
-        self, request: requests.CallerRequest, place: Place, most_s: float
+        self,
+        request: requests.CallerRequest,
+        place: place_types.Place,
+        most_s: float,
     ) -> asks_lib.Answer:
         """Asks for a place, and gives it back if it is not granted."""
         prompt = prefill.Prompt(
@@ -409,8 +381,19 @@
             while True:
                 now = self._clock.now()
                 holders = self._residency.holders_of(service.name, model, now)
+                opened, opens_at = self._opened(holders, now)
+                if opened:
+                    return opened
                 if holders:
-                    return holders
+                    decision = patience.decide_pause(
+                        now, opens_at, answer_by, deadline, self._rng.random()
+                    )
+                    if isinstance(decision, errors.Refusal):
+                        self._counters.count("pauses.refused")
+                        return decision
+                    self._counters.count("pauses.waited")
+                    await self._wait(decision.until - now)
+                    continue
                 if not waits:
                     waits = True
                     self._demand.waiting(service.name, model, route.rank, 1)
@@ -479,7 +462,7 @@
             reading=self._residency.reading_of(server),
         )
 
-    def _take(self, place: Place) -> Place:
+    def _take(self, place: place_types.Place) -> place_types.Place:
         name = place.server.server_id
         self._under_way[name] = self._under_way.get(name, 0) + 1
         if place.model:
--- a/azureline/relay/servers.py
+++ b/azureline/relay/servers.py
@@ -96,6 +96,12 @@
         """Returns whether a server must get no new work."""
         return server.leaving or server.incarnation in self._leaving
 
+    def set_leaving(self, incarnation: tuple[str, int]) -> bool:
+        """Learns that a start of a server leaves; False if it was known."""
+        known = incarnation in self._leaving
+        self._leaving.add(incarnation)
+        return not known
+
     def store_away(self) -> None:
         """Learns that the store gives no answers."""
         self._store_away = True
--- a/azureline/relay/suspicion.py
+++ b/azureline/relay/suspicion.py
@@ -21,7 +21,7 @@
 from azureline.relay import messages
 from azureline.relay import patience
 from azureline.relay import peers as peers_lib
-from azureline.relay import places
+from azureline.relay import place as place_types
 from azureline.relay import requests
 from azureline.routing import suspects as suspects_lib
 from azureline.util import events
@@ -126,7 +126,7 @@
         self,
         request: requests.CallerRequest,
         service: str,
-        usable: Callable[[], places.Usable],
+        usable: Callable[[], place_types.Usable],
         deadline: float,
     ) -> Turn | errors.Refusal:
         """Waits until a request may be sent, if it is a suspect.
@@ -164,7 +164,7 @@
         turn: Turn,
         request: requests.CallerRequest,
         service: str,
-        usable: places.Usable,
+        usable: place_types.Usable,
         server_id: str,
     ) -> bool:
         """Returns whether a request may still be sent to a server.
@@ -232,7 +232,7 @@
         return identity.content(request)
 
     def _check(
-        self, content: bytes, service: str, usable: places.Usable
+        self, content: bytes, service: str, usable: place_types.Usable
     ) -> Any:
         if not content:
             return suspects_lib.Clear()
--- a/standins/site_server.py
+++ b/standins/site_server.py
@@ -23,6 +23,17 @@
 NOT_RUN = "Azureline-Not-Executed"
 MODEL = "Azureline-Model"
 EXPECT = "Azureline-Expect-Instance"
+_LEAVING = ("Server-Leaving", "1")
+
+
+class Arrival(NamedTuple):
+    """A request that arrived, and what its answer says of the server."""
+
+    request_id: str
+    at: float
+    born: int
+    leaving: bool
+    pause_s: float
 
 
 class Run(NamedTuple):
@@ -41,6 +52,13 @@
     back_s: float = 1.5
 
 
+class _Pausing(NamedTuple):
+    """Requests are turned away for `for_s`, each with a pause to keep."""
+
+    seconds: float
+    for_s: float = 0.0
+
+
 class _Busy(NamedTuple):
     verb: str
     model: str
@@ -64,6 +82,10 @@
         self.orders: list[dict[str, Any]] = []
         self.overcommits = 0
         self.ends: list[float] = []
+        self.arrivals: list[Arrival] = []
+        self.leaving = False
+        self._pausing = _Pausing(0.0)
+        self._pausing_until = 0.0
         self.born = chosen.born
         # Whether no process runs, between an end and the next start.
         self.ended = False
@@ -90,9 +112,18 @@
         `reset` N answers after their run began, `mute` N answers never come,
         `late_orders` N orders without answer that take effect 1 s later,
         `drain` says that the server is leaving, `deadly` (`mark`, `after_s`,
-        `back_s`) ends it under certain requests, until it starts again.
+        `back_s`) ends it under certain requests, until it starts again;
+        `leave` says in all answers that it leaves, and ends it so many seconds
+        later; `pause` (`seconds`, `for_s`) asks nodes for a pause.
         """
         match name:
+            case "leave":
+                self.leaving = True
+                self.reactor.callLater(value, self._end, 1.0)
+            case "pause":
+                self._pausing = _Pausing(**value)
+                now = self.reactor.seconds()
+                self._pausing_until = now + self._pausing.for_s
             case "deadly":
                 self._deadly = _Deadly(**value)
             case "reset":
@@ -122,6 +153,11 @@
             "born": self.born,
         }
 
+    def _send(self, reply: common.Reply, request: server.Request) -> None:
+        if self.leaving:
+            reply = reply._replace(headers=(*reply.headers, _LEAVING))
+        super()._send(reply, request)
+
     def _listed(self) -> list[dict[str, Any]]:
         return [
             {"name": name, "version": 1, "adapters": sorted(adapters)}
@@ -149,6 +185,7 @@
                 "orders": self.orders,
                 "overcommits": self.overcommits,
                 "ends": self.ends,
+                "arrivals": [row._asdict() for row in self.arrivals],
                 "models": self._listed(),
             }
         )
@@ -211,6 +248,13 @@
         request_id = request.getHeader(REQUEST_ID) or ""
         if not request_id:
             return _not_run(400)
+        now = self.reactor.seconds()
+        pause_s = self._pausing.seconds if now < self._pausing_until else 0.0
+        self.arrivals.append(
+            Arrival(request_id, now, self.born, self.leaving, pause_s)
+        )
+        if pause_s:
+            return _not_run(503, ("Retry-After", f"{pause_s:.2f}"))
         if self._is_other(request):
             return _not_run(421)
         model, _, adapter = (request.getHeader(MODEL) or "").partition("/")
@@ -220,7 +264,6 @@
             return _not_run(421)
         if self._running >= self._options.slots:
             return _not_run(503)
-        now = self.reactor.seconds()
         self.runs.append(Run(request_id, now, model))
         deadly = self._deadly
         if deadly is not None and deadly.mark in request.uri.decode():
@@ -248,6 +291,7 @@
         self.ended = False
         self.born = int(time.time() * 1000)
         self.models = {}
+        self.leaving = False
         self.sequence = self.beat = 0
         self._busy = None
         self.listen(self._options.host, self._options.port)
@@ -270,7 +314,10 @@
         usage = request.getHeader("Azureline-Token-Usage") or "0,5"
         count = max(1, int(usage.partition(",")[2] or 5))
         last = request.getHeader("Last-Event-Id")
-        for name, value in _headers(request_id):
+        headers = [*_headers(request_id)]
+        if self.leaving:
+            headers.append(_LEAVING)
+        for name, value in headers:
             request.setHeader(name, value)
         request.setHeader("Content-Type", "text/event-stream")
         for number in range(int(last) + 1 if last else 0, count):
@@ -335,8 +382,8 @@
     return ((REQUEST_ID, request_id), (SEAL, f"seal-{request_id}"))
 
 
-def _not_run(status: int) -> common.Reply:
-    return common.Reply(status, b"", ((NOT_RUN, "1"),))
+def _not_run(status: int, *headers: tuple[str, str]) -> common.Reply:
+    return common.Reply(status, b"", ((NOT_RUN, "1"), *headers))
 
 
 def main(chosen: options.SiteServerOptions) -> None:
--- a/tests/builders_suspicion.py
+++ b/tests/builders_suspicion.py
@@ -14,7 +14,7 @@
 from azureline.relay import identity
 from azureline.relay import keys
 from azureline.relay import peers
-from azureline.relay import places
+from azureline.relay import place as place_types
 from azureline.relay import suspicion
 from azureline.util import events
 from tests import builders_relay
@@ -115,10 +115,10 @@
         now = self.clock.now()
         return [s for s in self.servers if self.back_at[s] <= now]
 
-    def usable(self) -> places.Usable:
+    def usable(self) -> place_types.Usable:
         """Returns the servers that run, as all nodes see them."""
         up = self.up()
-        return places.Usable(tuple(up), len(up), len(self.servers))
+        return place_types.Usable(tuple(up), len(up), len(self.servers))
 
     def request(self, body: bytes) -> Any:
         """Returns a request with a body."""
--- a/tests/test_processes_crashing.py
+++ b/tests/test_processes_crashing.py
@@ -8,15 +8,11 @@
 import pytest
 
 from tests import builders_site as builders
+from tools import soak_checks
 
 pytestmark = pytest.mark.processes
 
 LEDGERS = tuple(f"ledger-{number}" for number in range(1, 7))
-# The users' bounds: what a node learns is known everywhere within CONTACT_S,
-# and after that three more sends may reach servers.
-CONTACT_S = 3.0
-ENDS = 3
-RETRIES = 3
 PLAY_S = 10.0
 EVERY_S = 0.4
 OTHERS = 6
@@ -62,22 +58,6 @@
         return [answer.result() for answer in answers]
 
 
-def _late_runs(site, answers):
-    """Returns how often it ran long after three ends, and all ends' times."""
-    seen = [site.seen(name) for name in LEDGERS]
-    ends = sorted(at for server in seen for at in server["ends"])
-    ids = {answer.request_id for answer in answers}
-    runs = [
-        run["at"]
-        for server in seen
-        for run in server["runs"]
-        if run["request_id"] in ids
-    ]
-    if len(ends) < ENDS:
-        return 0, ends
-    return sum(at > ends[ENDS - 1] + CONTACT_S for at in runs), ends
-
-
 @pytest.mark.parametrize(
     ("path", "method"), [("/look", "GET"), ("/post", "POST")]
 )
@@ -96,8 +76,10 @@
         over.set()
         beside = [a for other in others for a in other.result()]
     site.until("servers are back", lambda: _all_back(site))
-    late, ends = _late_runs(site, answers)
-    assert late <= RETRIES, (late, len(ends))
+    sent = [soak_checks.Sent("deadly", 0, answer) for answer in answers]
+    seen = {name: site.seen(name) for name in LEDGERS}
+    assert sum(len(server["ends"]) for server in seen.values()) >= 3
+    assert soak_checks.deadly_runs(sent, seen) == []
     served = sum(a.status == 200 and a.whole for a in beside)
     assert served >= 0.9 * len(beside), (served, len(beside))
 
--- /dev/null
+++ b/tests/test_processes_notices.py
@@ -0,0 +1,87 @@
+"""Servers that say that they leave, or that want nothing for a while."""
+
+import concurrent.futures
+import itertools
+import time
+
+import pytest
+
+from tests import builders_site as builders
+from tools import soak_checks
+
+pytestmark = pytest.mark.processes
+
+LEDGERS = ("ledger-1", "ledger-2", "ledger-3")
+PAUSE_S = 2.0
+PLAY_S = 4.0
+CALLERS = 6
+
+
+@pytest.fixture
+def site():
+    with builders.running(ledgers=len(LEDGERS)) as running:
+        yield running
+
+
+def _call_on(site, number, ends_at):
+    sent = []
+    for node in itertools.islice(itertools.cycle(builders.NODES), number, None):
+        if time.time() >= ends_at:
+            return sent
+        at = time.time()
+        answer = site.caller(node).send(
+            "/look/x", method="GET", patience_ms=1500
+        )
+        sent.append(soak_checks.Sent("look", 0, answer, node, at))
+        time.sleep(0.02)
+    return sent
+
+
+def _play(site):
+    """Sends requests for some seconds; returns them."""
+    ends_at = time.time() + PLAY_S
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as threads:
+        calls = [
+            threads.submit(_call_on, site, number, ends_at)
+            for number in range(CALLERS)
+        ]
+        return [one for call in calls for one in call.result()]
+
+
+def _broken(site, sent):
+    seen = {name: site.seen(name) for name in LEDGERS}
+    return soak_checks.broken(sent, seen)
+
+
+def test_a_server_that_says_that_it_leaves_gets_no_more_requests(site):
+    site.fault("ledger-1", leave=60.0)
+    told_at = time.time()
+    sent = _play(site)
+    assert _broken(site, sent) == []
+    late = [
+        row
+        for row in site.seen("ledger-1")["arrivals"]
+        if row["at"] > told_at + 1.0
+    ]
+    assert late == []
+    assert all(one.answer.status == 200 for one in sent)
+
+
+def test_a_server_that_asks_for_a_pause_is_left_alone(site):
+    site.fault("ledger-1", pause={"seconds": PAUSE_S, "for_s": 0.5})
+    sent = _play(site)
+    assert _broken(site, sent) == []
+    assert all(one.answer.status == 200 for one in sent)
+
+
+def test_when_all_servers_pause_requests_are_told_when_to_come_back(site):
+    for name in LEDGERS:
+        site.fault(name, pause={"seconds": PAUSE_S, "for_s": 0.5})
+    sent = _play(site)
+    assert _broken(site, sent) == []
+    refused = [one.answer for one in sent if one.answer.status != 200]
+    assert refused
+    assert {answer.status for answer in refused} <= {429, 503}
+    assert all(float(a.headers["retry-after"]) > 0 for a in refused)
+    served = [one for one in sent if one.answer.status == 200]
+    assert max(one.at for one in served) > max(one.at for one in sent) - 0.5
--- a/tests/test_relay_attempt.py
+++ b/tests/test_relay_attempt.py
@@ -42,6 +42,7 @@
             pieces.EventReader(""),
             reactor.seconds,
             lambda first_s: None,
+            lambda head: None,
         )
         caller = builders_relay.request(headers=((b"host", b"x"),))
         request = wire.encode(caller, 5.0, "e1", None, None)
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -6,6 +6,7 @@
 from azureline.core import errors
 from azureline.metrics import counters as metrics
 from azureline.relay import exchange
+from azureline.relay import exchange_tools
 from azureline.relay import routes
 from azureline.util import events
 from tests import builders_relay
@@ -29,7 +30,7 @@
 
 def _exchange():
     clock = builders_serving.Clock()
-    tools = exchange.Tools(
+    tools = exchange_tools.Tools(
         reactor=clock,
         clock=clock,
         client=None,
@@ -37,6 +38,7 @@
         places=None,
         repeats=None,
         endings=None,
+        notices=None,
         suspicion=None,
         counters=metrics.Counters(),
         exposition=None,
--- a/tests/test_relay_holding.py
+++ b/tests/test_relay_holding.py
@@ -7,8 +7,10 @@
 
 from azureline.metrics import counters as metrics
 from azureline.relay import claims
+from azureline.relay import eligibility
 from azureline.relay import holding
 from azureline.relay import messages
+from azureline.relay import servers
 from azureline.relay import uses
 from azureline.util import events
 from azureline.util import http1
@@ -49,7 +51,18 @@
         return defer.succeed(http1.Answer(head, json.dumps(report).encode()))
 
 
-def _holder(clock, engine=None, told=None):
+class _CountedEngine:
+    """Counts calls, and answers none."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def fetch(self, address, request, timeout_s):
+        self.calls += 1
+        return defer.Deferred()
+
+
+def _holder(clock, engine=None, told=None, pauses=None):
     tools = holding.Tools(
         reactor=clock,
         clock=clock,
@@ -59,6 +72,8 @@
         counters=metrics.Counters(),
         log=events.Log(logging.getLogger("holding"), None),
         tell=[].append if told is None else told.append,
+        eligibility=pauses or eligibility.Eligibility(servers.Catalogue()),
+        heard=lambda server, head: None,
     )
     return holding.EngineHolder(
         tools,
@@ -98,3 +113,23 @@
     # 9,000 tokens each 0.4 s at 38,100 a second, by a factor of 1.2.
     assert 50 <= loads[-1].reading_percent <= 90
     assert len(loads) <= 12 * 2 * STEP_S / 0.4, "With reports only."
+
+
+def test_an_engine_that_asked_for_a_pause_gets_no_orders_and_no_questions():
+    clock, engine = builders_serving.Clock(), _CountedEngine()
+    pauses = eligibility.Eligibility(servers.Catalogue())
+    holder = _holder(clock, engine, pauses=pauses)
+    pauses.pause(holder.server, 3.0, clock.now())
+    answers = []
+    user = uses.User("127.0.0.1", 1, 1)
+    question = messages.EngineAsk(1, "e1", "a", "a1", 10, (), 5000, 0)
+    holder.wish(question, user).addCallback(answers.append)
+    while clock.now() < 2.7:
+        clock.advance(STEP_S)
+        holder.step()
+    assert engine.calls == 0
+    assert (answers[0].granted, answers[0].reason) == (False, "engine pauses")
+    assert 0 < answers[0].wait_s <= 3.0
+    clock.advance(STEP_S)
+    holder.step()
+    assert engine.calls > 0
--- /dev/null
+++ b/tests/test_relay_notices.py
@@ -0,0 +1,141 @@
+"""Tests of what servers say of themselves, from the wire to the decision."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from azureline.metrics import counters as metrics
+from azureline.platform import requests as wire
+from azureline.relay import eligibility
+from azureline.relay import messages
+from azureline.relay import notices
+from azureline.relay import servers
+from azureline.util import events
+from azureline.util import http1
+from tests import builders_relay
+from tests import builders_serving
+
+# Unix time of `builders_serving.Clock` at its start, in the standard's form.
+_TEN_SECONDS_ON = b"Tue, 14 Nov 2023 22:13:30 GMT"
+
+
+def _head(status=200, **headers):
+    pairs = [
+        (name.replace("_", "-").encode(), value)
+        for name, value in headers.items()
+    ]
+    return http1.Head(status, b"", tuple(pairs))
+
+
+class _Peers:
+    """Keeps what is told to other nodes."""
+
+    def __init__(self):
+        self.told = []
+        self.handlers = {}
+
+    def on(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def broadcast(self, message):
+        self.told.append(message)
+
+
+class _Node:
+    """The parts of a node that take notices."""
+
+    def __init__(self):
+        self.clock = builders_serving.Clock()
+        self.catalogue = servers.Catalogue()
+        self.server = builders_relay.server("e1", "a")
+        self.catalogue.update(self.server)
+        self.eligibility = eligibility.Eligibility(self.catalogue)
+        self.peers, self.counters = _Peers(), metrics.Counters()
+        self.changes = []
+        self.notices = notices.Notices(
+            self.clock,
+            self.catalogue,
+            self.eligibility,
+            self.peers,
+            lambda: self.changes.append(1),
+            self.counters,
+            events.silent(),
+        )
+
+    def hear(self, status=200, **headers):
+        self.notices.heard(self.server, _head(status, **headers))
+        return self.eligibility.check(self.server, self.clock.now())
+
+
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_any_answer_may_say_that_its_server_leaves(status):
+    node = _Node()
+    shut = node.hear(status, server_leaving=b"1")
+    assert shut.reason is eligibility.Reason.LEAVING
+    assert node.catalogue.of_service("llm") == []
+    told = messages.ServerLeaving("e1", node.server.born_ms)
+    assert (node.peers.told, len(node.changes)) == ([told], 1)
+    node.hear(status, server_leaving=b"1")
+    assert len(node.peers.told) == 1
+
+
+def test_the_store_does_not_undo_that_a_server_leaves():
+    node = _Node()
+    node.hear(server_leaving=b"1")
+    node.catalogue.update(node.server._replace(beat=9, leaving=False))
+    assert node.catalogue.of_service("llm") == []
+    other = node.server._replace(born_ms=node.server.born_ms + 1)
+    node.catalogue.update(other)
+    assert node.catalogue.of_service("llm") == [other]
+
+
+def test_another_nodes_word_that_a_server_leaves_counts():
+    node = _Node()
+    told = messages.ServerLeaving("e1", node.server.born_ms)
+    node.peers.handlers[messages.ServerLeaving](told, "h2", 1)
+    assert node.catalogue.of_service("llm") == [] and node.changes
+    assert node.peers.told == []
+
+
+@pytest.mark.parametrize("value", [b"0", b"true", b"", b"11"])
+def test_another_value_is_not_leaving(value):
+    assert _Node().hear(server_leaving=value) == eligibility.Open()
+
+
+@pytest.mark.parametrize(
+    ("value", "left_s"),
+    [
+        (b"2", 2.0),
+        (b" 0.25 ", 0.25),
+        (b"99999999", eligibility.MAX_PAUSE_S),
+        (_TEN_SECONDS_ON, 10.0),
+    ],
+)
+def test_a_pause_is_kept(value, left_s):
+    node = _Node()
+    shut = node.hear(503, retry_after=value)
+    assert shut.reason is eligibility.Reason.PAUSED
+    assert shut.until == pytest.approx(node.clock.now() + left_s)
+
+
+@pytest.mark.parametrize(
+    "value", [b"-1", b"nan", b"inf", b"soon", b"1e3", b"0x2"]
+)
+def test_a_pause_that_cannot_be_read_is_counted_and_none(value):
+    node = _Node()
+    assert node.hear(503, retry_after=value) == eligibility.Open()
+    assert node.counters.value("pauses.unreadable") == 1
+
+
+@pytest.mark.parametrize("status", [200, 429, 500, 502])
+def test_only_an_answer_503_asks_for_a_pause(status):
+    assert _Node().hear(status, retry_after=b"2") == eligibility.Open()
+
+
+@hypothesis.given(st.integers(200, 599), st.binary(max_size=40))
+def test_no_value_makes_a_notice_fail(status, value):
+    head = _head(status, retry_after=value, server_leaving=value)
+    notice = wire.notice(head)
+    assert notice.leaving == (value.strip() == b"1")
+    if notice.pause_s is not None:
+        assert 0 <= notice.pause_s < 1e16
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,9 +11,40 @@
     return site_caller.Answer("r1", status, {}, body, whole)
 
 
-def _seen(runs=(), orders=(), overcommits=0):
+def _seen(runs=(), orders=(), overcommits=0, arrivals=()):
     rows = [{"request_id": name} for name in runs]
-    return {"e1": {"runs": rows, "orders": orders, "overcommits": overcommits}}
+    return {
+        "e1": {
+            "runs": rows,
+            "orders": orders,
+            "overcommits": overcommits,
+            "arrivals": arrivals,
+        }
+    }
+
+
+def _arrival(name, at, leaving=False, pause_s=0.0):
+    return {
+        "request_id": name,
+        "at": at,
+        "born": 1,
+        "leaving": leaving,
+        "pause_s": pause_s,
+    }
+
+
+def _sent(*times):
+    """Requests r0, r1, ... of one node, and when they were sent."""
+    return [
+        soak_checks.Sent(
+            "look",
+            0,
+            site_caller.Answer(f"r{n}", 200, {}, b"r%d" % n, True),
+            "n1",
+            at,
+        )
+        for n, at in enumerate(times)
+    ]
 
 
 def _order(holder, token, at):
@@ -48,6 +79,38 @@
     assert found.startswith(rule)
 
 
+def test_a_request_long_after_its_server_said_that_it_leaves_is_found():
+    sent = _sent(0.0, 1.0, 9.0)
+    rows = [_arrival("r0", 0.0, leaving=True), _arrival("r1", 1.0)]
+    assert soak_checks.broken(sent, _seen(arrivals=rows)) == []
+    rows.append(_arrival("r2", 9.0))
+    (found,) = soak_checks.broken(sent, _seen(arrivals=rows))
+    assert found.startswith("DRAIN")
+    excused = {"n1": [5.0]}
+    assert soak_checks.broken(sent, _seen(arrivals=rows), excused) == []
+
+
+def test_more_than_two_requests_in_a_pause_are_found():
+    sent = _sent(0.0, 0.3, 1.0, 1.1, 1.2, 2.5)
+    rows = [_arrival("r0", 0.0, pause_s=2.0)]
+    rows += [_arrival(f"r{n}", sent[n].at) for n in (1, 2, 3, 5)]
+    assert soak_checks.broken(sent, _seen(arrivals=rows)) == []
+    rows.append(_arrival("r4", 1.2))
+    (found,) = soak_checks.broken(sent, _seen(arrivals=rows))
+    assert found.startswith("BUDGET")
+
+
+def test_a_deadly_request_that_goes_on_running_is_found():
+    sent = _sent(*range(9))
+    runs = [{"request_id": f"r{n}", "at": float(n)} for n in range(9)]
+    seen = {"e1": {"runs": runs, "ends": [0.0, 1.0, 1.5]}}
+    (found,) = soak_checks.deadly_runs(sent, seen)
+    assert found.startswith("BUDGET")
+    assert soak_checks.deadly_runs(sent, seen, {"n1": [5.0]}) == []
+    seen["e1"]["runs"] = runs[:8]
+    assert soak_checks.deadly_runs(sent, seen) == []
+
+
 def test_kept_promises_are_left_alone():
     whole = _answer(body=b"id: 0\ndata: r1\n\nid: 1\ndata: r1\n\n")
     sent = [
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -35,6 +35,12 @@
 READY_S = 30.0
 # After the last fault requests must be served again within this time.
 RECOVERY_S = 12.0
+# A server that ended is back before this time.
+BACK_S = 10.0
+# A server that says that it leaves stays for so long, and a little more.
+LEAVING_S = 2.5
+# Of the requests, once there is one that ends servers.
+DEADLY_PART = 0.03
 
 
 class Result(NamedTuple):
@@ -71,6 +77,9 @@
         self._faults: list[str] = []
         self._over = threading.Event()
         self._down: set[str] = set()
+        # When nodes were restarted or paused: they may forget or be late.
+        self._disturbed: dict[str, list[float]] = {n: [] for n in NODES}
+        self._deadly = False
         self._version = 7
         self._proxy: soak_proxy.Proxy
 
@@ -86,11 +95,14 @@
             for seed in seeds:
                 threads.submit(self._call_on, random.Random(seed))
             self._inject()
+            self._deadly = False
             back = self._recovered()
             self._over.set()
             threads.shutdown()
             seen = {name: self._seen(name) for name in SERVERS}
-        found = soak_checks.broken(self._sent, seen)
+        found = soak_checks.broken(self._sent, seen, self._disturbed)
+        deadly = [one for one in self._sent if one.kind == "deadly"]
+        found += soak_checks.deadly_runs(deadly, seen, self._disturbed)
         if not back:
             found.append(f"RECOVER: not served within {RECOVERY_S:g} s")
         return found, self._sent, self._faults
@@ -133,7 +145,12 @@
             time.sleep(rng.uniform(0.0, 0.15))
 
     def _call(self, rng: random.Random, node: str) -> site_caller.Answer:
-        caller = site_caller.Caller(self._processes.urls[node])
+        caller, at = site_caller.Caller(self._processes.urls[node]), time.time()
+        if self._deadly and rng.random() < DEADLY_PART:
+            answer = caller.send("/look/deadly", method="GET")
+            sent = soak_checks.Sent("deadly", 0, answer, node, at)
+            self._sent.append(sent)
+            return answer
         kind = rng.choice(("look", "post", "ask", "again"))
         tokens = rng.randint(1, 30)
         model = rng.choice(("m0", "m0", "m1", "m2"))
@@ -146,7 +163,8 @@
             answer = caller.send(
                 f"/{kind}/x", model, tokens=tokens, patience_ms=5000
             )
-        self._sent.append(soak_checks.Sent(kind, tokens, answer))
+        sent = soak_checks.Sent(kind, tokens, answer, node, at)
+        self._sent.append(sent)
         return answer
 
     def _inject(self) -> None:
@@ -187,6 +205,7 @@
             case "pause":
                 self._signal(node, signal.SIGSTOP)
                 self._down.add(node)
+                self._disturbed[node].append(time.time())
                 return f"pause {node}", lasts_s, lambda: self._resume(node)
         momentary[choice]()
         return choice, 0.0, _nothing
@@ -204,6 +223,11 @@
             "silence": self._proxy.silence,
             "server_reset": lambda: self._tell(server, reset=2),
             "server_mute": lambda: self._tell(server, mute=1),
+            "leave": lambda: self._tell(server, leave=lasts_s + LEAVING_S),
+            "ask_pause": lambda: self._tell(
+                server, pause={"seconds": 1.0 + lasts_s, "for_s": 0.5}
+            ),
+            "deadly": self._begin_deadly,
             "late_orders": lambda: self._tell(engine, late_orders=2),
             "config": self._change_config,
         }
@@ -214,6 +238,7 @@
         kills = choice == "kill"
         self._signal(node, signal.SIGKILL if kills else signal.SIGTERM)
         self._down.add(node)
+        self._disturbed[node].append(time.time())
 
         def start() -> None:
             self._processes.wait(node)
@@ -229,6 +254,11 @@
     def _signal(self, name: str, number: signal.Signals) -> None:
         os.kill(self._processes.pid(name), number)
 
+    def _begin_deadly(self) -> None:
+        for name in SERVERS[2:]:
+            self._tell(name, deadly={"mark": "deadly"})
+        self._deadly = True
+
     def _change_config(self) -> None:
         self._version += self._rng.randint(1, 3)
         document = builders_relay.site_document(self._version)
@@ -240,12 +270,10 @@
             json.dumps(faults).encode(),
             method="POST",
         )
-        urllib.request.urlopen(request, timeout=5).read()
+        _fetch(request)
 
     def _seen(self, name: str) -> dict[str, Any]:
-        url = self._processes.urls[name] + "/runs"
-        with urllib.request.urlopen(url, timeout=5) as answer:
-            return json.loads(answer.read())
+        return json.loads(_fetch(self._processes.urls[name] + "/runs"))
 
     def _recovered(self) -> bool:
         """Returns whether every node serves every kind again in time."""
@@ -261,6 +289,19 @@
         return not left
 
 
+def _fetch(request: urllib.request.Request | str) -> bytes:
+    """Returns a stand-in's answer; one that has ended is back soon."""
+    give_up_at = time.monotonic() + BACK_S
+    while True:
+        try:
+            with urllib.request.urlopen(request, timeout=5) as answer:
+                return answer.read()
+        except OSError:
+            if time.monotonic() > give_up_at:
+                raise
+            time.sleep(0.2)
+
+
 def _nothing() -> None:
     return None
 
