--- a/azureline/platform/names.py
+++ b/azureline/platform/names.py
@@ -18,6 +18,10 @@
 # "1" in every answer of a backend server that is leaving.
 LEAVING = b"server-leaving"
 
+# The caller's key, and the workspace that holds it.
+KEY = b"x-api-key"
+WORKSPACE = b"azureline-tenant"
+
 # Headers that only this system may set towards an engine.
 RESERVED = frozenset(
     {
--- a/azureline/platform/operator.py
+++ b/azureline/platform/operator.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from azureline.relay import routes
+from azureline.relay import workspaces
 
 _KINDS = {
     "idempotent": routes.Kind.IDEMPOTENT,
@@ -50,6 +51,7 @@
                 s.name: s for s in (_service(f) for f in top.rows("services"))
             },
             limits=_limits(top.table("limits")),
+            workspaces=tuple(_workspace(f) for f in top.rows("tenants")),
         )
     except _FieldError as e:
         return Unreadable(e.where, str(e))
@@ -89,6 +91,12 @@
     def table(self, name: str) -> "_Fields":
         return _Fields(self._value.get(name, {}), self._at(name))
 
+    def texts(self, name: str) -> list[str]:
+        values = self._get(name, list, [])
+        if not all(isinstance(value, str) for value in values):
+            raise _FieldError(self._at(name), "expected a list of texts")
+        return values
+
     def rows(self, name: str) -> list["_Fields"]:
         rows = self._get(name, list, [])
         where = self._at(name)
@@ -129,6 +137,16 @@
         sticky=fields.flag("sticky"),
         resumable=fields.flag("can_resume"),
         gap_s=fields.seconds("gap_aim_ms", 0),
+        public=fields.flag("public"),
+    )
+
+
+def _workspace(fields: _Fields) -> workspaces.Workspace:
+    has_rank = fields.has("priority")
+    return workspaces.Workspace(
+        name=fields.text("name"),
+        keys=frozenset(map(workspaces.digest, fields.texts("api_keys"))),
+        rank=fields.integer("priority") if has_rank else None,
     )
 
 
--- a/azureline/platform/requests.py
+++ b/azureline/platform/requests.py
@@ -118,6 +118,10 @@
         parts=_parts(_text(first, names.PREFIX)),
         last_event=_text(first, names.LAST_EVENT),
         caller=caller,
+        # Several keys are none.
+        key=b",".join(v for n, v in lowered if n == names.KEY).decode(
+            "latin-1"
+        ),
     )
 
 
@@ -127,6 +131,7 @@
     instance: str,
     priority: int | None = None,
     last_event: str | None = None,
+    workspace: str | None = None,
 ) -> http1.Request:
     """Returns the request for a backend server.
 
@@ -136,8 +141,15 @@
       instance: id of the backend server that must answer.
       priority: rank at an engine, 0 to 9, or None for its default.
       last_event: id of the event after which to go on, or None.
+      workspace: name of the workspace, "" on a public route; None if the
+        configuration has no workspaces.
     """
     headers = [h for h in request.headers if h[0] != names.DEADLINE]
+    if workspace is not None:
+        ours = (names.KEY, names.WORKSPACE)
+        headers = [h for h in headers if h[0] not in ours]
+    if workspace:
+        headers.append((names.WORKSPACE, workspace.encode()))
     if last_event is not None:
         headers = [h for h in headers if h[0] != names.LAST_EVENT]
         headers.append((names.LAST_EVENT, last_event.encode()))
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -92,13 +92,17 @@
         self._timer = tools.reactor.callLater(
             max(0.0, self._deadline - self._began), self.expire
         )
+        admitted = tools.table.admit(route, request.key)
+        if isinstance(admitted, errors.Refusal):
+            self._refuse(admitted)
+            return
         service = tools.table.service_of(route)
         if service is None:
             self._refuse(
                 errors.Refusal(errors.ErrorKind.NO_REPLICA, "No service.")
             )
             return
-        while not await self._once(route, service):
+        while not await self._once(admitted.route, service):
             pass
 
     async def _first_configuration(self) -> None:
@@ -136,11 +140,17 @@
             self._tools.places.done(place)
             await self._pause(_NEXT_TURN_S)
             return False
+        # A key may have been taken away while the request waited.
+        admitted = self._tools.table.admit(route, self._request.key)
+        if isinstance(admitted, errors.Refusal):
+            self._tools.places.done(place)
+            self._refuse(self._truthful(admitted))
+            return True
         if not self._may_send(service):
             self._tools.places.done(place)
             self._refuse(self._no_budget())
             return True
-        result = await self._send(place, route, turn)
+        result = await self._send(place, route, turn, admitted.workspace)
         match result.end:
             case attempts.End.DELIVERED | attempts.End.CANCELLED:
                 return True
@@ -197,6 +207,7 @@
         place: place_types.Place,
         route: routes.Route,
         turn: suspicion.Turn,
+        workspace: str | None,
     ) -> attempts.Result:
         tools, now = self._tools, self._tools.clock.now()
         self._sends += 1
@@ -219,6 +230,7 @@
             place.server.server_id,
             place.priority,
             last_event,
+            workspace,
         )
         attempt.begin(
             tools.client,
--- a/azureline/relay/requests.py
+++ b/azureline/relay/requests.py
@@ -35,6 +35,7 @@
       parts: parts of the prompt in order; the last belongs to it alone.
       last_event: id of the last event that the caller has, or "".
       caller: address from which it came, or "".
+      key: the caller's key, or "".
     """
 
     request_id: str
@@ -51,6 +52,7 @@
     parts: tuple[PromptPart, ...] = ()
     last_event: str = ""
     caller: str = ""
+    key: str = ""
 
     @property
     def path(self) -> str:
--- a/azureline/relay/routes.py
+++ b/azureline/relay/routes.py
@@ -4,6 +4,9 @@
 import random
 from typing import NamedTuple
 
+from azureline.core import errors
+from azureline.relay import workspaces as workspaces_lib
+
 
 class Kind(enum.Enum):
     """What a route's requests are, and so what may be repeated."""
@@ -36,6 +39,7 @@
       sticky: whether requests share parts of prompts.
       resumable: whether a stream may go on at another backend server.
       gap_s: longest pause between the events of a stream that is on time.
+      public: whether callers need no key.
     """
 
     name: str
@@ -50,6 +54,7 @@
     sticky: bool
     resumable: bool
     gap_s: float
+    public: bool = False
 
     @property
     def first_event_s(self) -> float:
@@ -158,12 +163,34 @@
 
 
 class SiteConfig(NamedTuple):
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    Attributes:
+      version: its number.
+      routes: the routes.
+      services: the services by name.
+      limits: bounds on callers.
+      workspaces: the workspaces; without any, callers need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits
+    workspaces: tuple[workspaces_lib.Workspace, ...] = ()
+
+
+class Admitted(NamedTuple):
+    """A request that its configuration allows.
+
+    Attributes:
+      route: its route, with the rank of its workspace.
+      workspace: its workspace's name, "" on a public route; None if the
+        configuration has no workspaces.
+    """
+
+    route: Route
+    workspace: str | None
 
 
 class RouteTable:
@@ -178,6 +205,7 @@
         self._rng = rng
         self._config: SiteConfig | None = None
         self._by_host: dict[str, list[Route]] = {}
+        self._workspaces = workspaces_lib.Workspaces()
 
     @property
     def config(self) -> SiteConfig | None:
@@ -198,6 +226,7 @@
         if config.version <= self.version:
             return False
         self._config = config
+        self._workspaces = workspaces_lib.Workspaces(config.workspaces)
         self._by_host = {}
         for route in config.routes:
             self._by_host.setdefault(route.host, []).append(route)
@@ -212,6 +241,26 @@
                 return route
         return None
 
+    def admit(self, route: Route, key: str) -> Admitted | errors.Refusal:
+        """Returns for which workspace a request is served, if it is.
+
+        Args:
+          route: the request's route.
+          key: its caller's key, or "".
+        """
+        if self._config is None or not self._config.workspaces:
+            return Admitted(route, None)
+        if route.public:
+            return Admitted(route, "")
+        workspace = self._workspaces.find(key)
+        if workspace is None:
+            return errors.Refusal(
+                errors.ErrorKind.UNAUTHENTICATED, "No workspace has this key."
+            )
+        if workspace.rank is not None:
+            route = route._replace(rank=workspace.rank)
+        return Admitted(route, workspace.name)
+
     def service_of(self, route: Route) -> Service | None:
         """Draws one of a route's services by weight."""
         if self._config is None or not route.shares:
--- /dev/null
+++ b/tests/test_relay_workspaces.py
@@ -0,0 +1,115 @@
+"""Tests of workspaces and the keys of their callers."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from azureline.core import errors
+from azureline.platform import operator
+from azureline.platform import requests as wire
+from azureline.relay import routes
+from azureline.relay import workspaces
+from tests import builders_relay
+
+_TENANTS = [
+    {"name": "w1", "api_keys": ["k1", "k2"], "priority": 3, "rate_per_s": 9},
+    {"name": "w2", "api_keys": ["k3"]},
+]
+
+
+def _table(version=7, tenants=_TENANTS):
+    table = routes.RouteTable(random.Random(1))
+    _change(table, version, tenants)
+    return table
+
+
+def _change(table, version, tenants):
+    document = builders_relay.site_document(version, tenants=tenants)
+    config = operator.decode(builders_relay.as_json(document))
+    assert table.put_in_force(config)
+
+
+def _route(**fields):
+    return builders_relay.route(rank=1, **fields)
+
+
+def test_a_key_tells_the_workspace_and_its_rank():
+    table = _table()
+    assert table.admit(_route(), "k2") == routes.Admitted(
+        _route()._replace(rank=3), "w1"
+    )
+    assert table.admit(_route(), "k3") == routes.Admitted(_route(), "w2")
+
+
+@pytest.mark.parametrize("key", ["", "k", "k1,k1", "K1", "k1 "])
+def test_an_unknown_key_is_refused_at_once(key):
+    refusal = _table().admit(_route(), key)
+    assert refusal.kind is errors.ErrorKind.UNAUTHENTICATED
+    assert refusal.answer.status == 401
+
+
+def test_a_public_route_needs_no_key():
+    admitted = _table().admit(_route(public=True), "")
+    assert admitted.workspace == ""
+
+
+def test_without_workspaces_callers_need_no_key():
+    assert _table(tenants=[]).admit(_route(), "k").workspace is None
+
+
+def test_keys_come_and_go_with_versions():
+    table = _table()
+    _change(table, 8, [{"name": "w1", "api_keys": ["k9"]}])
+    assert table.admit(_route(), "k9").workspace == "w1"
+    assert not table.admit(_route(), "k1")
+
+
+def test_the_key_ends_at_the_node_and_the_workspace_is_named():
+    headers = [
+        (b"X-Api-Key", b"k1"),
+        (b"Azureline-Tenant", b"forged"),
+        (b"Accept", b"*/*"),
+    ]
+    request = wire.decode(b"GET", b"/a/", headers, b"")
+    assert request.key == "k1"
+    sent = dict(wire.encode(request, 1.0, "i-1", workspace="w1").headers)
+    assert sent[b"azureline-tenant"] == b"w1" and b"x-api-key" not in sent
+    public = dict(wire.encode(request, 1.0, "i-1", workspace="").headers)
+    assert b"azureline-tenant" not in public and b"x-api-key" not in public
+    assert public[b"accept"] == b"*/*"
+
+
+def test_several_keys_are_none():
+    headers = [(b"x-api-key", b"k1"), (b"x-api-key", b"k3")]
+    request = wire.decode(b"GET", b"/a/", headers, b"")
+    assert not _table().admit(_route(), request.key)
+
+
+@hypothesis.given(st.binary(max_size=200))
+def test_keys_of_any_bytes_get_an_answer(key):
+    request = wire.decode(b"GET", b"/a/", [(b"x-api-key", key)], b"")
+    known = key.strip() in (b"k1", b"k2", b"k3")
+    assert bool(_table().admit(_route(), request.key)) == known
+
+
+def test_keys_are_not_kept():
+    workspace = workspaces.Workspace("w", frozenset([workspaces.digest("k1")]))
+    assert "k1" not in repr(workspace)
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [{"name": 1, "api_keys": []}],
+        [{"name": "w", "api_keys": "k"}],
+        [{"name": "w", "api_keys": [1]}],
+        [{"name": "w", "api_keys": [], "priority": "high"}],
+    ],
+)
+def test_a_workspace_that_cannot_be_read_is_refused_by_name(tenants):
+    document = builders_relay.site_document(7, tenants=tenants)
+    found = operator.decode(builders_relay.as_json(document))
+    assert isinstance(found, operator.Unreadable)
+    assert found.where.startswith("tenants[0]")
