--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -174,13 +174,13 @@
         service: routes.Service,
         place: place_types.Place,
     ) -> bool:
-        return self._tools.places.may_send(
-            place
-        ) and self._tools.suspicion.allows(
+        if not self._tools.places.may_send(place):
+            return False
+        return self._tools.suspicion.allows(
             turn,
             self._request,
             service.name,
-            self._tools.places.usable(self._request, service),
+            lambda: self._tools.places.usable(self._request, service),
             place.server.server_id,
         )
 
--- a/azureline/relay/places.py
+++ b/azureline/relay/places.py
@@ -241,20 +241,30 @@
             opened, opens_at = self._opened(known, now)
             if opened:
                 break
-            decision = patience.decide_pause(
-                now, opens_at, answer_by, deadline, self._rng.random()
-            )
-            if isinstance(decision, errors.Refusal):
-                self._counters.count("pauses.refused")
-                return decision
-            self._counters.count("pauses.waited")
-            await self._wait(decision.until - now)
+            refusal = await self._sit_out(opens_at, answer_by, deadline)
+            if refusal is not None:
+                return refusal
         fresh = [s for s in opened if s.server_id not in tried]
         fresh = [s for s in opened if s.server_id == only] or fresh
         candidates = [self._candidate(s) for s in fresh or opened]
         best = placement.by_load(candidates, self._rng.random)[0]
         return self._take(place_types.Place(best.server))
 
+    async def _sit_out(
+        self, opens_at: float, answer_by: float, deadline: float
+    ) -> errors.Refusal | None:
+        """Waits for the end of a pause of all servers, if that is soon."""
+        now = self._clock.now()
+        decision = patience.decide_pause(
+            now, opens_at, answer_by, deadline, self._rng.random()
+        )
+        if isinstance(decision, errors.Refusal):
+            self._counters.count("pauses.refused")
+            return decision
+        self._counters.count("pauses.waited")
+        await self._wait(decision.until - now)
+        return None
+
     def _opened(
         self, known: Sequence[servers.BackendServer], now: float
     ) -> tuple[list[servers.BackendServer], float]:
@@ -385,14 +395,9 @@
                 if opened:
                     return opened
                 if holders:
-                    decision = patience.decide_pause(
-                        now, opens_at, answer_by, deadline, self._rng.random()
-                    )
-                    if isinstance(decision, errors.Refusal):
-                        self._counters.count("pauses.refused")
-                        return decision
-                    self._counters.count("pauses.waited")
-                    await self._wait(decision.until - now)
+                    refusal = await self._sit_out(opens_at, answer_by, deadline)
+                    if refusal is not None:
+                        return refusal
                     continue
                 if not waits:
                     waits = True
--- a/azureline/relay/suspicion.py
+++ b/azureline/relay/suspicion.py
@@ -142,7 +142,7 @@
         """
         while True:
             content = self._content(request)
-            verdict = self._check(content, service, usable())
+            verdict = self._check(content, service, usable)
             match verdict:
                 case suspects_lib.Clear():
                     return Turn(content)
@@ -164,12 +164,19 @@
         turn: Turn,
         request: requests.CallerRequest,
         service: str,
-        usable: place_types.Usable,
+        usable: Callable[[], place_types.Usable],
         server_id: str,
     ) -> bool:
         """Returns whether a request may still be sent to a server.
 
         What was learnt while it waited for its place counts.
+
+        Args:
+          turn: what was decided before it had a place.
+          request: the request.
+          service: its service.
+          usable: returns the servers that could serve it.
+          server_id: the server of its place.
         """
         content = turn.content or self._content(request)
         match self._check(content, service, usable):
@@ -232,14 +239,17 @@
         return identity.content(request)
 
     def _check(
-        self, content: bytes, service: str, usable: place_types.Usable
+        self,
+        content: bytes,
+        service: str,
+        usable: Callable[[], place_types.Usable],
     ) -> Any:
         if not content:
             return suspects_lib.Clear()
-        now = self._clock.now()
+        now, found = self._clock.now(), usable()
         # A suspect does not run where it could end what is left of a service.
-        spared = usable.sound * 2 <= usable.known
-        ids = () if spared else usable.ids
+        spared = found.sound * 2 <= found.known
+        ids = () if spared else found.ids
         verdict = self._suspects.check(now, Content(content, service), ids, ids)
         match verdict:
             case errors.Refusal(detail=detail, retry_after=retry_after):
@@ -248,7 +258,7 @@
                     f"{detail}.",
                     retry_after=retry_after,
                 )
-            case suspects_lib.Wait() if not usable.ids:
+            case suspects_lib.Wait() if not found.ids:
                 # It waits for a server, as requests without suspicion do.
                 return suspects_lib.Clear()
             case suspects_lib.Quarantine() if content in self._trials:
--- a/tests/test_relay_suspicion.py
+++ b/tests/test_relay_suspicion.py
@@ -92,7 +92,7 @@
     _end(fleet, b"a", server="s0")
     turn = fleet.check(0, b"a")
     part, request = fleet.nodes[0].suspicion, fleet.request(b"a")
-    arguments = (turn, request, builders.SERVICE, fleet.usable(), "s5")
+    arguments = (turn, request, builders.SERVICE, fleet.usable, "s5")
     assert part.allows(*arguments)
     for server in ("s1", "s2"):
         _end(fleet, b"a", server=server)
