Log limits that servers name, and what is sent to them

Two hypotheses of the LIMIT incident could not be told apart: no line said when a node learnt of a limit, and reports of engines were in no log or metric. Adds server_limit, limit_unreadable and server_sends lines and counters of sends by kind; decides nothing yet.

--- a/azureline/platform/names.py
+++ b/azureline/platform/names.py
@@ -18,6 +18,8 @@
 RETRY_AFTER = b"retry-after"
 # "1" in every answer of a backend server that will stop soon.
 LEAVING = b"server-leaving"
+# Requests a second that a backend server takes from all nodes together.
+LIMIT = b"server-limit"
 
 # The caller's API key, and the workspace that the key belongs to.
 API_KEY = b"x-api-key"
--- a/azureline/platform/requests.py
+++ b/azureline/platform/requests.py
@@ -39,6 +39,8 @@
 # Retry-After in seconds.  The platform allows a fraction; RFC 9110 allows only
 # whole seconds or a date.
 _SECONDS = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,9})?")
+# A limit in requests a second; longer numbers are rejected.
+_RATE = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
 
 
 class ServerNotice(NamedTuple):
@@ -51,12 +53,17 @@
       resume_at: Unix time in seconds until which the server wants no requests
         from this node, or None.
       invalid_retry_after: the Retry-After value if it cannot be parsed, or b"".
+      limit_per_s: requests a second that the server takes from all nodes
+        together, or None if it names no limit.
+      invalid_limit: the limit if it cannot be parsed, or b"".
     """
 
     leaving: bool = False
     pause_s: float | None = None
     resume_at: float | None = None
     invalid_retry_after: bytes = b""
+    limit_per_s: float | None = None
+    invalid_limit: bytes = b""
 
 
 class AnswerHead(NamedTuple):
@@ -190,17 +197,19 @@
 
     A Retry-After header counts as a pause only with status 503.
     """
-    leaving = head.get(names.LEAVING).strip() == b"1"
+    notice = _parse_limit(head)._replace(
+        leaving=head.get(names.LEAVING).strip() == b"1"
+    )
     value = head.get(names.RETRY_AFTER).strip()
     if head.status != 503 or not value:
-        return ServerNotice(leaving)
+        return notice
     seconds = _parse_seconds(value)
     if seconds is not None:
-        return ServerNotice(leaving, pause_s=seconds)
+        return notice._replace(pause_s=seconds)
     date = _parse_date(value)
     if date is not None:
-        return ServerNotice(leaving, resume_at=date)
-    return ServerNotice(leaving, invalid_retry_after=value)
+        return notice._replace(resume_at=date)
+    return notice._replace(invalid_retry_after=value)
 
 
 def forwarded_headers(head: http1.Head) -> http1.Headers:
@@ -267,6 +276,16 @@
         return None
 
 
+def _parse_limit(head: http1.Head) -> ServerNotice:
+    """Parses the limit; of several values the lowest counts."""
+    values = [v.strip() for n, v in head.headers if n == names.LIMIT]
+    rates = [float(v) for v in values if _RATE.fullmatch(v)]
+    invalid = next((v for v in values if not _RATE.fullmatch(v)), b"")
+    return ServerNotice(
+        limit_per_s=min(rates, default=None), invalid_limit=invalid
+    )
+
+
 def _parse_parts(value: str) -> tuple[requests.PromptPart, ...]:
     parts = []
     for item in value.split(","):
--- a/azureline/relay/engine_controller.py
+++ b/azureline/relay/engine_controller.py
@@ -24,6 +24,7 @@
 from azureline.relay import requests
 from azureline.relay import reservations
 from azureline.relay import routes
+from azureline.relay import send_counts
 from azureline.relay import servers
 from azureline.util import events
 from azureline.util import http1
@@ -64,6 +65,7 @@
       log: event log; receives one entry per order.
       publish: publishes an engine's state or load to all nodes.
       eligibility: engines that asked this node for a pause.
+      sends: counts the calls to engines.
       on_response_head: called with the head of each response of an engine.
     """
 
@@ -76,6 +78,7 @@
     log: events.Log
     publish: Callable[[messages.EngineState | messages.EngineLoad], None]
     eligibility: eligibilities.Eligibility
+    sends: send_counts.SendCounts
     on_response_head: Callable[[servers.BackendServer, http1.Head], None]
 
 
@@ -291,6 +294,7 @@
 
     def _send(self, order: orders.Order, now: float) -> None:
         self._order_in_flight = True
+        self._dependencies.sends.record(self._server, send_counts.Kind.ORDER)
         self._ordered_at = now
         self.memory.record_sent(order)
         if order.verb is orders.Verb.UNLOAD and not order.adapter:
@@ -342,6 +346,7 @@
         ):
             return
         self._report_in_flight = True
+        self._dependencies.sends.record(self._server, send_counts.Kind.REPORT)
         self._reported_at = now
         server = self._server
         request = order_calls.build_report_request(
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -15,6 +15,7 @@
 from azureline.relay import request_identity
 from azureline.relay import requests
 from azureline.relay import routes
+from azureline.relay import send_counts
 from azureline.relay import stream_events
 from azureline.relay import wait_policy
 
@@ -258,6 +259,7 @@
             fresh=not route.repeatable,
         )
         context.scheduler.record_sent(assignment)
+        context.sends.record(assignment.server, send_counts.Kind.REQUEST)
         context.crash_detector.request_started(assignment.server, attempt)
         context.crash_suspects.send_started(permit)
         try:
--- a/azureline/relay/exchange_context.py
+++ b/azureline/relay/exchange_context.py
@@ -11,6 +11,7 @@
 from azureline.relay import retry_budget as retry_budgets
 from azureline.relay import routes
 from azureline.relay import scheduler
+from azureline.relay import send_counts
 from azureline.relay import server_notices
 from azureline.util import events
 from azureline.util import http1
@@ -28,6 +29,7 @@
       retry_budget: retry budget.
       crash_detector: detects servers that crash or stop during requests.
       notices: processes server notices in the headers of answers.
+      sends: counts the calls to backend servers.
       crash_suspects: isolates requests that are suspected of crashing servers.
       counters: counts refusals and retries by reason.
       exposition: records latencies.
@@ -42,6 +44,7 @@
     retry_budget: retry_budgets.RetryBudget
     crash_detector: crash_detection.CrashDetector
     notices: server_notices.ServerNotices
+    sends: send_counts.SendCounts
     crash_suspects: crash_suspects.CrashSuspects
     counters: metrics.Counters
     exposition: exposition.Exposition
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -38,6 +38,7 @@
 from azureline.relay import routes
 from azureline.relay import run_times
 from azureline.relay import scheduler as scheduler_lib
+from azureline.relay import send_counts
 from azureline.relay import server_notices
 from azureline.relay import servers
 from azureline.relay import settings as settings_lib
@@ -85,6 +86,7 @@
         self._catalogue = servers.Catalogue()
         self._residency = residencies.Residency(self._catalogue)
         self._eligibility = eligibilities.Eligibility(self._catalogue)
+        self._sends = send_counts.SendCounts(self._counters, log)
         self._record = keys.NodeRecord(
             settings.name,
             settings.host,
@@ -133,6 +135,7 @@
             self._eligibility,
             self._peers,
             self._scheduler.wake_waiting,
+            self._sends,
             self._counters,
             log,
         )
@@ -163,6 +166,7 @@
             self._retry_budget,
             self._crash_detector,
             self._server_notices,
+            self._sends,
             self._crash_suspects,
             self._counters,
             self._exposition,
@@ -179,6 +183,7 @@
                 log,
                 self._broadcast_state,
                 self._eligibility,
+                self._sends,
                 self._server_notices.heard,
             ),
             self._clock,
@@ -388,6 +393,7 @@
         self._store_view.expire()
         self._crash_detector.expire()
         self._eligibility.expire(self._clock.now())
+        self._sends.write_log(self._clock.now())
         config = self._table.config
         if config is not None:
             self._factory.set_idle_s(config.limits.idle_s)
--- a/azureline/relay/server_notices.py
+++ b/azureline/relay/server_notices.py
@@ -8,6 +8,7 @@
 from azureline.relay import eligibility as eligibilities
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
+from azureline.relay import send_counts
 from azureline.relay import servers
 from azureline.util import events
 from azureline.util import http1
@@ -23,6 +24,7 @@
         eligibility: eligibilities.Eligibility,
         peers: peers_lib.Peers,
         changed: Callable[[], None],
+        sends: send_counts.SendCounts,
         counters: metrics.Counters,
         log: events.Log,
     ):
@@ -34,6 +36,7 @@
           eligibility: records which servers are paused.
           peers: the other nodes.
           changed: called when a server leaves.
+          sends: counts the calls to servers that name a limit.
           counters: counts notices.
           log: event log; each notice that changes the state writes one line.
         """
@@ -42,6 +45,8 @@
         self._eligibility = eligibility
         self._peers = peers
         self._changed = changed
+        self._sends = sends
+        self._limits: dict[tuple[str, int], float] = {}
         self._counters = counters
         self._log = log
         peers.on(messages.ServerLeaving, self._on_server_leaving)
@@ -55,6 +60,7 @@
             self._peers.broadcast(
                 messages.ServerLeaving(server.server_id, server.born_ms)
             )
+        self._note_limit(server.incarnation, notice)
         if notice.invalid_retry_after:
             self._counters.count("pauses.unreadable")
             self._log.warning(
@@ -68,6 +74,34 @@
         if pause_s is not None and pause_s > 0:
             self._pause(server, pause_s)
 
+    def _note_limit(
+        self, incarnation: tuple[str, int], notice: wire.ServerNotice
+    ) -> None:
+        server_id, born_ms = incarnation
+        if notice.invalid_limit:
+            self._counters.count("limits.unreadable")
+            self._log.warning(
+                "limit_unreadable",
+                server=server_id,
+                value=notice.invalid_limit[:40].decode("latin-1"),
+            )
+            return
+        if self._limits.get(incarnation) == notice.limit_per_s:
+            return
+        if notice.limit_per_s is None:
+            self._limits.pop(incarnation, None)
+        else:
+            self._limits[incarnation] = notice.limit_per_s
+        self._sends.set_limit(incarnation, notice.limit_per_s)
+        self._counters.count("limits.changed")
+        self._log.info(
+            "server_limit",
+            server=server_id,
+            born_ms=born_ms,
+            limit_per_s=notice.limit_per_s,
+            told_by="its answer",
+        )
+
     def _pause(self, server: servers.BackendServer, pause_s: float) -> None:
         now = self._clock.now()
         paused_until = self._eligibility.paused_until(server, now)
--- a/tests/test_relay_engine_controller.py
+++ b/tests/test_relay_engine_controller.py
@@ -11,6 +11,7 @@
 from azureline.relay import eligibility
 from azureline.relay import engine_controller
 from azureline.relay import messages
+from azureline.relay import send_counts
 from azureline.relay import servers
 from azureline.util import events
 from azureline.util import http1
@@ -73,6 +74,7 @@
         log=events.Log(logging.getLogger("holding"), None),
         publish=[].append if published is None else published.append,
         eligibility=pauses or eligibility.Eligibility(servers.Catalogue()),
+        sends=send_counts.SendCounts(metrics.Counters(), events.null_log()),
         on_response_head=lambda server, head: None,
     )
     return engine_controller.EngineController(
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -39,6 +39,7 @@
         retry_budget=None,
         crash_detector=None,
         notices=None,
+        sends=None,
         crash_suspects=None,
         counters=metrics.Counters(),
         exposition=None,
