Reproduce calls beyond a server's named limit

The stand-in of a backend server can name a limit in its replies and records reports and orders; the soak's checks count all calls in 4 s.

--- a/standins/site_server.py
+++ b/standins/site_server.py
@@ -37,6 +37,25 @@
     pause_s: float
 
 
+class ControlCall(NamedTuple):
+    """A report or an order that arrived."""
+
+    kind: str
+    at: float
+
+
+class NamedLimit(NamedTuple):
+    """A change of the limit in the server's replies.
+
+    Attributes:
+      at: Unix time of the change.
+      per_s: calls a second from all nodes together; -1 without a limit.
+    """
+
+    at: float
+    per_s: float
+
+
 class StartedRequest(NamedTuple):
     """A request that the server started to execute."""
 
@@ -60,6 +79,13 @@
     for_s: float = 0.0
 
 
+class _LimitFault(NamedTuple):
+    """Names a limit of `per_s` calls a second in all replies for `for_s`."""
+
+    per_s: float
+    for_s: float
+
+
 class _PendingOrder(NamedTuple):
     verb: str
     model: str
@@ -84,9 +110,13 @@
         self.overcommits = 0
         self.crash_times: list[float] = []
         self.arrivals: list[ReceivedRequest] = []
+        self.control_calls: list[ControlCall] = []
+        self.limits: list[NamedLimit] = []
         self.leaving = False
         self._pause_fault = _PauseFault(0.0)
         self._pause_until = 0.0
+        self._limit_per_s: float | None = None
+        self._limit_end: Any = None
         self.born = chosen.born
         # Whether the server is down, between a crash and its restart.
         self.down = False
@@ -118,7 +148,9 @@
         matching request and restarts it `back_s` seconds later; `leave`
         announces in every reply that the server is leaving, stops it after
         that many seconds and restarts it 1 s later; `pause` (`seconds`,
-        `for_s`) asks nodes for `for_s` seconds to pause for `seconds`.
+        `for_s`) asks nodes for `for_s` seconds to pause for `seconds`;
+        `limit` (`per_s`, `for_s`) names a limit in all replies for `for_s`
+        seconds.
         """
         match name:
             case "leave":
@@ -128,6 +160,8 @@
                 self._pause_fault = _PauseFault(**value)
                 now = self.reactor.seconds()
                 self._pause_until = now + self._pause_fault.for_s
+            case "limit":
+                self._set_limit(_LimitFault(**value))
             case "deadly":
                 self._crash_fault = _CrashFault(**value)
             case "reset":
@@ -157,9 +191,27 @@
             "born": self.born,
         }
 
+    def _set_limit(self, fault: _LimitFault) -> None:
+        if self._limit_end is not None and self._limit_end.active():
+            self._limit_end.cancel()
+        self._limit_per_s = fault.per_s
+        self.limits.append(NamedLimit(self.reactor.seconds(), fault.per_s))
+        self._limit_end = self.reactor.callLater(fault.for_s, self._end_limit)
+
+    def _end_limit(self) -> None:
+        if self._limit_per_s is not None:
+            self._limit_per_s = None
+            self.limits.append(NamedLimit(self.reactor.seconds(), -1.0))
+
+    def _notices(self) -> tuple[tuple[str, str], ...]:
+        """Returns the headers in which the server reports its state."""
+        notices = (_LEAVING_HEADER,) if self.leaving else ()
+        if self._limit_per_s is not None:
+            notices = (*notices, ("Server-Limit", f"{self._limit_per_s:g}"))
+        return notices
+
     def _send(self, reply: common.Reply, request: server.Request) -> None:
-        if self.leaving:
-            reply = reply._replace(headers=(*reply.headers, _LEAVING_HEADER))
+        reply = reply._replace(headers=(*reply.headers, *self._notices()))
         super()._send(reply, request)
 
     def _model_rows(self) -> list[dict[str, Any]]:
@@ -169,6 +221,7 @@
         ]
 
     def _report(self, request: server.Request) -> common.Reply:
+        self._record_control_call("report")
         return common.json_reply(
             {
                 "stage": "prefill_decode",
@@ -182,6 +235,10 @@
             }
         )
 
+    def _record_control_call(self, kind: str) -> None:
+        now = self.reactor.seconds()
+        self.control_calls.append(ControlCall(kind, now))
+
     def _recorded(self, request: server.Request) -> common.Reply:
         return common.json_reply(
             {
@@ -190,6 +247,8 @@
                 "overcommits": self.overcommits,
                 "ends": self.crash_times,
                 "arrivals": [row._asdict() for row in self.arrivals],
+                "control_calls": [c._asdict() for c in self.control_calls],
+                "limits": [limit._asdict() for limit in self.limits],
                 "models": self._model_rows(),
             }
         )
@@ -201,6 +260,7 @@
         )
 
     def _order(self, request: server.Request) -> common.Reply | None:
+        self._record_control_call("order")
         if self._expects_other_server(request):
             return _not_run(421)
         order = common.read_json(request)
@@ -296,6 +356,7 @@
         self.born = int(time.time() * 1000)
         self.models = {}
         self.leaving = False
+        self._end_limit()
         self.sequence = self.entry_sequence = 0
         self._pending_order = None
         self.listen(self._options.host, self._options.port)
@@ -318,10 +379,7 @@
         usage = request.getHeader("Azureline-Token-Usage") or "0,5"
         count = max(1, int(usage.partition(",")[2] or 5))
         last = request.getHeader("Last-Event-Id")
-        headers = [*_headers(request_id)]
-        if self.leaving:
-            headers.append(_LEAVING_HEADER)
-        for name, value in headers:
+        for name, value in (*_headers(request_id), *self._notices()):
             request.setHeader(name, value)
         request.setHeader("Content-Type", "text/event-stream")
         for number in range(int(last) + 1 if last else 0, count):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -102,6 +102,20 @@
     assert found.startswith("BUDGET")
 
 
+def test_calls_beyond_a_named_limit_are_reported():
+    limits = [{"at": 0.0, "per_s": 1.0}, {"at": 30.0, "per_s": -1.0}]
+    rows = [_arrival(f"r{n}", 3.0 + n * 0.1) for n in range(8)]
+    reports = [{"kind": "report", "at": 4.0 + n} for n in range(3)]
+    server = {"arrivals": rows, "control_calls": reports, "limits": limits}
+    assert soak_checks.check_limits("e1", server) == []
+    rows.append(_arrival("r8", 3.9))
+    assert soak_checks.check_limits("e1", server)[0].startswith("LIMIT")
+    limits[0]["per_s"] = 1.2
+    assert soak_checks.check_limits("e1", server) == []
+    server["limits"] = [{"at": 0.5, "per_s": 1.0}]
+    assert soak_checks.check_limits("e1", server) == []
+
+
 def test_crashing_request_that_keeps_running_is_reported():
     sent = _sent(*range(9))
     runs = [{"request_id": f"r{n}", "at": float(n)} for n in range(9)]
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -1,6 +1,8 @@
 """Checks of guarantees from the records of callers and backend servers."""
 
+import bisect
 import collections
+import math
 from typing import Any
 from typing import NamedTuple
 
@@ -22,6 +24,12 @@
 MAX_CRASHES = 3
 MAX_LATE_RUNS = 3
 PROPAGATION_S = 3.0
+# A server that names a limit gets at most LIMIT_RATIO times what the limit
+# allows in LIMIT_WINDOW_S, plus LIMIT_SLACK calls, from PROPAGATION_S after it
+# first named it (LIMIT).
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_SLACK = 5
 # Time in which a stopped or paused node recovers and reconnects.
 NODE_RECOVERY_S = 6.0
 
@@ -71,6 +79,7 @@
                 f"LIMIT {name}: {server['overcommits']} overcommits"
             )
         violations += _check_orders(name, server["orders"])
+        violations += check_limits(name, server)
         rows = [
             {**row, "node": node, "sent_at": at_of[row["request_id"]]}
             for row in server.get("arrivals", ())
@@ -115,6 +124,68 @@
     ]
 
 
+def check_limits(name: str, server: dict[str, Any]) -> list[str]:
+    """Returns the windows in which a server got more calls than its limit.
+
+    Args:
+      name: the server's name.
+      server: its records; requests, reports and orders of all nodes count.
+    """
+    calls = sorted(
+        row["at"]
+        for kind in ("arrivals", "control_calls")
+        for row in server.get(kind, ())
+    )
+    violations = []
+    for first, begins, ends, limits in _limited_periods(server):
+        counted = [at for at in calls if begins <= at < ends]
+        for number, at in enumerate(counted):
+            last = at + LIMIT_WINDOW_S
+            count = bisect.bisect_left(counted, last) - number
+            allowed = (
+                LIMIT_RATIO * LIMIT_WINDOW_S * _highest(limits, at, last)
+                + LIMIT_SLACK
+            )
+            if count > allowed:
+                violations.append(
+                    f"LIMIT {name}: {count} calls in {LIMIT_WINDOW_S:g} s, "
+                    f"{at - first:.2f} s after its limit, {allowed:g} allowed"
+                )
+    return violations
+
+
+def _limited_periods(
+    server: dict[str, Any],
+) -> list[tuple[float, float, float, list[dict[str, float]]]]:
+    """Returns the periods in which the server's limit binds all nodes.
+
+    Each is the Unix time of its first naming, the times between which calls
+    count, and the limits named in it.
+    """
+    periods = []
+    named: list[dict[str, float]] = []
+    for limit in [*server.get("limits", ()), {"at": math.inf, "per_s": -1.0}]:
+        if limit["per_s"] >= 0:
+            named.append(limit)
+        elif named:
+            first = named[0]["at"]
+            periods.append((first, first + PROPAGATION_S, limit["at"], named))
+            named = []
+    return periods
+
+
+def _highest(
+    limits: list[dict[str, float]], begins: float, ends: float
+) -> float:
+    """Returns the highest limit in force between two times."""
+    until = [limit["at"] for limit in limits[1:]] + [math.inf]
+    return max(
+        limit["per_s"]
+        for limit, end in zip(limits, until, strict=True)
+        if limit["at"] < ends and end > begins
+    )
+
+
 def _check_answer(one: SentRequest, runs: int) -> list[str]:
     answer = one.answer
     name = f"{one.kind} {answer.request_id}"
