Keep the limits that servers name, over all nodes together

What callers saw: a model engine in need that had named Server-Limit: 1 got 12 requests in 4 s, where 11 are allowed; under ten times the demand 104 to 185.

Cause: no node read the header, and nothing in the relay could have kept a rate over all nodes: pauses and leaving are a node's own affair or a fact that is told once. Reports and orders of the lease holder count at the server as well.

Change: a node that hears of a limit tells all nodes once. From then on each call to the server needs a grant of its lease holder, which books calls by the generic cell rate algorithm at most 1 s ahead and charges its own reports and orders to the same schedule; reports take a tenth of the limit. Plain servers get a lease holder when they name a limit. Grants expire 0.5 s after their time, by the clock that counts suspension. A holder whose lease may have ended, or whose predecessor may still grant, uses 0.3 of the limit, which fits into the half that servers accept beyond it. A request takes another server that holds its model first, else waits for its booked turn, else is refused at once with the time of a turn. A limit ends when two answers in a row don't name it, the last to a call sent 2 s after one that did.

--- a/azureline/relay/assignment.py
+++ b/azureline/relay/assignment.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer
 
 from azureline.relay import capacity
+from azureline.relay import grants
 from azureline.relay import prefill
 from azureline.relay import reservations
 from azureline.relay import servers
@@ -24,6 +25,7 @@
       reading_s: seconds to read its prompt at the nominal rate.
       queued_s: seconds that the engine needs for prompts queued before it.
       route: name of the request's route, or "".
+      grant: grant to send the request, if the server names a limit.
     """
 
     server: servers.BackendServer
@@ -33,6 +35,7 @@
     reading_s: float = 0.0
     queued_s: float = 0.0
     route: str = ""
+    grant: grants.Grant | None = None
 
 
 class UsableServers(NamedTuple):
--- a/azureline/relay/claims.py
+++ b/azureline/relay/claims.py
@@ -45,6 +45,11 @@
         """
         return self.valid_s + self.turn_s + self.margin_s
 
+    @property
+    def overlap_s(self) -> float:
+        """Seconds after a claim in which an earlier lease may look valid."""
+        return self.valid_s + self.margin_s
+
     def wait_after(self, last: keys.TermRecord | None, node: str) -> float:
         """Returns the seconds from a claim to the first order.
 
@@ -96,10 +101,13 @@
     Attributes:
       token: fencing token; higher than that of every earlier term.
       from_s: earliest monotonic time, in seconds, of the first order.
+      alone_from_s: monotonic time in seconds from which no earlier lease holder
+        takes its own lease for valid.
     """
 
     token: int
     from_s: float
+    alone_from_s: float = 0.0
 
 
 class ClaimSchedule:
--- a/azureline/relay/controllers.py
+++ b/azureline/relay/controllers.py
@@ -9,6 +9,7 @@
 from azureline.relay import adapter_references
 from azureline.relay import claims
 from azureline.relay import engine_controller
+from azureline.relay import granter
 from azureline.relay import keys
 from azureline.relay import load_rate_limit
 from azureline.relay import messages
@@ -103,6 +104,20 @@
             return None
         return controller.reserve(request, reference)
 
+    def standing(self, server_id: str) -> granter.Standing:
+        """Returns this node's standing as the lease holder of a server."""
+        term = self._store_session.held_terms.get(server_id)
+        if term is None:
+            return granter.Standing.NONE
+        # Calls that an earlier lease holder booked may still be sent.
+        settled_at = term.alone_from_s + granter.HORIZON_S
+        if (
+            self._store_session.is_alone(server_id)
+            and self._clock.now() >= settled_at
+        ):
+            return granter.Standing.CERTAIN
+        return granter.Standing.UNCERTAIN
+
     def entry_updated(self, server: servers.BackendServer) -> None:
         """Applies a newer entry of an engine."""
         controller = self._controllers.get(server.server_id)
@@ -132,7 +147,16 @@
         """Claims resources, sends pending orders and plans."""
         now = self._clock.now()
         engines = {s.server_id: s for s in self._engines()}
-        wanted = [*engines, *(keys.PLANNER + s for s in self._services())]
+        limited = {
+            server_id
+            for (server_id, _), _ in self._dependencies.eligibility.limits
+            if self._catalogue.get(server_id) is not None
+        }
+        wanted = [
+            *engines,
+            *(limited - engines.keys()),
+            *(keys.PLANNER + s for s in self._services()),
+        ]
         held = {
             name: record.node
             for name, record in self._peers.holders.items()
--- a/azureline/relay/eligibility.py
+++ b/azureline/relay/eligibility.py
@@ -1,14 +1,16 @@
 """Decides whether this node may send requests to a backend server now.
 
 A server can announce that it leaves, which holds for all nodes until it stops,
-or ask one node for a pause.  For a while after a pause requests go through one
-by one, because the waiting requests would otherwise arrive all at once.
+ask one node for a pause, or name a limit for all nodes together.  For a while
+after a pause requests go through one by one, because the waiting requests would
+otherwise arrive all at once.
 """
 
 import enum
 import math
 from typing import NamedTuple
 
+from azureline.relay import server_limits
 from azureline.relay import servers
 
 # Upper limit of a pause; no caller waits this long.
@@ -30,6 +32,18 @@
     """The server may be sent a request."""
 
 
+class Limited(NamedTuple):
+    """The server may be sent a request that has a grant.
+
+    Attributes:
+      per_s: calls a second that the server takes from all nodes together.
+      free_at: monotonic time in seconds before which no grant is expected.
+    """
+
+    per_s: float
+    free_at: float
+
+
 class Closed(NamedTuple):
     """The server must not be sent a request.
 
@@ -49,7 +63,7 @@
 
 
 class Eligibility:
-    """Pauses and departures of servers, as this node knows them."""
+    """Pauses, departures and limits of servers, as this node knows them."""
 
     def __init__(self, catalogue: servers.Catalogue):
         """Creates the state without pauses.
@@ -59,8 +73,17 @@
         """
         self._catalogue = catalogue
         self._pauses: dict[tuple[str, int], _Pause] = {}
+        self._free_at: dict[tuple[str, int], float] = {}
+        self._limits = server_limits.ServerLimits()
+
+    @property
+    def limits(self) -> server_limits.ServerLimits:
+        """The limits that servers name."""
+        return self._limits
 
-    def check(self, server: servers.BackendServer, now: float) -> Open | Closed:
+    def check(
+        self, server: servers.BackendServer, now: float
+    ) -> Open | Limited | Closed:
         """Returns whether a request may be sent to a server.
 
         Args:
@@ -70,14 +93,24 @@
         if self._catalogue.is_leaving(server):
             return Closed(Reason.LEAVING, math.inf)
         pause = self._pauses.get(server.incarnation)
-        if pause is None or now >= pause.ends_at + _RAMP_S:
-            return Open()
-        if now < pause.ends_at:
+        if pause is not None and now < pause.ends_at:
             return Closed(Reason.PAUSED, pause.ends_at)
-        if now < pause.next_at:
+        if pause is not None and now < min(
+            pause.next_at, pause.ends_at + _RAMP_S
+        ):
             return Closed(Reason.RESUMING, pause.next_at)
+        limit = self._limits.get(server.incarnation)
+        if limit is not None:
+            free_at = self._free_at.get(server.incarnation, now)
+            return Limited(limit.per_s, free_at)
         return Open()
 
+    def record_full(
+        self, server: servers.BackendServer, free_at: float
+    ) -> None:
+        """Records that a server's limit is used up until a monotonic time."""
+        self._free_at[server.incarnation] = free_at
+
     def paused_until(
         self, server: servers.BackendServer, now: float
     ) -> float | None:
@@ -116,7 +149,10 @@
             )
 
     def expire(self, now: float) -> None:
-        """Removes expired pauses."""
+        """Removes expired pauses and limits."""
+        born_ms = {s.server_id: s.born_ms for s in self._catalogue}
+        self._limits.expire(born_ms, now)
+        self._free_at = {i: t for i, t in self._free_at.items() if t > now}
         for incarnation, pause in list(self._pauses.items()):
             if now >= pause.ends_at + _RAMP_S:
                 del self._pauses[incarnation]
--- a/azureline/relay/engine_controller.py
+++ b/azureline/relay/engine_controller.py
@@ -25,6 +25,7 @@
 from azureline.relay import reservations
 from azureline.relay import routes
 from azureline.relay import send_counts
+from azureline.relay import server_limits
 from azureline.relay import servers
 from azureline.util import events
 from azureline.util import http1
@@ -48,6 +49,10 @@
 # for routing.
 _LOADED_REPORT_INTERVAL_S = 0.9
 _IDLE_REPORT_INTERVAL_S = 2.5
+# Reports take this part of the calls that an engine's limit allows ...
+_REPORT_SHARE = 0.1
+# ... but are requested at this interval at least.
+_MAX_REPORT_INTERVAL_S = 15.0
 # A smaller change of the prompt reading share changes no routing decision.
 _MIN_READING_CHANGE_PERCENT = 10
 
@@ -64,9 +69,11 @@
       counters: counts orders by outcome.
       log: event log; receives one entry per order.
       publish: publishes an engine's state or load to all nodes.
-      eligibility: engines that asked this node for a pause.
-      sends: counts the calls to engines.
-      on_response_head: called with the head of each response of an engine.
+      eligibility: engines that asked this node for a pause or name a limit.
+      record_call: called with each report and order that is sent, and its
+        engine.
+      on_response_head: called with the head of each response of an engine and
+        the monotonic time, in seconds, at which the call was sent.
     """
 
     reactor: Any
@@ -78,8 +85,8 @@
     log: events.Log
     publish: Callable[[messages.EngineState | messages.EngineLoad], None]
     eligibility: eligibilities.Eligibility
-    sends: send_counts.SendCounts
-    on_response_head: Callable[[servers.BackendServer, http1.Head], None]
+    record_call: Callable[[servers.BackendServer, send_counts.Kind], None]
+    on_response_head: Callable[[servers.BackendServer, http1.Head, float], None]
 
 
 class _PendingReservation(NamedTuple):
@@ -270,9 +277,13 @@
         until = self._dependencies.eligibility.paused_until(self._server, now)
         return 0.0 if until is None else until - now
 
-    def _forward_head(self, answer: http1.Answer | http1.Failure) -> None:
+    def _forward_head(
+        self, answer: http1.Answer | http1.Failure, sent_at: float
+    ) -> None:
         if isinstance(answer, http1.Answer):
-            self._dependencies.on_response_head(self._server, answer.head)
+            self._dependencies.on_response_head(
+                self._server, answer.head, sent_at
+            )
 
     def close(self) -> None:
         """Denies all pending reservation requests."""
@@ -294,7 +305,7 @@
 
     def _send(self, order: orders.Order, now: float) -> None:
         self._order_in_flight = True
-        self._dependencies.sends.record(self._server, send_counts.Kind.ORDER)
+        self._dependencies.record_call(self._server, send_counts.Kind.ORDER)
         self._ordered_at = now
         self.memory.record_sent(order)
         if order.verb is orders.Verb.UNLOAD and not order.adapter:
@@ -313,13 +324,16 @@
         call = self._dependencies.client.fetch(
             server.address, request, _ORDER_TIMEOUT_S
         )
-        call.addCallback(self._order_answered, order)
+        call.addCallback(self._order_answered, order, now)
 
     def _order_answered(
-        self, answer: http1.Answer | http1.Failure, order: orders.Order
+        self,
+        answer: http1.Answer | http1.Failure,
+        order: orders.Order,
+        sent_at: float,
     ) -> None:
         self._order_in_flight = False
-        self._forward_head(answer)
+        self._forward_head(answer, sent_at)
         now = self._dependencies.clock.now()
         outcome = order_calls.parse_outcome(answer)
         self.memory.apply_outcome(order, outcome, now)
@@ -339,14 +353,25 @@
         else:
             self._publish_state(now)
 
+    def _min_report_interval_s(self) -> float:
+        limit = self._dependencies.eligibility.limits.get(
+            self._server.incarnation
+        )
+        if limit is None:
+            return _MIN_REPORT_INTERVAL_S
+        per_s = max(limit.per_s, server_limits.MIN_PER_S) * _REPORT_SHARE
+        return min(
+            max(_MIN_REPORT_INTERVAL_S, 1.0 / per_s), _MAX_REPORT_INTERVAL_S
+        )
+
     def _request_report(self, now: float) -> None:
         if (
             self._report_in_flight
-            or now - self._reported_at < _MIN_REPORT_INTERVAL_S
+            or now - self._reported_at < self._min_report_interval_s()
         ):
             return
         self._report_in_flight = True
-        self._dependencies.sends.record(self._server, send_counts.Kind.REPORT)
+        self._dependencies.record_call(self._server, send_counts.Kind.REPORT)
         self._reported_at = now
         server = self._server
         request = order_calls.build_report_request(
@@ -361,7 +386,7 @@
         self, answer: http1.Answer | http1.Failure, asked_at: float
     ) -> None:
         self._report_in_flight = False
-        self._forward_head(answer)
+        self._forward_head(answer, asked_at)
         if isinstance(answer, http1.Failure) or answer.head.status != 200:
             return
         report = entries.decode_report(answer.body)
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -238,7 +238,7 @@
             lambda first_s: context.scheduler.record_first_part(
                 assignment, first_s
             ),
-            lambda head: context.notices.heard(assignment.server, head),
+            lambda head: context.notices.heard(assignment.server, head, now),
         )
         self._attempt = attempt
         before = self._reader.passed
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -145,6 +145,88 @@
     born_ms: int
 
 
+class LimitHeard(NamedTuple):
+    """Tells a server's lease holder what an answer said about its limit.
+
+    Attributes:
+      server_id: ID of the server.
+      born_ms: Unix time in milliseconds at which the server started, or 0.
+      per_s: calls a second that the answer named, or -1 if it named no limit.
+      age_ms: milliseconds since the answer, or, without a limit, since the
+        call that it answers was sent.
+    """
+
+    server_id: str
+    born_ms: int
+    per_s: float
+    age_ms: int
+
+
+class LimitState(NamedTuple):
+    """Notifies all nodes that a server's limit is in force or has ended.
+
+    Attributes:
+      server_id: ID of the server.
+      born_ms: Unix time in milliseconds at which the server started, or 0.
+      per_s: calls a second from all nodes together, or -1 if it has ended.
+      age_ms: milliseconds since an answer named the limit, or since its end.
+    """
+
+    server_id: str
+    born_ms: int
+    per_s: float
+    age_ms: int
+
+
+class LimitsRequest(NamedTuple):
+    """Requests the limits that a node knows."""
+
+
+class GrantRequest(NamedTuple):
+    """Asks a server's lease holder for a call under the server's limit.
+
+    Attributes:
+      request_id: number of the request, repeated in the reply.
+      server_id: ID of the server.
+      born_ms: Unix time in milliseconds at which the server started, or 0.
+      rank: rank of the caller's request; 0 is the most urgent.
+      max_wait_ms: longest acceptable wait until the call, in milliseconds.
+      per_s: the limit as the sender knows it, in calls a second.
+      age_ms: milliseconds since the sender heard of it.
+    """
+
+    request_id: int
+    server_id: str
+    born_ms: int
+    rank: int
+    max_wait_ms: int
+    per_s: float
+    age_ms: int
+
+
+class GrantReply(NamedTuple):
+    """Reply to a `GrantRequest`.
+
+    Attributes:
+      request_id: number of the request.
+      server_id: ID of the server.
+      born_ms: Unix time in milliseconds at which the server started, or 0.
+      granted: whether one call may be sent.
+      wait_ms: milliseconds until the call is to be sent; without a grant,
+        milliseconds until it is this caller's turn to ask again.
+      free_ms: milliseconds until the limit leaves room for a call.
+      per_s: the limit in force, or -1 if there is none.
+    """
+
+    request_id: int
+    server_id: str
+    born_ms: int
+    granted: bool
+    wait_ms: int
+    free_ms: int
+    per_s: float
+
+
 class SuspectCleared(NamedTuple):
     """Notifies all nodes that a crash suspect completed without a failure.
 
@@ -290,6 +372,11 @@
     15: SuspectCleared,
     16: SuspectsRequest,
     17: ServerLeaving,
+    18: LimitHeard,
+    19: LimitState,
+    20: LimitsRequest,
+    21: GrantRequest,
+    22: GrantReply,
 }
 
 
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -28,6 +28,8 @@
 from azureline.relay import exchange
 from azureline.relay import exchange_context
 from azureline.relay import follower
+from azureline.relay import granter as granters
+from azureline.relay import grants
 from azureline.relay import keys
 from azureline.relay import load_rate_limit
 from azureline.relay import messages
@@ -39,6 +41,7 @@
 from azureline.relay import run_times
 from azureline.relay import scheduler as scheduler_lib
 from azureline.relay import send_counts
+from azureline.relay import server_choice
 from azureline.relay import server_notices
 from azureline.relay import servers
 from azureline.relay import settings as settings_lib
@@ -109,6 +112,15 @@
         self._retry_budget = retry_budget.RetryBudget(
             retry_budget.BudgetTerms(*settings.repeats)
         )
+        grant_client = grants.GrantClient(
+            reactor,
+            self._clock,
+            self._peers,
+            self._eligibility.limits,
+            lambda incarnation: self._server_notices.limit_ended(incarnation),
+            self._counters,
+            log,
+        )
         self._scheduler = scheduler_lib.Scheduler(
             reactor,
             self._clock,
@@ -117,6 +129,9 @@
             self._catalogue,
             self._residency,
             self._eligibility,
+            server_choice.ServerChoice(
+                self._clock, self._eligibility, grant_client, self._counters
+            ),
             reservations.ReservationClient(
                 reactor,
                 self._clock,
@@ -131,6 +146,7 @@
         )
         self._server_notices = server_notices.ServerNotices(
             self._clock,
+            self._rng,
             self._catalogue,
             self._eligibility,
             self._peers,
@@ -183,7 +199,7 @@
                 log,
                 self._broadcast_state,
                 self._eligibility,
-                self._sends,
+                self._record_call,
                 self._server_notices.heard,
             ),
             self._clock,
@@ -193,6 +209,16 @@
             self._store_session,
             load_rate_limit.LoadWindowLimit(*settings.loads),
         )
+        self._granter = granters.Granter(self._eligibility.limits)
+        self._grant_server = granters.GrantServer(
+            self._clock,
+            self._granter,
+            self._eligibility.limits,
+            self._peers,
+            self._controllers.standing,
+            self._counters,
+            log,
+        )
         reservations.ReservationServer(
             self._peers, self._controllers.reserve, self._counters
         )
@@ -388,11 +414,20 @@
         if planner is not None:
             self._peers.send(planner, demand)
 
+    def _record_call(
+        self, server: servers.BackendServer, kind: send_counts.Kind
+    ) -> None:
+        """Counts a report or an order that is sent to an engine."""
+        self._sends.record(server, kind)
+        self._grant_server.charge(server.incarnation)
+
     def _run_sweep(self) -> None:
         self._client.close_expired()
         self._store_view.expire()
         self._crash_detector.expire()
         self._eligibility.expire(self._clock.now())
+        self._granter.expire()
+        self._server_notices.request_limits()
         self._sends.write_log(self._clock.now())
         config = self._table.config
         if config is not None:
--- a/azureline/relay/scheduler.py
+++ b/azureline/relay/scheduler.py
@@ -1,7 +1,6 @@
 """Schedules requests: assigns backend servers, waiting for models to load."""
 
 from collections.abc import Sequence
-import math
 import random
 from typing import Any
 
@@ -21,6 +20,7 @@
 from azureline.relay import residency as residencies
 from azureline.relay import routes
 from azureline.relay import run_times
+from azureline.relay import server_choice
 from azureline.relay import servers
 from azureline.relay import wait_policy
 
@@ -54,6 +54,7 @@
         catalogue: servers.Catalogue,
         residency: residencies.Residency,
         eligibility: eligibilities.Eligibility,
+        choice: server_choice.ServerChoice,
         reservations: assignments.ReservationClient,
         demand: assignments.DemandRecorder,
         times: run_times.RunTimes,
@@ -68,7 +69,8 @@
           domain: failure domain of this node.
           catalogue: the backend servers.
           residency: what engines hold.
-          eligibility: which servers may be sent requests.
+          eligibility: records the requests sent to servers.
+          choice: chooses among the servers that may be sent requests.
           reservations: client for reservation requests to lease holders.
           demand: records demand per model.
           times: running times of requests per route.
@@ -81,6 +83,7 @@
         self._catalogue = catalogue
         self._residency = residency
         self._eligibility = eligibility
+        self._choice = choice
         self._reservations = reservations
         self._demand = demand
         self._times = times
@@ -116,6 +119,7 @@
         """
         if service.engine is None or not request.model:
             return await self._assign_plain(
+                route,
                 service,
                 first_event_deadline,
                 deadline,
@@ -129,18 +133,21 @@
             self._times.expected_load(route, request),
             self._times.latency_targets(route),
         )
-        candidates = await self._wait_for_model(
-            request, route, service, first_event_deadline, deadline
-        )
-        if isinstance(candidates, errors.Refusal):
-            return candidates
-        untried = [c for c in candidates if c.server_id not in tried_servers]
-        untried = [
-            c for c in candidates if c.server_id == only_server
-        ] or untried
-        return await self._assign_engine(
-            request, route, untried or candidates, deadline
-        )
+        while True:
+            candidates = await self._wait_for_model(
+                request, route, service, first_event_deadline, deadline
+            )
+            if isinstance(candidates, errors.Refusal):
+                return candidates
+            assigned = await self._assign_engine(
+                request,
+                route,
+                _preferred(candidates, tried_servers, only_server),
+                wait_policy.latest_send(first_event_deadline),
+                deadline,
+            )
+            if assigned is not None:
+                return assigned
 
     def usable_servers(
         self, request: requests.CallerRequest, service: routes.Service
@@ -156,14 +163,15 @@
                 for s in running
                 if self._residency.holds(s, request.model, now)
             ]
-        open_servers, _ = self._split_open(capable, now)
-        ids = tuple(server.server_id for server in open_servers)
+        usable = self._choice.usable(capable)
+        ids = tuple(server.server_id for server in usable.servers)
         return assignments.UsableServers(ids, len(running), len(all_servers))
 
     def may_send(self, assignment: assignments.Assignment) -> bool:
         """Returns whether the assigned server may be sent a request now."""
-        verdict = self._eligibility.check(assignment.server, self._clock.now())
-        return isinstance(verdict, eligibilities.Open)
+        return self._choice.may_send(
+            server_choice.Chosen(assignment.server, assignment.grant)
+        )
 
     def record_sent(self, assignment: assignments.Assignment) -> None:
         """Records that a request is sent to its assigned server."""
@@ -205,6 +213,8 @@
             self._in_flight.pop(server.server_id, None)
         if assignment.model:
             self._demand.add_in_flight(server.service, assignment.model, -1)
+        if result is None:
+            self._give_back(assignment)
         if result is None or result.end is attempts.End.CANCELLED:
             return
         succeeded = result.end is attempts.End.DELIVERED
@@ -266,34 +276,61 @@
 
     async def _assign_plain(
         self,
+        route: routes.Route,
         service: routes.Service,
         first_event_deadline: float,
         deadline: float,
         tried_servers: tuple[str, ...],
         only_server: str,
     ) -> assignments.Assignment | errors.Refusal:
+        latest = wait_policy.latest_send(first_event_deadline)
         while True:
-            now = self._clock.now()
             all_servers = self._catalogue.of_service(service.name)
             if not all_servers:
                 return errors.Refusal(
                     errors.ErrorKind.NO_REPLICA, "The service has no server."
                 )
-            open_servers, opens_at = self._split_open(all_servers, now)
-            if open_servers:
-                break
-            refusal = await self._wait_for_pause(
-                opens_at, first_event_deadline, deadline
+            usable = self._choice.usable(all_servers)
+            if not usable.servers:
+                refusal = await self._wait_for_pause(
+                    usable.opens_at, first_event_deadline, deadline
+                )
+                if refusal is not None:
+                    return refusal
+                continue
+            preferred = _preferred(usable.servers, tried_servers, only_server)
+            ranked = ranking.rank_by_load(
+                [self._candidate(s) for s in preferred], self._rng.random
             )
-            if refusal is not None:
-                return refusal
-        untried = [s for s in open_servers if s.server_id not in tried_servers]
-        untried = [
-            s for s in open_servers if s.server_id == only_server
-        ] or untried
-        candidates = [self._candidate(s) for s in untried or open_servers]
-        best = ranking.rank_by_load(candidates, self._rng.random)[0]
-        return self._count_in(assignments.Assignment(best.server))
+            chosen = await self._choose(ranked, route, latest, deadline)
+            if isinstance(chosen, errors.Refusal):
+                return chosen
+            if chosen is not None:
+                return self._count_in(
+                    assignments.Assignment(chosen.server, grant=chosen.grant)
+                )
+
+    async def _choose(
+        self,
+        ranked: Sequence[ranking.Candidate],
+        route: routes.Route,
+        latest: float,
+        deadline: float,
+    ) -> server_choice.Chosen | errors.Refusal | None:
+        """Returns the server for a request.
+
+        Returns None after a wait, when the servers have to be ranked anew.
+        """
+        chosen = await self._choice.choose(
+            [c.server for c in ranked], route.rank, latest
+        )
+        if not isinstance(chosen, server_choice.Full):
+            return chosen
+        decision = self._choice.decide_wait(chosen, latest, deadline)
+        if isinstance(decision, errors.Refusal):
+            return decision
+        await self._sleep(max(0.0, decision.until - self._clock.now()))
+        return None
 
     async def _wait_for_pause(
         self, opens_at: float, first_event_deadline: float, deadline: float
@@ -310,26 +347,15 @@
         await self._wait(decision.until - now)
         return None
 
-    def _split_open(
-        self, all_servers: Sequence[servers.BackendServer], now: float
-    ) -> tuple[list[servers.BackendServer], float]:
-        """Returns the open servers, and when the next closed one opens."""
-        open_servers, opens_at = [], math.inf
-        for server in all_servers:
-            match self._eligibility.check(server, now):
-                case eligibilities.Open():
-                    open_servers.append(server)
-                case eligibilities.Closed(until=until):
-                    opens_at = min(opens_at, until)
-        return open_servers, opens_at
-
     async def _assign_engine(
         self,
         request: requests.CallerRequest,
         route: routes.Route,
-        holders: list[servers.BackendServer],
+        holders: Sequence[servers.BackendServer],
+        latest: float,
         deadline: float,
-    ) -> assignments.Assignment | errors.Refusal:
+    ) -> assignments.Assignment | errors.Refusal | None:
+        """Returns an assignment; None if the engines have to be ranked anew."""
         candidates = [self._engine_candidate(s, request) for s in holders]
         # An engine elsewhere may have the prompt cached.  Reading a long prompt
         # again takes longer than an answer from another failure domain.
@@ -337,17 +363,62 @@
         ordered = ranking.rank_by_affinity(
             candidates, _affinity(request), near_first=not is_long
         )
-        priority = min(_LOWEST_PRIORITY, route.rank)
+        chosen = await self._choose(ordered, route, latest, deadline)
+        if not isinstance(chosen, server_choice.Chosen):
+            return chosen
+        assignment = assignments.Assignment(
+            chosen.server,
+            min(_LOWEST_PRIORITY, route.rank),
+            model=request.model,
+            route=route.name,
+            grant=chosen.grant,
+        )
         if not request.adapter and not is_long:
-            return self._count_in(
-                assignments.Assignment(
-                    ordered[0].server,
-                    priority,
-                    model=request.model,
-                    route=route.name,
-                )
+            return self._count_in(assignment)
+        tried = [chosen.server]
+        if chosen.grant is None:
+            tried = self._open_servers(ordered)[:_MAX_ENGINES_ASKED]
+        try:
+            assigned = await self._assign_reserved(
+                request,
+                route,
+                assignment._replace(grant=None),
+                tried,
+                deadline,
+            )
+        except defer.CancelledError:
+            self._give_back(assignment)
+            raise
+        if isinstance(assigned, errors.Refusal):
+            self._give_back(assignment)
+            return assigned
+        return assigned._replace(grant=assignment.grant)
+
+    def _give_back(self, assignment: assignments.Assignment) -> None:
+        if assignment.grant is not None:
+            self._choice.give_back(assignment.grant)
+
+    def _open_servers(
+        self, ordered: Sequence[ranking.Candidate]
+    ) -> list[servers.BackendServer]:
+        now = self._clock.now()
+        return [
+            c.server
+            for c in ordered
+            if isinstance(
+                self._eligibility.check(c.server, now), eligibilities.Open
             )
-        tried = [c.server for c in ordered[:_MAX_ENGINES_ASKED]]
+        ]
+
+    async def _assign_reserved(
+        self,
+        request: requests.CallerRequest,
+        route: routes.Route,
+        template: assignments.Assignment,
+        tried: list[servers.BackendServer],
+        deadline: float,
+    ) -> assignments.Assignment | errors.Refusal:
+        """Returns an assignment with a reservation at one of some engines."""
         give_up_at = self._clock.now() + route.target_s * _QUEUE_WAIT_RATIO
         backlog_s = dict.fromkeys((s.server_id for s in tried), 0.0)
         while True:
@@ -357,14 +428,7 @@
                 tried.sort(key=lambda s: backlog_s[s.server_id])
             reason, retry_after_s = "", []
             for server in tried:
-                assignment = self._count_in(
-                    assignments.Assignment(
-                        server,
-                        priority,
-                        model=request.model,
-                        route=route.name,
-                    )
-                )
+                assignment = self._count_in(template._replace(server=server))
                 answer = await self._reserve(request, assignment, max_queue_s)
                 if answer.granted:
                     return assignment._replace(
@@ -445,12 +509,12 @@
             while True:
                 now = self._clock.now()
                 holders = self._residency.holders_of(service.name, model, now)
-                open_servers, opens_at = self._split_open(holders, now)
-                if open_servers:
-                    return open_servers
+                usable = self._choice.usable(holders)
+                if usable.servers:
+                    return usable.servers
                 if holders:
                     refusal = await self._wait_for_pause(
-                        opens_at, first_event_deadline, deadline
+                        usable.opens_at, first_event_deadline, deadline
                     )
                     if refusal is not None:
                         return refusal
@@ -535,6 +599,17 @@
         return assignment
 
 
+def _preferred(
+    usable: Sequence[servers.BackendServer],
+    tried_servers: tuple[str, ...],
+    only_server: str,
+) -> Sequence[servers.BackendServer]:
+    """Returns the server to use only, else those not tried, else all."""
+    only = [s for s in usable if s.server_id == only_server]
+    untried = [s for s in usable if s.server_id not in tried_servers]
+    return only or untried or usable
+
+
 def _affinity(request: requests.CallerRequest) -> str:
     """Returns the key that requests for the same engine share."""
     if request.adapter:
--- a/azureline/relay/store_session.py
+++ b/azureline/relay/store_session.py
@@ -93,6 +93,19 @@
             and self._validity.covers(now)
         )
 
+    def is_alone(self, name: str) -> bool:
+        """Returns whether no other node can take itself for the lease holder.
+
+        Args:
+          name: name of a resource.
+        """
+        term, now = self._held_terms.get(name), self._clock.now()
+        return (
+            term is not None
+            and now >= term.alone_from_s
+            and self._validity.covers(now)
+        )
+
     def claim(self, name: str, urgent: bool = False) -> None:
         """Tries to become the lease holder of a resource that has none.
 
@@ -134,8 +147,12 @@
                 self._remove_term(name, "taken" if record else "removed")
         elif is_own and name not in self._claiming and self._claim_lease.lease:
             # The claim succeeded, but the store's answer was lost.
-            from_s = self._clock.now() + self._terms.wait_s
-            self._held_terms[name] = claims.Term(revision, from_s)
+            now = self._clock.now()
+            self._held_terms[name] = claims.Term(
+                revision,
+                now + self._terms.wait_s,
+                now + self._terms.overlap_s,
+            )
             self._log.info("claim_found", held=name, token=revision)
 
     def node_removed(self, name: str) -> None:
@@ -211,7 +228,7 @@
             result = await self._store.transact(
                 {holder_key: 0, turn_key: 0}, puts
             )
-            wait_s = 0.0
+            wait_s, overlap_s = 0.0, float("-inf")
             if isinstance(result, store_lib.Conflict):
                 found = {item.key: item for item in result.items}
                 current, last_turn = found.get(holder_key), found.get(turn_key)
@@ -219,6 +236,8 @@
                     current
                 ):
                     return
+                if last_turn is not None:
+                    overlap_s = self._terms.overlap_s
                 if last_turn is not None and not urgent:
                     previous = keys.term_record(last_turn.value)
                     wait_s = self._terms.wait_after(previous, self._record.name)
@@ -229,7 +248,7 @@
                     },
                     puts,
                 )
-            self._claim_finished(name, lease, wait_s, result)
+            self._claim_finished(name, lease, wait_s, overlap_s, result)
         finally:
             self._claiming.discard(name)
 
@@ -243,7 +262,12 @@
         )
 
     def _claim_finished(
-        self, name: str, lease: store_lib.Lease, wait_s: float, result: Any
+        self,
+        name: str,
+        lease: store_lib.Lease,
+        wait_s: float,
+        overlap_s: float,
+        result: Any,
     ) -> None:
         if isinstance(result, store_lib.Unavailable):
             self._next_claim_at = self._clock.now() + _CLAIM_RETRY_S
@@ -255,7 +279,9 @@
             return
         now = self._clock.now()
         from_s = now + wait_s
-        self._held_terms[name] = claims.Term(result.revision, from_s)
+        self._held_terms[name] = claims.Term(
+            result.revision, from_s, now + overlap_s
+        )
         self._counters.count("claims.won")
         self._log.info(
             "claimed",
--- a/azureline/relay/wait_policy.py
+++ b/azureline/relay/wait_policy.py
@@ -1,4 +1,4 @@
-"""Wait policy: whether a request waits for a model or a paused server."""
+"""Wait policy: whether a request waits for a model or for a server."""
 
 from typing import NamedTuple
 
@@ -118,6 +118,42 @@
     )
 
 
+def latest_send(first_event_deadline: float) -> float:
+    """Returns the latest time at which a request can be sent in time.
+
+    Args:
+      first_event_deadline: monotonic time in seconds at which the caller
+        disconnects unless the answer has begun.
+    """
+    return first_event_deadline - _SERVE_S
+
+
+def decide_limit_wait(
+    now: float, turn_at: float, latest: float, deadline: float, detail: str
+) -> Wait | errors.Refusal:
+    """Decides on a request whose servers' limits are all used up.
+
+    Args:
+      now: monotonic time in seconds.
+      turn_at: when it is this request's turn to ask again; differs between
+        requests.
+      latest: latest time at which the request can be sent.
+      deadline: the caller's deadline, which includes its retries.
+      detail: explanation for the caller, a sentence.
+
+    Returns:
+      How long to wait, or the refusal with its Retry-After.
+    """
+    if turn_at < latest:
+        return Wait(turn_at)
+    return errors.Refusal(
+        errors.ErrorKind.DID_NOT_RUN,
+        detail,
+        retry_after=return_after(now, deadline, turn_at - now),
+        ran=errors.Ran.NO,
+    )
+
+
 def return_after(now: float, deadline: float, wanted_s: float) -> float:
     """Returns the Retry-After of a refusal in seconds.
 
--- a/tests/test_relay_engine_controller.py
+++ b/tests/test_relay_engine_controller.py
@@ -11,7 +11,6 @@
 from azureline.relay import eligibility
 from azureline.relay import engine_controller
 from azureline.relay import messages
-from azureline.relay import send_counts
 from azureline.relay import servers
 from azureline.util import events
 from azureline.util import http1
@@ -74,8 +73,8 @@
         log=events.Log(logging.getLogger("holding"), None),
         publish=[].append if published is None else published.append,
         eligibility=pauses or eligibility.Eligibility(servers.Catalogue()),
-        sends=send_counts.SendCounts(metrics.Counters(), events.null_log()),
-        on_response_head=lambda server, head: None,
+        record_call=lambda server, kind: None,
+        on_response_head=lambda server, head, sent_at: None,
     )
     return engine_controller.EngineController(
         dependencies,
--- a/tests/test_relay_server_notices.py
+++ b/tests/test_relay_server_notices.py
@@ -1,5 +1,7 @@
 """Tests of server notices, from the headers to the decision to send."""
 
+import random
+
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -55,6 +57,7 @@
         self.changes = []
         self.notices = server_notices.ServerNotices(
             self.clock,
+            random.Random(1),
             self.catalogue,
             self.eligibility,
             self.peers,
@@ -65,7 +68,8 @@
         )
 
     def receive_answer(self, status=200, **headers):
-        self.notices.heard(self.server, _head(status, **headers))
+        head = _head(status, **headers)
+        self.notices.heard(self.server, head, self.clock.now())
         return self.eligibility.check(self.server, self.clock.now())
 
 
