--- a/tools/soak.py
+++ b/tools/soak.py
@@ -238,6 +238,10 @@
             "ask_pause": lambda: self._post_faults(
                 server, pause={"seconds": 1.0 + lasts_s, "for_s": 0.5}
             ),
+            "limit": lambda: self._name_limit([server], lasts_s),
+            "limit_all": lambda: self._name_limit(
+                [n for n in SERVERS if n[:3] == server[:3]], lasts_s
+            ),
             "deadly": self._begin_deadly,
             "late_orders": lambda: self._post_faults(engine, late_orders=2),
             "config": self._change_config,
@@ -265,6 +269,12 @@
     def _signal(self, name: str, number: signal.Signals) -> None:
         os.kill(self._processes.pid(name), number)
 
+    def _name_limit(self, limited: list[str], lasts_s: float) -> None:
+        per_s = self._rng.choice((0.5, 1.0, 2.0, 4.0))
+        limit = {"per_s": per_s, "for_s": soak_checks.PROPAGATION_S + lasts_s}
+        for name in limited:
+            self._post_faults(name, limit=limit)
+
     def _begin_deadly(self) -> None:
         for name in SERVERS[2:]:
             self._post_faults(name, deadly={"mark": "deadly"})
