Let servers of the soak name limits for longer

A limit binds from 3 s after it was first named and is checked in windows of 4 s, so one of 3.3 to 5.5 s was hardly checked: it lasts 7.3 s or more now, and is withdrawn with the last faults.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -39,6 +39,9 @@
 RESTART_TIMEOUT_S = 10.0
 # Minimum time between a server's leaving notice and its stop.
 MIN_LEAVING_NOTICE_S = 2.5
+# Minimum time for which a server names a limit; the limit binds after 3 s, and
+# is checked in windows of 4 s.
+MIN_LIMIT_S = 7.0
 # Fraction of the requests that crash servers, once that fault is active.
 CRASHING_FRACTION = 0.03
 
@@ -195,7 +198,11 @@
         lasts_s = self._rng.uniform(0.3, 2.5)
         instant = self._instant_faults(lasts_s)
         choice = self._rng.choice(
-            ("kill", "stop", "pause", "delay", "one_way", *instant)
+            (
+                *("kill", "stop", "pause", "delay", "one_way"),
+                *("limit", "limit_all"),
+                *instant,
+            )
         )
         node = self._rng.choice(NODES)
         match choice:
@@ -205,6 +212,8 @@
             case "one_way":
                 self._proxy.drop_replies(True)
                 return choice, lasts_s, lambda: self._proxy.drop_replies(False)
+            case "limit" | "limit_all":
+                return self._name_limit(choice, lasts_s)
             case "kill" | "stop" | "pause" if node in self._down:
                 return f"{choice} {node} (down already)", 0.0, _no_op
             case "kill" | "stop":
@@ -238,10 +247,6 @@
             "ask_pause": lambda: self._post_faults(
                 server, pause={"seconds": 1.0 + lasts_s, "for_s": 0.5}
             ),
-            "limit": lambda: self._name_limit([server], lasts_s),
-            "limit_all": lambda: self._name_limit(
-                [n for n in SERVERS if n[:3] == server[:3]], lasts_s
-            ),
             "deadly": self._begin_deadly,
             "late_orders": lambda: self._post_faults(engine, late_orders=2),
             "config": self._change_config,
@@ -269,11 +274,28 @@
     def _signal(self, name: str, number: signal.Signals) -> None:
         os.kill(self._processes.pid(name), number)
 
-    def _name_limit(self, limited: list[str], lasts_s: float) -> None:
+    def _name_limit(
+        self, choice: str, lasts_s: float
+    ) -> tuple[str, float, Any]:
+        """Lets one server, or all servers of a service, name a limit."""
+        server = self._rng.choice(SERVERS)
+        service = server.partition("-")[0]
+        limited = [n for n in SERVERS if n.startswith(service)]
+        if choice == "limit":
+            limited = [server]
         per_s = self._rng.choice((0.5, 1.0, 2.0, 4.0))
-        limit = {"per_s": per_s, "for_s": soak_checks.PROPAGATION_S + lasts_s}
-        for name in limited:
-            self._post_faults(name, limit=limit)
+
+        def name(for_s: float) -> None:
+            limit = {"per_s": per_s, "for_s": for_s}
+            for one in limited:
+                self._post_faults(one, limit=limit)
+
+        name(2.0 * self._seconds)
+        return (
+            f"{choice} {server} {per_s:g}",
+            MIN_LIMIT_S + lasts_s,
+            lambda: name(0.0),
+        )
 
     def _begin_deadly(self) -> None:
         for name in SERVERS[2:]:
