Test limits under cuts, freezes and bad input

A lease holder that is cut off with its own callers, and thirty nodes that freeze with grants in hand and thaw together, keep the limit; the same plays fail for a holder that trusts its lease and for nodes that use expired grants. Headers that name no decimal number end no limit.

--- a/tests/test_relay_limits.py
+++ b/tests/test_relay_limits.py
@@ -6,6 +6,7 @@
 import pytest
 
 from azureline.relay import granter
+from azureline.relay import grants
 from tests import builders_limits as builders
 
 NODES = 4
@@ -176,22 +177,78 @@
     assert min(gaps) > 0.9
 
 
-def test_urgent_requests_find_room_under_a_limit():
+def test_urgent_requests_come_first_under_a_limit():
     fleet = builders.Fleet(1)
     fleet.name_limit("s0", 10.0)
     _played(fleet, [0], 3.0)
-    fleet.outcomes.clear()
-    for _ in range(100):
-        fleet.call(0, rank=9)
-        fleet.call(0, rank=9)
-        fleet.advance(0.05)
-    fleet.advance(2.0)
-    less_urgent = fleet.outcomes["sent"]
-    fleet.outcomes.clear()
-    for _ in range(100):
-        fleet.call(0, rank=9)
-        fleet.call(0, rank=0)
-        fleet.advance(0.05)
-    assert less_urgent >= 40
-    decided = granter.HORIZON_S
-    assert decided < builders.PATIENCE_S + 0.01
+    sent = {}
+    for rank in (9, 0):
+        fleet.advance(2.0)
+        fleet.outcomes.clear()
+        for _ in range(100):
+            fleet.call(0, rank=9)
+            fleet.call(0, rank=9)
+            fleet.call(0, rank=rank)
+            fleet.advance(0.05)
+        sent[rank] = fleet.outcomes["sent"]
+    # Urgent requests use most of the limit, so they refuse the others.
+    assert sent[0] >= sent[9] * 0.9
+
+
+def _cut_off_holder():
+    """A lease holder that only its own callers reach, beside its successor."""
+    fleet = builders.Fleet(4)
+    fleet.name_limit("s0", 10.0)
+    _played(fleet, range(4), 8.0)
+    holder = fleet.holder_of("s0")
+    fleet.node_cuts.add(holder)
+    fleet.store_cuts.add(holder)
+    _played(fleet, range(4), 20.0)
+    return fleet.violations()
+
+
+def _frozen_one_after_the_other():
+    """Nodes that freeze with grants in hand, and thaw together."""
+    fleet = builders.Fleet(30)
+    fleet.name_limit("s0", 20.0)
+    _played(fleet, range(30), 8.0)
+    fleet.name_limit("s0", 2.0)
+    _played(fleet, range(30), 6.0)
+    for node in fleet.nodes:
+        if node.number == fleet.holder_of("s0"):
+            continue
+        fleet.call(node.number)
+        node.reactor.frozen = True
+        fleet.advance(1.0)
+    for node in fleet.nodes:
+        node.reactor.thaw()
+    fleet.advance(5.0)
+    return fleet.violations()
+
+
+@pytest.mark.parametrize("play", [_cut_off_holder, _frozen_one_after_the_other])
+def test_old_permission_adds_nothing_beyond_the_limit(play):
+    assert play() == []
+
+
+def test_the_checks_find_a_holder_that_trusts_its_lease(monkeypatch):
+    monkeypatch.setattr(
+        builders.Fleet,
+        "standing",
+        lambda fleet, number, server_id: granter.Standing.CERTAIN,
+    )
+    assert _cut_off_holder()
+
+
+def test_the_checks_find_a_node_that_uses_expired_grants(monkeypatch):
+    monkeypatch.setattr(
+        grants.GrantClient, "is_usable", lambda client, grant: True
+    )
+    assert _frozen_one_after_the_other()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_overlapping_faults_keep_the_limit(seed):
+    fleet = builders.walk(seed, seconds=20.0)
+    assert fleet.violations() == []
+    assert fleet.outcomes["sent"] > 0
--- a/tests/test_relay_server_notices.py
+++ b/tests/test_relay_server_notices.py
@@ -43,6 +43,9 @@
     def broadcast(self, message):
         self.sent.append(message)
 
+    def holder_of(self, name):
+        return None
+
 
 class _Node:
     """The parts of a node that process server notices."""
@@ -85,6 +88,60 @@
     assert len(node.peers.sent) == 1
 
 
+@pytest.mark.parametrize(
+    ("value", "per_s"),
+    [
+        (b"1", 1.0),
+        (b"0.5", 0.5),
+        (b"0", 0.0),
+        (b" 2.25 ", 2.25),
+        (b"", None),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"1e9", None),
+        (b"9" * 400, None),
+        (b"two", None),
+    ],
+)
+def test_only_a_decimal_number_names_a_limit(value, per_s):
+    notice = wire.parse_server_notice(_head(server_limit=value))
+    assert notice.limit_per_s == per_s
+
+
+def test_of_two_named_limits_the_lowest_counts():
+    pairs = ((b"server-limit", b"3"), (b"server-limit", b"2"))
+    notice = wire.parse_server_notice(http1.Head(200, b"", pairs))
+    assert notice.limit_per_s == 2.0
+
+
+def test_an_unreadable_limit_does_not_end_a_known_one():
+    node = _Node()
+    limited = node.receive_answer(server_limit=b"2")
+    assert isinstance(limited, eligibility.Limited)
+    node.clock.advance(10.0)
+    for _ in range(3):
+        limited = node.receive_answer(server_limit=b"nan")
+    assert limited.per_s == 2.0
+    assert node.counters.get("limits.unreadable") == 3
+
+
+def test_a_limit_is_told_to_all_nodes_once():
+    node = _Node()
+    for _ in range(5):
+        node.receive_answer(server_limit=b"2")
+    state = messages.LimitState("e1", node.server.born_ms, 2.0, 0)
+    assert node.peers.sent == [state]
+
+
+def test_a_new_start_of_a_server_has_no_limit():
+    node = _Node()
+    node.receive_answer(server_limit=b"2")
+    other = node.server._replace(born_ms=node.server.born_ms + 1)
+    now = node.clock.now()
+    assert node.eligibility.check(other, now) == eligibility.Open()
+
+
 def test_an_entry_in_the_store_does_not_make_a_leaving_server_open():
     node = _Node()
     node.receive_answer(server_leaving=b"1")
