Load models elsewhere while their engines name low limits

An engine whose limit is below the demand on its models no longer counts as a replica that serves them, so the planner loads them on another engine while callers wait or are refused, and loads nothing onto an engine that names a limit. The test loads the model for a limit of 1 a second under 4 requests a second on two engines, and doesn't for 6; planning did not know limits before.

--- a/azureline/relay/controllers.py
+++ b/azureline/relay/controllers.py
@@ -60,6 +60,7 @@
             clock,
             catalogue,
             peers,
+            dependencies.eligibility.limits,
             ceiling,
             dependencies.log,
             dependencies.counters,
--- a/azureline/relay/engines.py
+++ b/azureline/relay/engines.py
@@ -23,6 +23,8 @@
       on_disk: models with a copy on disk.
       free_s: seconds until the engine can accept another model order.
       requests: requests that are running or queued at the engine.
+      limit_per_s: calls a second that the engine takes; infinite without a
+        limit.
     """
 
     server_id: str
@@ -33,6 +35,7 @@
     on_disk: tuple[str, ...] = ()
     free_s: float = 0.0
     requests: int = 0
+    limit_per_s: float = math.inf
 
 
 class FleetState:
@@ -62,7 +65,14 @@
         for work in self._work.values():
             self._total = self._total.plus(work)
         self.replicas = _replicas(engines)
-        self.sound = _replicas([e for e in engines if not self._overloaded(e)])
+        self._rates = {m: demand.rate(m, now) for m in kind.models}
+        self.sound = _replicas(
+            [
+                e
+                for e in engines
+                if not self._overloaded(e) and not self._beyond_limit(e)
+            ]
+        )
         self._free: dict[str, int] = {}
         self._copies: dict[str, int] = {}
         for engine in engines:
@@ -121,6 +131,15 @@
         oldest = engine.on_disk[0]
         return self._copies.get(oldest, 0) <= 1
 
+    def _beyond_limit(self, engine: EngineSnapshot) -> bool:
+        """Returns whether an engine's limit is below the demand on it."""
+        demanded = sum(
+            self._rates[m] / self.replicas[m]
+            for m in engine.models
+            if m in self._rates
+        )
+        return demanded > engine.limit_per_s
+
     def _overloaded(self, engine: EngineSnapshot) -> bool:
         """Returns whether an engine has more requests than expected."""
         expected = sum(
--- a/azureline/relay/planner.py
+++ b/azureline/relay/planner.py
@@ -326,7 +326,7 @@
         fleet = engines_lib.FleetState(engines, self._kind, self.demand, now)
         options = []
         for engine in engines:
-            if need.model in engine.models:
+            if need.model in engine.models or engine.limit_per_s < math.inf:
                 continue
             option = self._option(need, engine, fleet, pressure, now)
             if option is not None:
--- a/azureline/relay/planning.py
+++ b/azureline/relay/planning.py
@@ -1,5 +1,6 @@
 """Feeds engine states and demand to the planners and sends out their plans."""
 
+import math
 from typing import NamedTuple
 
 from azureline.core import clock as clocks
@@ -10,6 +11,7 @@
 from azureline.relay import peers as peers_lib
 from azureline.relay import planner as planners
 from azureline.relay import routes
+from azureline.relay import server_limits
 from azureline.relay import servers
 from azureline.util import events
 
@@ -74,6 +76,7 @@
         clock: clocks.Clock,
         catalogue: servers.Catalogue,
         peers: peers_lib.Peers,
+        limits: server_limits.ServerLimits,
         ceiling: load_rate_limit.LoadWindowLimit,
         log: events.Log,
         counters: metrics.Counters,
@@ -82,6 +85,7 @@
         self._clock = clock
         self._catalogue = catalogue
         self._peers = peers
+        self._limits = limits
         self._ceiling = ceiling
         self._log = log
         self._counters = counters
@@ -193,6 +197,7 @@
                 # hold its target models.
                 models = sent.target.models
                 free_s = max(free_s, sent.left_s(now), _MIN_BUSY_S)
+        limit = self._limits.get(server.incarnation)
         return engines.EngineSnapshot(
             server.server_id,
             server.born_ms,
@@ -202,6 +207,7 @@
             server.on_disk,
             free_s,
             self._loads.get(server.server_id, 0),
+            math.inf if limit is None else limit.per_s,
         )
 
     def _resend(self, now: float) -> None:
--- a/tests/test_relay_planner.py
+++ b/tests/test_relay_planner.py
@@ -49,6 +49,22 @@
     assert move.models[0] == "d" and len(move.models) == 3
 
 
+@pytest.mark.parametrize(("limit_per_s", "loads"), [(1.0, 1), (6.0, 0)])
+def test_a_model_is_loaded_elsewhere_if_its_engine_names_a_lower_limit(
+    limit_per_s, loads
+):
+    planner = _planner()
+    _report_rate(planner, "a", 4.0, 10.0)
+    engines = [
+        builders.engine_view("e1", "a", limit_per_s=limit_per_s),
+        builders.engine_view("e4", "a", limit_per_s=limit_per_s),
+        builders.engine_view("e2", "b"),
+        builders.engine_view("e3", "c", limit_per_s=0.0),
+    ]
+    moves = planner.plan(engines, 10.0)
+    assert [(m.server_id, m.load) for m in moves] == [("e2", "a")] * loads
+
+
 def test_a_rare_model_does_not_evict_a_model_in_demand():
     planner = _planner()
     _report_rate(planner, "a", 8.0, 10.0)
--- a/tests/test_relay_planning.py
+++ b/tests/test_relay_planning.py
@@ -8,6 +8,7 @@
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
 from azureline.relay import planning
+from azureline.relay import server_limits
 from azureline.relay import servers
 from azureline.util import events
 from tests import builders_relay as builders
@@ -35,10 +36,12 @@
             )
             catalogue.update(server)
             self.peers.set_holder(name, keys.HolderRecord("n1", "x"))
+        self.limits = server_limits.ServerLimits()
         self.planning = planning.Planning(
             self.clock,
             catalogue,
             self.peers,
+            self.limits,
             load_rate_limit.LoadWindowLimit(5.0, 1.1),
             events.Log(logging.getLogger("planning"), None),
             metrics.Counters(),
