Ask lease holders less, and wait no longer than answers are worth

A node repeats a denial for 0.5 s where the lease holder would deny as well, a lone server is asked once and not twice, and a request waits for 0.4 of its latency target or one call of the limit instead of up to 1 s.

--- a/azureline/relay/grants.py
+++ b/azureline/relay/grants.py
@@ -12,6 +12,7 @@
 
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
+from azureline.relay import granter
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
 from azureline.relay import server_limits
@@ -24,6 +25,11 @@
 _TIMEOUT_S = 0.4
 # After a time-out no request for the server is sent during this time.
 _UNRESPONSIVE_S = 0.6
+# After a denial the lease holder is not asked for what it would deny as well,
+# for this time at most, since the limit can rise.
+_DENIAL_MEMORY_S = 0.5
+# Callers that are denied without asking get turns within this time.
+_TURNS_S = 4.0
 # A grant that is used later than this adds to the calls of another window.
 _USABLE_S = 0.5
 
@@ -59,6 +65,27 @@
         return False
 
 
+class _Denial(NamedTuple):
+    """A lease holder's latest denial for a server.
+
+    Attributes:
+      denied: the denial; its turn is that of the latest request.
+      until: monotonic time in seconds until which it is remembered.
+      interval_s: seconds between two calls to the server.
+    """
+
+    denied: Denied
+    until: float
+    interval_s: float
+
+    def next_turn(self, now: float) -> "_Denial":
+        """Returns the denial of one more request, with a later turn."""
+        turn_at = self.denied.turn_at + self.interval_s
+        if turn_at > now + _TURNS_S:
+            turn_at = self.denied.free_at + self.interval_s
+        return self._replace(denied=self.denied._replace(turn_at=turn_at))
+
+
 class _PendingRequest(NamedTuple):
     answer: defer.Deferred[Grant | Denied]
     request: messages.GrantRequest
@@ -100,6 +127,7 @@
         self._request_ids = itertools.count(int(clock.wall() * 1000))
         self._pending: dict[int, _PendingRequest] = {}
         self._unused: dict[server_limits.Incarnation, list[Grant]] = {}
+        self._denials: dict[server_limits.Incarnation, _Denial] = {}
         self._unresponsive_until: dict[str, float] = {}
         peers.on(messages.GrantReply, self._reply_received)
 
@@ -117,6 +145,8 @@
           A grant that can be used now, or the reason why there is none.
         """
         grant: Grant | Denied | None = self._take_unused(server, max_wait_s)
+        if grant is None:
+            grant = self._known_denial(server, max_wait_s)
         if grant is None:
             grant = await self._request(server, rank, max_wait_s)
         if not isinstance(grant, Grant):
@@ -161,6 +191,25 @@
             self._unused[server.incarnation] = usable
         return taken
 
+    def _known_denial(
+        self, server: servers.BackendServer, max_wait_s: float
+    ) -> Denied | None:
+        """Returns a denial if the lease holder would deny a request now."""
+        denial = self._denials.get(server.incarnation)
+        if denial is None:
+            return None
+        now = self._clock.now()
+        if now >= denial.until:
+            del self._denials[server.incarnation]
+            return None
+        # Calls are booked one after the other, so none comes before `free_at`.
+        bookable_at = denial.denied.free_at - min(max_wait_s, granter.HORIZON_S)
+        if now >= bookable_at:
+            return None
+        self._counters.count("grants.denied_again")
+        denial = self._denials[server.incarnation] = denial.next_turn(now)
+        return denial.denied
+
     def _request(
         self, server: servers.BackendServer, rank: int, max_wait_s: float
     ) -> defer.Deferred[Grant | Denied]:
@@ -232,6 +281,11 @@
             result: Grant | Denied = Denied(
                 now + wait_s, now + reply.free_ms / 1000, "limit used up"
             )
+            self._denials[incarnation] = _Denial(
+                result,
+                now + _DENIAL_MEMORY_S,
+                1.0 / max(reply.per_s, server_limits.MIN_PER_S),
+            )
         else:
             # The lease holder booked the call after the request was sent.
             until_s = pending.sent_at + wait_s + _USABLE_S
--- a/azureline/relay/scheduler.py
+++ b/azureline/relay/scheduler.py
@@ -322,7 +322,7 @@
         Returns None after a wait, when the servers have to be ranked anew.
         """
         chosen = await self._choice.choose(
-            [c.server for c in ranked], route.rank, latest
+            [c.server for c in ranked], route, latest
         )
         if not isinstance(chosen, server_choice.Full):
             return chosen
--- a/azureline/relay/server_choice.py
+++ b/azureline/relay/server_choice.py
@@ -14,11 +14,16 @@
 from azureline.metrics import counters as metrics
 from azureline.relay import eligibility as eligibilities
 from azureline.relay import grants as grants_lib
+from azureline.relay import routes
+from azureline.relay import server_limits
 from azureline.relay import servers
 from azureline.relay import wait_policy
 
 # Limited servers that are asked for one request, if others can take it.
 _MAX_ASKED = 3
+# A request waits for a booked call for this part of its route's target latency,
+# or for one call of the limit: with a longer queue all answers would be late.
+_WAIT_RATIO = 0.4
 # A server whose limit is used up is asked again after this time at the latest.
 _MAX_FULL_S = 0.5
 
@@ -122,14 +127,14 @@
     async def choose(
         self,
         ranked: Sequence[servers.BackendServer],
-        rank: int,
+        route: routes.Route,
         latest: float,
     ) -> Chosen | Full | None:
         """Returns the server for a request.
 
         Args:
           ranked: the servers that may get it, the best first.
-          rank: the request's rank; 0 is the most urgent.
+          route: its route.
           latest: latest monotonic time, in seconds, to send it.
 
         Returns:
@@ -144,9 +149,10 @@
                 case eligibilities.Open():
                     return Chosen(server)
                 case eligibilities.Limited(per_s=per_s, free_at=free_at):
-                    if free_at <= now and asked < _MAX_ASKED:
+                    has_others = len(ranked) > 1
+                    if has_others and free_at <= now and asked < _MAX_ASKED:
                         asked += 1
-                        grant = await self._acquire(server, rank, 0.0)
+                        grant = await self._acquire(server, route.rank, 0.0)
                         if isinstance(grant, grants_lib.Grant):
                             return Chosen(server, grant)
                         free_at = grant.free_at
@@ -154,18 +160,22 @@
         if not limited:
             return None
         _, server, per_s = min(limited, key=lambda row: row[0])
-        return await self._wait_for_grant(server, rank, latest, per_s)
+        return await self._wait_for_grant(server, route, latest, per_s)
 
     async def _wait_for_grant(
         self,
         server: servers.BackendServer,
-        rank: int,
+        route: routes.Route,
         latest: float,
         per_s: float,
     ) -> Chosen | Full:
         """Waits for a call that is booked at a server, if there is one."""
-        max_wait_s = max(0.0, latest - self._clock.now())
-        grant = await self._acquire(server, rank, max_wait_s)
+        interval_s = 1.0 / max(per_s, server_limits.MIN_PER_S)
+        max_wait_s = min(
+            latest - self._clock.now(),
+            max(_WAIT_RATIO * route.target_s, interval_s),
+        )
+        grant = await self._acquire(server, route.rank, max(0.0, max_wait_s))
         if isinstance(grant, grants_lib.Grant):
             return Chosen(server, grant)
         return Full(grant.turn_at, server, per_s, grant.reason)
--- a/tests/builders_limits.py
+++ b/tests/builders_limits.py
@@ -88,7 +88,7 @@
         fleet, to = self._fleet, int(host[1:])
         if fleet.is_cut(self._number, to) or fleet.rng.random() < fleet.loss:
             return
-        fleet.messages += 1
+        fleet.on_message(self._number, to, message)
         delay_s = fleet.rng.uniform(0.001, fleet.max_delay_s)
         fleet.clock.callLater(
             delay_s, fleet.deliver, to, f"h{self._number}", message
@@ -153,15 +153,17 @@
 
     async def request(self, rank: int = 1) -> str:
         """Sends one request; returns "sent", "refused" or "late"."""
-        fleet = self._fleet
-        latest = fleet.clock.now() + PATIENCE_S
+        fleet, began = self._fleet, self._fleet.clock.now()
+        latest = began + PATIENCE_S
         while fleet.clock.now() <= latest:
             usable = list(self.catalogue.of_service("ledger"))
             fleet.rng.shuffle(usable)
-            chosen = await self.choice.choose(usable, rank, latest)
+            route = builders_relay.route(rank=rank, target_s=0.4)
+            chosen = await self.choice.choose(usable, route, latest)
             if isinstance(chosen, server_choice.Chosen):
                 if not self.choice.may_send(chosen):
                     continue
+                fleet.waits.append(fleet.clock.now() - began)
                 fleet.send(self, chosen.server)
                 return "sent"
             decision = self.choice.decide_wait(chosen, latest, latest)
@@ -184,7 +186,10 @@
         self.rng = random.Random(seed)
         self.loss = 0.0
         self.max_delay_s = 0.02
-        self.messages = 0
+        # Called with the sender, the receiver and each message between nodes.
+        self.on_message: Any = lambda sender, receiver, message: None
+        # Seconds from the arrival of each request until its call.
+        self.waits: list[float] = []
         self.store_up = True
         self.servers = [
             builders_relay.server(f"s{n}", service="ledger")
