Refuse requests at once when limits are used up

A request that was denied a call waited for its turn and asked again, and was mostly denied again under ten times the demand: one in a play of two engines with a limit of 1 a second was refused after 1.94 s. A call that is worth the wait is booked now, at a low limit one call ahead however far that is; otherwise the request is refused at once with the time of a turn. It waits only while no node grants calls.

--- a/azureline/relay/granter.py
+++ b/azureline/relay/granter.py
@@ -18,8 +18,8 @@
 from azureline.relay import server_limits
 from azureline.util import events
 
-# Calls are booked at most this far ahead, so that few bookings outlive a change
-# of the limit or of the lease holder.
+# Calls are booked at most this far ahead, or one call at a lower rate, so that
+# few bookings outlive a change of the limit or of the lease holder.
 HORIZON_S = 1.0
 # A request of rank r may book this part less of the horizon for each rank, so
 # that urgent requests find room when there are too many.
@@ -129,7 +129,8 @@
         booked_at = account.booked_at.get(key)
         if booked_at is None:
             rank = min(max(0, request.rank), _LOWEST_RANK)
-            horizon_s = HORIZON_S * (1.0 - _HORIZON_PER_RANK * rank)
+            horizon_s = max(HORIZON_S, 1.0 / account.schedule.per_s)
+            horizon_s *= 1.0 - _HORIZON_PER_RANK * rank
             wait_s = account.schedule.book(
                 now, min(request.max_wait_ms / 1000, horizon_s)
             )
--- a/azureline/relay/grants.py
+++ b/azureline/relay/grants.py
@@ -54,12 +54,12 @@
     Attributes:
       turn_at: monotonic time in seconds at which to ask again.
       free_at: monotonic time in seconds before which no call is possible.
-      reason: why.
+      answered: whether the lease holder said so, because the limit is used up.
     """
 
     turn_at: float
     free_at: float
-    reason: str
+    answered: bool = True
 
     def __bool__(self) -> bool:
         return False
@@ -203,7 +203,9 @@
             del self._denials[server.incarnation]
             return None
         # Calls are booked one after the other, so none comes before `free_at`.
-        bookable_at = denial.denied.free_at - min(max_wait_s, granter.HORIZON_S)
+        bookable_at = denial.denied.free_at - min(
+            max_wait_s, max(granter.HORIZON_S, denial.interval_s)
+        )
         if now >= bookable_at:
             return None
         self._counters.count("grants.denied_again")
@@ -216,9 +218,9 @@
         now = self._clock.now()
         limit = self._limits.get(server.incarnation)
         if self._peers.holder_of(server.server_id) is None:
-            return defer.succeed(self._unanswered(now, "no lease holder"))
+            return defer.succeed(self._unanswered(now))
         if self._unresponsive_until.get(server.server_id, 0.0) > now:
-            return defer.succeed(self._unanswered(now, "no answer"))
+            return defer.succeed(self._unanswered(now))
         request = messages.GrantRequest(
             next(self._request_ids),
             server.server_id,
@@ -237,10 +239,10 @@
         self._send(request.request_id)
         return answer
 
-    def _unanswered(self, now: float, reason: str) -> Denied:
+    def _unanswered(self, now: float) -> Denied:
         self._counters.count("grants.unanswered")
         again_at = now + _UNRESPONSIVE_S
-        return Denied(again_at, again_at, reason)
+        return Denied(again_at, again_at, answered=False)
 
     def _send(self, request_id: int) -> None:
         pending = self._pending.get(request_id)
@@ -257,7 +259,7 @@
                 holder=getattr(self._peers.holder_of(server_id), "name", ""),
             )
             if not pending.answer.called:
-                pending.answer.callback(self._unanswered(now, "no answer"))
+                pending.answer.callback(self._unanswered(now))
             return
         # The timer is set before sending, because this node may itself be the
         # lease holder and reply synchronously.
@@ -279,7 +281,7 @@
         now, wait_s = self._clock.now(), reply.wait_ms / 1000
         if not reply.granted:
             result: Grant | Denied = Denied(
-                now + wait_s, now + reply.free_ms / 1000, "limit used up"
+                now + wait_s, now + reply.free_ms / 1000
             )
             self._denials[incarnation] = _Denial(
                 result,
--- a/azureline/relay/server_choice.py
+++ b/azureline/relay/server_choice.py
@@ -60,13 +60,13 @@
       turn_at: monotonic time in seconds at which it is the request's turn.
       server: the server whose limit leaves room first.
       per_s: its limit in calls a second.
-      reason: why there is no grant.
+      answered: whether the server's lease holder said so.
     """
 
     turn_at: float
     server: servers.BackendServer
     per_s: float
-    reason: str
+    answered: bool
 
     def __bool__(self) -> bool:
         return False
@@ -178,7 +178,7 @@
         grant = await self._acquire(server, route.rank, max(0.0, max_wait_s))
         if isinstance(grant, grants_lib.Grant):
             return Chosen(server, grant)
-        return Full(grant.turn_at, server, per_s, grant.reason)
+        return Full(grant.turn_at, server, per_s, grant.answered)
 
     async def _acquire(
         self, server: servers.BackendServer, rank: int, max_wait_s: float
@@ -194,13 +194,20 @@
         self, full: Full, latest: float, deadline: float
     ) -> wait_policy.Wait | errors.Refusal:
         """Decides on a request whose servers' limits are all used up."""
+        limit = (
+            f"The limit of server {full.server.server_id}, {full.per_s:g} "
+            "calls a second,"
+        )
+        detail = f"{limit} leaves no room in time."
+        if not full.answered:
+            detail = f"{limit} is granted by no node now."
         decision = wait_policy.decide_limit_wait(
             self._clock.now(),
             full.turn_at,
+            full.answered,
             latest,
             deadline,
-            f"The limit of server {full.server.server_id}, {full.per_s:g} "
-            f"calls a second, leaves no room in time: {full.reason}.",
+            detail,
         )
         self._counters.count(
             "limits.refused"
--- a/azureline/relay/wait_policy.py
+++ b/azureline/relay/wait_policy.py
@@ -129,14 +129,24 @@
 
 
 def decide_limit_wait(
-    now: float, turn_at: float, latest: float, deadline: float, detail: str
+    now: float,
+    turn_at: float,
+    is_used_up: bool,
+    latest: float,
+    deadline: float,
+    detail: str,
 ) -> Wait | errors.Refusal:
-    """Decides on a request whose servers' limits are all used up.
+    """Decides on a request that no server can take under its limit.
+
+    A call that is worth the wait has been booked before.  So if the limits are
+    used up, the request is refused at once; it waits only for a node that
+    grants calls.
 
     Args:
       now: monotonic time in seconds.
-      turn_at: when it is this request's turn to ask again; differs between
-        requests.
+      turn_at: when to ask again; differs between requests.
+      is_used_up: whether the limits are used up; if not, no node grants calls
+        at the moment.
       latest: latest time at which the request can be sent.
       deadline: the caller's deadline, which includes its retries.
       detail: explanation for the caller, a sentence.
@@ -144,7 +154,7 @@
     Returns:
       How long to wait, or the refusal with its Retry-After.
     """
-    if turn_at < latest:
+    if not is_used_up and turn_at < latest:
         return Wait(turn_at)
     return errors.Refusal(
         errors.ErrorKind.DID_NOT_RUN,
--- a/tests/test_processes_limits.py
+++ b/tests/test_processes_limits.py
@@ -12,7 +12,7 @@
 pytestmark = pytest.mark.processes
 
 CALLERS = 12
-LIMIT_S = 14.0
+LIMIT_S = 11.0
 # Share of the named rate that the nodes use while callers ask for more.
 MIN_SHARE = 0.8
 # The nodes learn of a limit and of its end in this time.
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -112,6 +112,19 @@
 
 
 class TestPatience:
+    def test_a_request_is_refused_at_once_if_the_limits_are_used_up(self):
+        refusal = wait_policy.decide_limit_wait(
+            10.0, 11.0, True, 14.5, 15.0, "Used up."
+        )
+        assert refusal.answer.ran is errors.Ran.NO
+        assert refusal.answer.retry_after_s == pytest.approx(1.0)
+
+    def test_a_request_waits_for_a_node_that_grants_calls(self):
+        decision = wait_policy.decide_limit_wait(
+            10.0, 10.6, False, 14.5, 15.0, "Nobody grants."
+        )
+        assert decision == wait_policy.Wait(10.6)
+
     def test_a_load_that_ends_in_time_is_waited_for(self):
         decision = wait_policy.decide_model_wait(
             10.0, 10.0, 15.0, 15.0, 1.0, 10.8
