--- a/azureline/relay/grants.py
+++ b/azureline/relay/grants.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from twisted.internet import defer
+from twisted.internet import task
 
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
@@ -151,15 +152,10 @@
             grant = await self._request(server, rank, max_wait_s)
         if not isinstance(grant, Grant):
             return grant
-        waiter: defer.Deferred[None] = defer.Deferred()
-        timer = self._reactor.callLater(
-            max(0.0, grant.from_s - self._clock.now()), waiter.callback, None
-        )
+        wait_s = max(0.0, grant.from_s - self._clock.now())
         try:
-            await waiter
+            await task.deferLater(self._reactor, wait_s, lambda: None)
         except defer.CancelledError:
-            if timer.active():
-                timer.cancel()
             self.give_back(grant)
             raise
         return grant
--- a/azureline/relay/scheduler.py
+++ b/azureline/relay/scheduler.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from twisted.internet import defer
+from twisted.internet import task
 
 from azureline.core import clock as clocks
 from azureline.core import errors
@@ -23,6 +24,7 @@
 from azureline.relay import server_choice
 from azureline.relay import servers
 from azureline.relay import wait_policy
+from azureline.relay import waiters
 
 # An engine that reads a prompt of at least this length delays its streams.
 _LONG_PROMPT_TOKENS = 1500
@@ -93,7 +95,7 @@
         self._in_flight: dict[str, int] = {}
         # Requests in flight when a server's load was last reported.
         self._in_flight_at_report: dict[str, int] = {}
-        self._waiters: set[defer.Deferred[None]] = set()
+        self._waiters = waiters.Waiters(reactor)
 
     async def assign(
         self,
@@ -270,9 +272,7 @@
 
     def wake_waiting(self) -> None:
         """Wakes waiting requests to check the state again."""
-        waiters, self._waiters = self._waiters, set()
-        for waiter in waiters:
-            waiter.callback(None)
+        self._waiters.wake()
 
     async def _assign_plain(
         self,
@@ -344,7 +344,7 @@
             self._counters.count("pauses.refused")
             return decision
         self._counters.count("pauses.waited")
-        await self._wait(decision.until - now)
+        await self._waiters.wait(decision.until - now)
         return None
 
     async def _assign_engine(
@@ -534,36 +534,13 @@
                 if isinstance(decision, errors.Refusal):
                     self._demand.record_refusal(service.name, model, route.rank)
                     return decision
-                await self._wait(decision.until - now)
+                await self._waiters.wait(decision.until - now)
         finally:
             if is_waiting:
                 self._demand.add_waiting(service.name, model, route.rank, -1)
 
-    async def _wait(self, seconds: float) -> None:
-        """Waits until `wake_waiting` is called, at most for some seconds."""
-        waiter: defer.Deferred[None] = defer.Deferred()
-        self._waiters.add(waiter)
-
-        def expired() -> None:
-            self._waiters.discard(waiter)
-            waiter.callback(None)
-
-        timer = self._reactor.callLater(max(0.0, seconds), expired)
-        try:
-            await waiter
-        finally:
-            self._waiters.discard(waiter)
-            if timer.active():
-                timer.cancel()
-
     async def _sleep(self, seconds: float) -> None:
-        waiter: defer.Deferred[None] = defer.Deferred()
-        timer = self._reactor.callLater(seconds, waiter.callback, None)
-        try:
-            await waiter
-        finally:
-            if timer.active():
-                timer.cancel()
+        await task.deferLater(self._reactor, seconds, lambda: None)
 
     def _candidate(self, server: servers.BackendServer) -> ranking.Candidate:
         in_flight = self._in_flight.get(server.server_id, 0)
