--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -89,7 +89,9 @@
         self._catalogue = servers.Catalogue()
         self._residency = residencies.Residency(self._catalogue)
         self._eligibility = eligibilities.Eligibility(self._catalogue)
-        self._sends = send_counts.SendCounts(self._counters, log)
+        self._sends = send_counts.SendCounts(
+            self._eligibility.limits, self._counters, log
+        )
         self._record = keys.NodeRecord(
             settings.name,
             settings.host,
@@ -151,7 +153,6 @@
             self._eligibility,
             self._peers,
             self._scheduler.wake_waiting,
-            self._sends,
             self._counters,
             log,
         )
--- a/azureline/relay/send_counts.py
+++ b/azureline/relay/send_counts.py
@@ -8,6 +8,7 @@
 import enum
 
 from azureline.metrics import counters as metrics
+from azureline.relay import server_limits
 from azureline.relay import servers
 from azureline.util import events
 
@@ -26,34 +27,31 @@
 class SendCounts:
     """Calls that this node sent to each server that names a limit."""
 
-    def __init__(self, counters: metrics.Counters, log: events.Log):
+    def __init__(
+        self,
+        limits: server_limits.ServerLimits,
+        counters: metrics.Counters,
+        log: events.Log,
+    ):
         """Creates the counts without calls.
 
         Args:
+          limits: the limits in force.
           counters: counts all calls by kind.
           log: event log; receives one line an interval and limited server.
         """
         self._counters = counters
         self._log = log
-        self._limits: dict[tuple[str, int], float] = {}
-        self._counts: collections.Counter[tuple[tuple[str, int], Kind]] = (
-            collections.Counter()
-        )
+        self._limits = limits
+        self._counts: collections.Counter[
+            tuple[server_limits.Incarnation, Kind]
+        ] = collections.Counter()
         self._logged_at = float("-inf")
 
-    def set_limit(
-        self, incarnation: tuple[str, int], per_s: float | None
-    ) -> None:
-        """Sets the limit that a server names, in calls a second, or None."""
-        if per_s is None:
-            self._limits.pop(incarnation, None)
-        else:
-            self._limits[incarnation] = per_s
-
     def record(self, server: servers.BackendServer, kind: Kind) -> None:
         """Counts a call that is sent to a server."""
         self._counters.count(f"sends.{kind.value}")
-        if server.incarnation in self._limits:
+        if self._limits.get(server.incarnation) is not None:
             self._counts[(server.incarnation, kind)] += 1
 
     def write_log(self, now: float) -> None:
@@ -63,11 +61,12 @@
         self._logged_at = now
         counts, self._counts = self._counts, collections.Counter()
         for incarnation in sorted({key[0] for key in counts}):
+            limit = self._limits.get(incarnation)
             self._log.info(
                 "server_sends",
                 server=incarnation[0],
                 born_ms=incarnation[1],
-                limit_per_s=self._limits.get(incarnation),
+                limit_per_s=limit.per_s if limit else None,
                 interval_s=_LOG_INTERVAL_S,
                 **{
                     f"{kind.value}s": counts[(incarnation, kind)]
--- a/azureline/relay/server_notices.py
+++ b/azureline/relay/server_notices.py
@@ -14,7 +14,6 @@
 from azureline.relay import eligibility as eligibilities
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
-from azureline.relay import send_counts
 from azureline.relay import server_limits
 from azureline.relay import servers
 from azureline.util import events
@@ -40,7 +39,6 @@
         eligibility: eligibilities.Eligibility,
         peers: peers_lib.Peers,
         changed: Callable[[], None],
-        sends: send_counts.SendCounts,
         counters: metrics.Counters,
         log: events.Log,
     ):
@@ -53,7 +51,6 @@
           eligibility: records which servers are paused or limited.
           peers: the other nodes.
           changed: called when a server leaves or its limit ends.
-          sends: counts the calls to servers that name a limit.
           counters: counts notices.
           log: event log; each notice that changes the state writes one line.
         """
@@ -63,7 +60,6 @@
         self._eligibility = eligibility
         self._peers = peers
         self._changed = changed
-        self._sends = sends
         self._limits = eligibility.limits
         self._queries = 0
         self._told_at: dict[server_limits.Incarnation, float] = {}
@@ -166,7 +162,6 @@
     ) -> None:
         limit = self._limits.get(incarnation)
         per_s = limit.per_s if limit else None
-        self._sends.set_limit(incarnation, per_s)
         self._counters.count("limits.changed" if limit else "limits.ended")
         self._log.info(
             "server_limit",
--- a/tests/builders_limits.py
+++ b/tests/builders_limits.py
@@ -14,7 +14,6 @@
 from azureline.relay import grants
 from azureline.relay import keys
 from azureline.relay import peers
-from azureline.relay import send_counts
 from azureline.relay import server_choice
 from azureline.relay import server_limits
 from azureline.relay import server_notices
@@ -121,7 +120,6 @@
             self.eligibility,
             self.peers,
             lambda: None,
-            send_counts.SendCounts(self.counters, log),
             self.counters,
             log,
         )
--- a/tests/test_relay_server_notices.py
+++ b/tests/test_relay_server_notices.py
@@ -10,7 +10,6 @@
 from azureline.platform import requests as wire
 from azureline.relay import eligibility
 from azureline.relay import messages
-from azureline.relay import send_counts
 from azureline.relay import server_notices
 from azureline.relay import servers
 from azureline.util import events
@@ -65,7 +64,6 @@
             self.eligibility,
             self.peers,
             lambda: self.changes.append(1),
-            send_counts.SendCounts(self.counters, events.null_log()),
             self.counters,
             events.null_log(),
         )
