--- a/azureline/relay/scheduler.py
+++ b/azureline/relay/scheduler.py
@@ -17,7 +17,7 @@
 from azureline.relay import prefill
 from azureline.relay import ranking
 from azureline.relay import requests
-from azureline.relay import reservations as reservations_lib
+from azureline.relay import reserved_assignment
 from azureline.relay import residency as residencies
 from azureline.relay import routes
 from azureline.relay import run_times
@@ -28,16 +28,6 @@
 
 # An engine that reads a prompt of at least this length delays its streams.
 _LONG_PROMPT_TOKENS = 1500
-# Prompts read back to back for longer than this make streams pause for more
-# than 0.6 s, as an event holds the tokens of several steps.
-_MAX_QUEUE_S = 0.2
-# A prompt waits for a short queue for this part of its route's target latency.
-_QUEUE_WAIT_RATIO = 0.4
-# Bounds of the delay between two rounds of reservation requests.
-_MIN_RETRY_S = 0.03
-_MAX_RETRY_S = 0.15
-# Retry-After of a refusal if no lease holder gives a time.
-_DEFAULT_RETRY_AFTER_S = 0.5
 # Engines that receive a reservation request for one request.
 _MAX_ENGINES_ASKED = 3
 # Engines take priorities from 0 to 9; a request without one counts as 5.
@@ -92,6 +82,14 @@
         self._counters = counters
         self._health = healths.ServerHealth()
         self._read_time_ratios = prefill.ReadTimeRatios()
+        self._reserved = reserved_assignment.ReservedAssignment(
+            reactor,
+            clock,
+            reservations,
+            self._read_time_ratios,
+            self._count_in,
+            self.release,
+        )
         self._in_flight: dict[str, int] = {}
         # Requests in flight when a server's load was last reported.
         self._in_flight_at_report: dict[str, int] = {}
@@ -379,7 +377,7 @@
         if chosen.grant is None:
             tried = self._open_servers(ordered)[:_MAX_ENGINES_ASKED]
         try:
-            assigned = await self._assign_reserved(
+            assigned = await self._reserved.assign(
                 request,
                 route,
                 assignment._replace(grant=None),
@@ -410,88 +408,6 @@
             )
         ]
 
-    async def _assign_reserved(
-        self,
-        request: requests.CallerRequest,
-        route: routes.Route,
-        template: assignments.Assignment,
-        tried: list[servers.BackendServer],
-        deadline: float,
-    ) -> assignments.Assignment | errors.Refusal:
-        """Returns an assignment with a reservation at one of some engines."""
-        give_up_at = self._clock.now() + route.target_s * _QUEUE_WAIT_RATIO
-        backlog_s = dict.fromkeys((s.server_id for s in tried), 0.0)
-        while True:
-            is_late = self._clock.now() >= give_up_at
-            max_queue_s = route.timeout_s if is_late else _MAX_QUEUE_S
-            if is_late:
-                tried.sort(key=lambda s: backlog_s[s.server_id])
-            reason, retry_after_s = "", []
-            for server in tried:
-                assignment = self._count_in(template._replace(server=server))
-                answer = await self._reserve(request, assignment, max_queue_s)
-                if answer.granted:
-                    return assignment._replace(
-                        adapter_reservation=answer.reservation_id
-                        if request.adapter
-                        else 0,
-                        reading_s=answer.reading_s,
-                        queued_s=max(0.0, answer.backlog_s - answer.wait_s),
-                    )
-                reason = answer.reason
-                retry_after_s.append(answer.wait_s or _DEFAULT_RETRY_AFTER_S)
-                backlog_s[server.server_id] = answer.backlog_s
-            if is_late or not any(backlog_s.values()):
-                break
-            # After this time the shortest queue is below the limit.
-            wait_s = min(backlog_s.values()) - _MAX_QUEUE_S
-            await self._sleep(min(max(wait_s, _MIN_RETRY_S), _MAX_RETRY_S))
-        return errors.Refusal(
-            errors.ErrorKind.NO_REPLICA,
-            f"No engine can take the request: {reason}.",
-            retry_after=wait_policy.return_after(
-                self._clock.now(), deadline, min(retry_after_s)
-            ),
-            ran=errors.Ran.NO,
-        )
-
-    async def _reserve(
-        self,
-        request: requests.CallerRequest,
-        assignment: assignments.Assignment,
-        max_queue_s: float,
-    ) -> reservations_lib.ReservationResult:
-        """Sends a reservation request; releases the assignment if refused."""
-        prompt = prefill.Prompt(
-            f"{request.model}/{request.adapter}",
-            request.prompt_tokens,
-            request.shared_parts,
-            self._read_time_ratios.get(
-                assignment.server.server_id, request.model, self._clock.now()
-            ),
-        )
-        granted = assignment
-        try:
-            answer = await self._reservations.reserve(
-                assignment.server,
-                request.model,
-                request.adapter,
-                prompt,
-                max_queue_s,
-            )
-            if answer.granted and request.adapter:
-                granted = assignment._replace(
-                    adapter_reservation=answer.reservation_id
-                )
-            if answer.granted and answer.wait_s > 0:
-                await self._sleep(answer.wait_s)
-        except defer.CancelledError:
-            self.release(granted)
-            raise
-        if not answer.granted:
-            self.release(assignment)
-        return answer
-
     async def _wait_for_model(
         self,
         request: requests.CallerRequest,
