Name no limit in a request for a grant after the limit has ended

A request that asked several limited servers could ask one whose limit had ended meanwhile; its message then named a limit of 0, which the lease holder took for news, so that the server got 0.1 calls a second until two answers named none. Found by reading. Such a request gets its call without asking; the test failed before: the lease holder had a limit of 0.

--- a/azureline/relay/grants.py
+++ b/azureline/relay/grants.py
@@ -213,6 +213,11 @@
     ) -> defer.Deferred[Grant | Denied]:
         now = self._clock.now()
         limit = self._limits.get(server.incarnation)
+        if limit is None:
+            # The limit ended while the request asked for other servers.
+            return defer.succeed(
+                Grant(server.incarnation, now, now + _USABLE_S)
+            )
         if self._peers.holder_of(server.server_id) is None:
             return defer.succeed(self._unanswered(now))
         if self._unresponsive_until.get(server.server_id, 0.0) > now:
@@ -223,8 +228,8 @@
             server.born_ms,
             rank,
             int(max_wait_s * 1000),
-            limit.per_s if limit else 0.0,
-            int((now - limit.named_at) * 1000) if limit else 0,
+            limit.per_s,
+            int((now - limit.named_at) * 1000),
         )
         # A request that is cancelled stays pending: a grant that arrives for
         # it is kept for another request.
--- a/tests/test_relay_limits.py
+++ b/tests/test_relay_limits.py
@@ -151,6 +151,21 @@
     assert fleet.violations() == []
 
 
+def test_a_request_that_sees_a_limit_end_names_no_limit():
+    fleet = builders.Fleet(2)
+    fleet.name_limit("s0", 1.0)
+    _played(fleet, [0, 1], 4.0)
+    node = fleet.nodes[1 - fleet.holder_of("s0")]
+    for other in fleet.nodes:
+        other.notices.limit_ended(fleet.servers[0].incarnation)
+    fleet.advance(0.5)
+    found = []
+    node.grants._request(fleet.servers[0], 1, 0.0).addCallback(found.append)
+    fleet.advance(0.1)
+    assert isinstance(found[0], grants.Grant)
+    assert all(list(other.limits) == [] for other in fleet.nodes)
+
+
 def test_a_limit_of_zero_ends():
     fleet = builders.Fleet(2)
     fleet.name_limit("s0", 0.0)
