Let the server stop naming its limit in the test of a limit's end

The server stops naming the limit first now; the check is the same. It fails on the code before the fix (the lease holder has a limit) and passes on the code with it.

--- a/tests/test_relay_limits.py
+++ b/tests/test_relay_limits.py
@@ -156,6 +156,8 @@
     fleet.name_limit("s0", 1.0)
     _played(fleet, [0, 1], 4.0)
     node = fleet.nodes[1 - fleet.holder_of("s0")]
+    fleet.name_limit("s0", None)
+    fleet.advance(2.0)
     for other in fleet.nodes:
         other.notices.limit_ended(fleet.servers[0].incarnation)
     fleet.advance(0.5)
