--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -31,6 +31,9 @@
 # Delay before a request is scheduled again because its server became
 # ineligible while the request waited.
 _RESCHEDULE_DELAY_S = 0.05
+# Callers choose the number and the names of a prompt's parts.
+_MAX_LOGGED_PARTS = 8
+_MAX_LOGGED_NAME = 32
 
 
 class Exchange:
@@ -294,6 +297,8 @@
             model=self._request.model,
             adapter=self._request.adapter,
             prompt=self._request.prompt_tokens,
+            parts=_shared_part_names(self._request),
+            events=events,
             send=self._sends,
             left_s=round(self._deadline - now, 3),
             first_s=_round_ms(attempt.first_s),
@@ -511,5 +516,10 @@
         return result
 
 
+def _shared_part_names(request: requests.CallerRequest) -> str:
+    names = [p.name for p in request.shared_parts[:_MAX_LOGGED_PARTS]]
+    return ",".join(name[:_MAX_LOGGED_NAME] for name in names)
+
+
 def _round_ms(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 3)
