--- a/standins/site_server.py
+++ b/standins/site_server.py
@@ -23,6 +23,7 @@
 SERVER_SEAL = "Azureline-Server-Seal"
 NOT_RUN = "Azureline-Not-Executed"
 MODEL = "Azureline-Model"
+PREFIX = "Azureline-Prompt-Prefix"
 EXPECT_INSTANCE = "Azureline-Expect-Instance"
 _LEAVING_HEADER = ("Server-Leaving", "1")
 
@@ -64,10 +65,25 @@
     model: str
 
 
+class CausedCrash(NamedTuple):
+    """A crash that a request caused."""
+
+    request_id: str
+    at: float
+
+
 class _CrashFault(NamedTuple):
-    """Crashes the server at requests whose target contains `mark`."""
+    """Crashes the server at certain requests.
+
+    Attributes:
+      mark: part of the target of these requests, or "" for none.
+      parts: names of parts of prompts; requests with one of them match.
+      after_s: seconds from the start of a request to the crash.
+      back_s: seconds until the server runs again.
+    """
 
-    mark: str
+    mark: str = ""
+    parts: tuple[str, ...] = ()
     after_s: float = 0.05
     back_s: float = 1.5
 
@@ -109,6 +125,7 @@
         self.orders: list[dict[str, Any]] = []
         self.overcommits = 0
         self.crash_times: list[float] = []
+        self.caused_crashes: list[CausedCrash] = []
         self.arrivals: list[ReceivedRequest] = []
         self.control_calls: list[ControlCall] = []
         self.limits: list[NamedLimit] = []
@@ -143,9 +160,10 @@
         `reset` aborts the connections of the next N requests after they
         start; `mute` leaves the next N requests without a reply;
         `late_orders` executes the next N orders 1 s late and without a reply;
-        `drain` publishes the state "draining"; `deadly` (`mark`, `after_s`,
-        `back_s`) crashes the server `after_s` seconds after it starts a
-        matching request and restarts it `back_s` seconds later; `leave`
+        `drain` publishes the state "draining"; `deadly` (`mark`,
+        `parts`, `after_s`, `back_s`) crashes the server `after_s` seconds
+        after it starts a matching request and restarts it `back_s` seconds
+        later; `leave`
         announces in every reply that the server is leaving, stops it after
         that many seconds and restarts it 1 s later; `pause` (`seconds`,
         `for_s`) asks nodes for `for_s` seconds to pause for `seconds`;
@@ -246,6 +264,7 @@
                 "orders": self.orders,
                 "overcommits": self.overcommits,
                 "ends": self.crash_times,
+                "caused_crashes": [c._asdict() for c in self.caused_crashes],
                 "arrivals": [row._asdict() for row in self.arrivals],
                 "control_calls": [c._asdict() for c in self.control_calls],
                 "limits": [limit._asdict() for limit in self.limits],
@@ -330,8 +349,10 @@
             return _not_run(503)
         self.runs.append(StartedRequest(request_id, now, model))
         fault = self._crash_fault
-        if fault is not None and fault.mark in request.uri.decode():
-            self.reactor.callLater(fault.after_s, self._crash, fault.back_s)
+        if fault is not None and _is_deadly(fault, request):
+            self.reactor.callLater(
+                fault.after_s, self._crash_by, request_id, fault.back_s
+            )
             return None
         if self._mutes_left > 0:
             self._mutes_left -= 1
@@ -342,6 +363,12 @@
             return None
         return defer.ensureDeferred(self._answer_run(request, request_id))
 
+    def _crash_by(self, request_id: str, back_s: float) -> None:
+        if not self.down:
+            now = self.reactor.seconds()
+            self.caused_crashes.append(CausedCrash(request_id, now))
+        self._crash(back_s)
+
     def _crash(self, back_s: float) -> None:
         """Aborts all connections, as a crash would; restarts after `back_s`."""
         if self.down:
@@ -445,6 +472,18 @@
         self._lease = None
 
 
+def _part_names(request: server.Request) -> tuple[str, ...]:
+    """Returns the names of the prompt's parts that may be shared."""
+    value = request.getHeader(PREFIX) or ""
+    return tuple(x.partition(":")[0] for x in value.split(",")[:-1])
+
+
+def _is_deadly(fault: _CrashFault, request: server.Request) -> bool:
+    if fault.mark and fault.mark in request.uri.decode():
+        return True
+    return not set(_part_names(request)).isdisjoint(fault.parts)
+
+
 def _headers(request_id: str) -> tuple[tuple[str, str], ...]:
     return ((REQUEST_ID, request_id), (SERVER_SEAL, f"seal-{request_id}"))
 
--- a/tests/builders_site.py
+++ b/tests/builders_site.py
@@ -85,22 +85,30 @@
 
 
 @contextlib.contextmanager
-def running(nodes: tuple[str, ...] = NODES, ledgers: int = 2) -> Iterator[Site]:
+def running(
+    nodes: tuple[str, ...] = NODES,
+    ledgers: int = 2,
+    engines: tuple[tuple[str, ...], ...] = (("m0", "m1"), ("m0",)),
+    load_s: float = 0.3,
+) -> Iterator[Site]:
     """Runs a site until the block ends.
 
     Args:
       nodes: names of the nodes.
       ledgers: number of plain servers.
+      engines: for each engine, the models that it holds at first.
+      load_s: seconds that an engine takes to load a model.
     """
     with deployment.Deployment() as processes:
         processes.start_site_store(builders_relay.site_document())
-        for number, models in ((1, ["m0", "m1"]), (2, ["m0"])):
+        for number, models in enumerate(engines, 1):
             processes.start_site_server(
                 f"engine-{number}",
                 service="llm",
                 models=True,
-                resident=models,
-                domain=f"d{number}",
+                resident=list(models),
+                domain=f"d{(number - 1) % len(NODES) + 1}",
+                load_s=load_s,
             )
         for number in range(1, ledgers + 1):
             processes.start_site_server(f"ledger-{number}", service="ledger")
