Refuse parts of prompts that crash engines, over all nodes

Cause: nodes knew a request only as a whole (digest of caller, target and body). Requests that share only a part of their prompts were new to them each time, with one crash each, which delays nothing.

The table of suspects now holds signatures of both kinds, and decides on both: - A crash accuses the parts of prompts whose answers had not begun. An answer that begins on a part clears it at all nodes. - A part under two crashes runs in trials, one request at a time over all nodes, claimed by compare-and-swap in the store.

--- a/azureline/core/errors.py
+++ b/azureline/core/errors.py
@@ -40,6 +40,7 @@
     STREAM_LOST = "stream_lost"
     CRASH_SUSPECT = "crash_suspect"
     ENDED_SERVERS = "ended_servers"
+    CRASHING_PART = "crashing_part"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     SHUTTING_DOWN = "shutting_down"
     NOT_READY = "not_ready"
@@ -125,6 +126,9 @@
     ErrorKind.ENDED_SERVERS: ErrorAnswer(
         502, Ran.YES, 600.0, "Backend servers ended while they ran the request"
     ),
+    ErrorKind.CRASHING_PART: ErrorAnswer(
+        503, Ran.NO, 600.0, "A part of the prompt crashes backend servers"
+    ),
     ErrorKind.PLATFORM_UNAVAILABLE: ErrorAnswer(
         503, Ran.NO, 5.0, "The platform's service is unavailable"
     ),
--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -12,6 +12,9 @@
 from azureline.relay import stream_events
 from azureline.util import http1
 
+# An engine that crashes as it begins to write may have written one event.
+_BEGUN_EVENTS = 2
+
 
 class End(enum.Enum):
     """How an attempt ended."""
@@ -59,6 +62,7 @@
         now: Callable[[], float],
         on_first: Callable[[float], None],
         on_head: Callable[[http1.Head], None],
+        on_begun: Callable[[], None],
     ):
         """Creates an attempt; `begin` sends it.
 
@@ -70,6 +74,8 @@
           now: returns monotonic time in seconds.
           on_first: called with the seconds to the first part of the answer.
           on_head: called with the head of the server's answer.
+          on_begun: called once the server has begun to write the answer
+            without a crash.
         """
         self._received = received
         self._request_id = request_id
@@ -78,6 +84,8 @@
         self._now = now
         self._on_first = on_first
         self._on_head = on_head
+        self._on_begun = on_begun
+        self._events_before = reader.passed
         self._started_at = now()
         self._last_part_at: float | None = None
         self._head: http1.Head | None = None
@@ -89,6 +97,8 @@
         # seconds between two parts.
         self.first_s: float | None = None
         self.pause_s = 0.0
+        # Whether the server has begun to write the answer without a crash.
+        self.begun = False
 
     def begin(
         self,
@@ -139,6 +149,8 @@
         if read.pieces:
             self._send_head()
             self._received.write_body(read.pieces)
+            if self._reader.passed >= self._events_before + _BEGUN_EVENTS:
+                self._record_begun()
         if read.fault:
             self._break_off(read.fault)
 
@@ -170,6 +182,8 @@
             )
         else:
             pass_on(self._received, http1.Answer(head, self._body.content()))
+            if head.status < 300:
+                self._record_begun()
             self._finish(Result(End.DELIVERED, status=head.status))
 
     def on_failure(self, failure: http1.Failure) -> None:
@@ -177,6 +191,11 @@
         end = End.BROKEN if failure.sent else End.NOT_SENT
         self._finish(Result(end, failure.reason, lost=failure.sent))
 
+    def _record_begun(self) -> None:
+        if not self.begun:
+            self.begun = True
+            self._on_begun()
+
     def _record_part(self) -> None:
         now = self._now()
         if self._last_part_at is None:
@@ -200,6 +219,8 @@
             return
         self._send_head()
         self._received.finish_response()
+        if self._reader.passed > self._events_before:
+            self._record_begun()
         self._finish(Result(End.DELIVERED, status=200))
 
     def _send_head(self) -> None:
--- a/azureline/relay/crash_detection.py
+++ b/azureline/relay/crash_detection.py
@@ -30,8 +30,8 @@
 # Time after a broken connection in which a later start of the server proves a
 # crash.
 _RETENTION_S = 15.0
-# Maximum number of content digests in one log line.
-_MAX_LOGGED_CONTENTS = 4
+# Maximum number of signatures in one log line.
+_MAX_LOGGED_CONTENTS = 8
 
 
 class Evidence(enum.Enum):
@@ -47,12 +47,12 @@
     Attributes:
       server: the last known entry of the server.
       at: monotonic time in seconds at which the first connection broke.
-      contents: digests of the requests without a complete answer.
+      signatures: of the requests without a complete answer.
     """
 
     server: servers.BackendServer
     at: float
-    contents: tuple[bytes, ...]
+    signatures: tuple[bytes, ...]
 
 
 class _BrokenConnections:
@@ -61,7 +61,8 @@
     Attributes:
       server: the server.
       at: monotonic time in seconds of the first break of the current series.
-      contents: digests of the requests, in order.
+      signatures: of the requests, in order.
+      requests: number of the requests.
       evidence: evidence of a crash, or None.
       probing: whether the server is being probed.
       seen: result of the last probe.
@@ -71,7 +72,8 @@
     def __init__(self, server: servers.BackendServer, at: float):
         self.server = server
         self.at = at
-        self.contents: dict[bytes, None] = {}
+        self.signatures: dict[bytes, None] = {}
+        self.requests = 0
         self.evidence: Evidence | None = None
         self.probing = False
         self.seen = probes.ProbeResult.SILENT
@@ -132,13 +134,14 @@
             self._in_flight.pop(server.incarnation, None)
 
     def connection_broke(
-        self, server: servers.BackendServer, content: bytes
+        self, server: servers.BackendServer, *signatures: bytes
     ) -> None:
         """Records that a connection broke before the answer was complete.
 
         Args:
           server: the server to which the request was sent.
-          content: digest of the request.
+          *signatures: what a crash of the server accuses: the content of the
+            request, and the parts of its prompt if its answer had not begun.
         """
         now = self._clock.now()
         if self._catalogue.is_leaving(server):
@@ -148,18 +151,20 @@
             breaks = _BrokenConnections(server, now)
             self._broken[server.incarnation] = breaks
         if breaks.evidence is not None:
-            self._report(breaks, (content,))
+            self._report(breaks, signatures)
             return
         if not breaks.probing:
             breaks.at = now
             if breaks.seen is probes.ProbeResult.ACCEPTED:
                 # The server survived the earlier breaks.
-                breaks.contents = {}
+                breaks.signatures = {}
+                breaks.requests = 0
             breaks.probing = True
             defer.ensureDeferred(self._run_probes(breaks)).addErrback(
                 self._log_probe_failure
             )
-        breaks.contents[content] = None
+        breaks.signatures.update(dict.fromkeys(signatures))
+        breaks.requests += 1
 
     def probes_done(
         self, server: servers.BackendServer
@@ -209,7 +214,7 @@
                 server=breaks.server.server_id,
                 born_ms=breaks.server.born_ms,
                 probe=breaks.seen.value,
-                requests=len(breaks.contents),
+                requests=breaks.requests,
             )
         waiting, breaks.waiting = breaks.waiting, []
         for waiter in waiting:
@@ -235,18 +240,18 @@
             service=breaks.server.service,
             evidence=evidence.value,
             age_s=round(self._clock.now() - breaks.at, 3),
-            requests=len(breaks.contents),
+            requests=breaks.requests,
             contents=[
-                content.hex()
-                for content in list(breaks.contents)[:_MAX_LOGGED_CONTENTS]
+                signature.hex()
+                for signature in list(breaks.signatures)[:_MAX_LOGGED_CONTENTS]
             ],
         )
-        self._report(breaks, tuple(breaks.contents))
+        self._report(breaks, tuple(breaks.signatures))
 
     def _report(
-        self, breaks: _BrokenConnections, contents: tuple[bytes, ...]
+        self, breaks: _BrokenConnections, signatures: tuple[bytes, ...]
     ) -> None:
-        self._on_crash(ServerCrash(breaks.server, breaks.at, contents))
+        self._on_crash(ServerCrash(breaks.server, breaks.at, signatures))
 
     def _log_probe_failure(self, failure: Any) -> None:
         self._log.error("probe_failed", reason=failure.getTraceback())
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -242,6 +242,9 @@
                 assignment, first_s
             ),
             lambda head: context.notices.heard(assignment.server, head, now),
+            lambda: context.crash_suspects.answer_begun(
+                self._request, assignment.server.service
+            ),
         )
         self._attempt = attempt
         before = self._reader.passed
@@ -274,7 +277,14 @@
         content = permit.content
         if result.lost:
             content = request_identity.content_digest(self._request)
-            context.crash_detector.connection_broke(assignment.server, content)
+            parts = (
+                ()
+                if attempt.begun
+                else request_identity.part_signatures(self._request)
+            )
+            context.crash_detector.connection_broke(
+                assignment.server, content, *parts
+            )
         elif result.end in (attempts.End.DELIVERED, attempts.End.FAILED):
             context.crash_suspects.request_completed(
                 self._request, assignment.server.service
@@ -351,7 +361,7 @@
         permit: crash_suspects.SendPermit,
         result: attempts.Result,
     ) -> bool:
-        if self._may_have_run or permit.content:
+        if self._may_have_run or permit.content or self._request.shared_parts:
             # If the request crashes servers, another attempt could crash one
             # more.  So wait until it is known whether this server crashed.
             await self._context.crash_detector.probes_done(assignment.server)
--- a/azureline/relay/keys.py
+++ b/azureline/relay/keys.py
@@ -10,6 +10,8 @@
 HOLDERS = ROOT + "holders/"
 # Not bound to a lease: the last term of a resource.
 TERMS = ROOT + "turns/"
+# Not bound to a lease: suspects of crashing servers, and their trials.
+SUSPECTS = ROOT + "crash_suspects"
 # Prefix of a planner's resource name, followed by its service.
 PLANNER = "plan:"
 
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -121,8 +121,8 @@
         0.
       service: the server's service.
       age_ms: milliseconds since the failure.
-      contents: digests of the requests without a complete answer from the
-        server.
+      contents: signatures of the requests without a complete answer from the
+        server: of contents, and of parts of prompts.
     """
 
     server_id: str
@@ -228,12 +228,13 @@
 
 
 class SuspectCleared(NamedTuple):
-    """Notifies all nodes that a crash suspect completed without a failure.
+    """Notifies all nodes that a crash suspect ran without a crash.
 
     Attributes:
-      content: digest of the request.
+      content: signature of the suspect.
       service: the request's service.
-      age_ms: milliseconds since the request completed.
+      age_ms: milliseconds since the request completed, or since an answer to a
+        prompt with the part began.
     """
 
     content: bytes
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -161,6 +161,7 @@
             self._clock,
             self._rng,
             self._peers,
+            self._store,
             self._scheduler.record_server_crash,
             self._counters,
             log,
@@ -236,6 +237,7 @@
             self._scheduler,
             self._retry_budget,
             self._crash_detector,
+            self._crash_suspects.record,
             log,
             self._counters,
         )
--- a/azureline/relay/request_identity.py
+++ b/azureline/relay/request_identity.py
@@ -7,7 +7,10 @@
 import hashlib
 
 from azureline.relay import requests
+from azureline.routing import signatures
 
+# Callers choose the number of parts; the parts after these are not considered.
+_MAX_PARTS = 16
 # Bytes of each of the two digests in a content: outline and body.
 _DIGEST_BYTES = 8
 
@@ -39,3 +42,17 @@
 def outline_of(content: bytes) -> bytes:
     """Returns the outline that is part of a content."""
     return content[:_DIGEST_BYTES]
+
+
+def part_signatures(request: requests.CallerRequest) -> tuple[bytes, ...]:
+    """Returns the signatures of the parts that other prompts may share."""
+    shared = request.shared_parts[:_MAX_PARTS]
+    return tuple(signatures.part_signature(part.name) for part in shared)
+
+
+def part_name(request: requests.CallerRequest, signature: bytes) -> str:
+    """Returns the name of the part with a signature, or ""."""
+    for part in request.shared_parts[:_MAX_PARTS]:
+        if signatures.part_signature(part.name) == signature:
+            return part.name
+    return ""
--- a/azureline/relay/store_view.py
+++ b/azureline/relay/store_view.py
@@ -16,6 +16,7 @@
 from azureline.relay import scheduler as scheduler_lib
 from azureline.relay import servers
 from azureline.relay import store_session
+from azureline.relay import suspect_store
 from azureline.util import events
 
 
@@ -38,6 +39,7 @@
         scheduler: scheduler_lib.Scheduler,
         retry_budget: retry_budgets.RetryBudget,
         crash_detector: crash_detection.CrashDetector,
+        suspects: suspect_store.SuspectStore,
         log: events.Log,
         counters: metrics.Counters,
     ):
@@ -52,6 +54,7 @@
         self._scheduler = scheduler
         self._retry_budget = retry_budget
         self._crash_detector = crash_detector
+        self._suspects = suspects
         self._log = log
         self._counters = counters
         self.servers_known = False
@@ -86,6 +89,8 @@
             if turn is not None:
                 name = key.removeprefix(keys.TERMS)
                 self._peers.set_last_turn(name, turn)
+        elif key == keys.SUSPECTS:
+            self._suspects.changed(item)
 
     def removed(self, key: str) -> None:
         """Applies the removal of a key."""
@@ -104,6 +109,8 @@
             name = key.removeprefix(keys.HOLDERS)
             self._peers.set_holder(name, None)
             self._store_session.holder_changed(name, None, 0)
+        elif key == keys.SUSPECTS:
+            self._suspects.removed()
 
     def away(self) -> None:
         """Records that the store does not answer."""
@@ -122,7 +129,7 @@
         known = [names.SERVERS_PREFIX + s.server_id for s in self._catalogue]
         known += [keys.NODES + name for name in self._peers.nodes]
         known += [keys.HOLDERS + name for name in self._peers.holders]
-        return known
+        return [*known, keys.SUSPECTS]
 
     def _apply_config(self, item: store_lib.Item) -> None:
         config = site_config.decode(item.value)
--- /dev/null
+++ b/azureline/relay/suspect_store.py
@@ -0,0 +1,246 @@
+"""Keeps crash suspects in the platform's store, and claims their trials.
+
+A record in the store outlives a restart of all nodes.  It changes only by
+compare-and-swap, so that of all nodes only one at a time runs a suspect.
+"""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+from twisted.internet import defer
+
+from azureline.core import clock as clocks
+from azureline.metrics import counters as metrics
+from azureline.platform import store as store_lib
+from azureline.relay import keys
+from azureline.relay import peers as peers_lib
+from azureline.relay import suspect_record
+from azureline.routing import crash_history
+from azureline.routing import rendezvous
+from azureline.routing import suspects as suspects_lib
+from azureline.util import events
+
+# Time after which a trial without an outcome no longer excludes others: longer
+# than an engine takes to begin an answer.
+TRIAL_S = 1.5
+# Delay of a write of new suspects, in which reports of one crash arrive.
+_WRITE_DELAY_S = 0.05
+# Delay of a write that only removes cleared suspects.
+_REMOVAL_DELAY_S = 2.0
+# All nodes would write the same, so each waits for those before it in an order
+# that all nodes agree on.
+_RANK_DELAY_S = 0.4
+_MAX_RANK = 10
+_RETRY_S = 0.5
+
+
+class SuspectStore:
+    """This node's side of the record of crash suspects."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clocks.Clock,
+        rng: random.Random,
+        store: store_lib.StoreClient,
+        peers: peers_lib.Peers,
+        table: suspects_lib.SuspectTable,
+        on_entries: Callable[[tuple[crash_history.SuspectEntry, ...]], None],
+        counters: metrics.Counters,
+        log: events.Log,
+    ):
+        """Creates a side that knows no record.
+
+        Args:
+          reactor: the Twisted reactor.
+          clock: source of time.
+          rng: spreads retries.
+          store: client of the platform's store.
+          peers: the other nodes.
+          table: the suspects that this node knows.
+          on_entries: called with the entries of each new record.
+          counters: counts writes and trials.
+          log: receives a line for each claim and failure.
+        """
+        self._reactor = reactor
+        self._clock = clock
+        self._rng = rng
+        self._store = store
+        self._peers = peers
+        self._table = table
+        self._on_entries = on_entries
+        self._counters = counters
+        self._log = log
+        self._revision = 0
+        self._record = suspect_record.SuspectRecord()
+        self._writing = False
+        self._timer: Any = None
+        self._closed = False
+
+    def close(self) -> None:
+        """Stops writing."""
+        self._closed = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def changed(self, item: store_lib.Item) -> None:
+        """Applies the record as it was written by this or another node."""
+        if item.revision <= self._revision:
+            return
+        self._revision = item.revision
+        record = suspect_record.decode(item.value, self._clock.now())
+        if record is None:
+            self._counters.count("suspects.unreadable")
+            self._log.error("suspects_unreadable", revision=item.revision)
+            record = suspect_record.SuspectRecord()
+        self._record = record
+        self._on_entries(record.entries)
+        self.suspects_changed()
+
+    def removed(self) -> None:
+        """Applies the removal of the record."""
+        self._revision = 0
+        self._record = suspect_record.SuspectRecord()
+        self.suspects_changed()
+
+    def suspects_changed(self) -> None:
+        """Schedules a write if the record lacks what this node knows."""
+        if self._closed or self._writing:
+            return
+        if self._timer is not None and self._timer.active():
+            return
+        delay_s = self._write_delay_s()
+        if delay_s is not None:
+            rank = min(_MAX_RANK, self._rank(keys.SUSPECTS.encode()))
+            self._timer = self._reactor.callLater(
+                delay_s + rank * _RANK_DELAY_S, self._write_later
+            )
+
+    def trial_runs(self, suspects: tuple[bytes, ...]) -> bool:
+        """Returns whether a trial of one of some suspects is undecided."""
+        return any(
+            not set(trial.suspects).isdisjoint(suspects)
+            for trial in self._undecided()
+        )
+
+    async def claim_trial(self, suspects: tuple[bytes, ...]) -> bool:
+        """Tries to become the only node that runs some suspects.
+
+        While the store does not answer, the first node in an order that all
+        nodes agree on runs them.
+        """
+        if self._writing or self._closed or self.trial_runs(suspects):
+            return False
+        now = self._clock.now()
+        trial = suspect_record.Trial(suspects, self._peers.name, now)
+        written = await self._write((trial,))
+        self._log.info(
+            "suspect_trial",
+            suspects=[s.hex() for s in suspects],
+            claimed=bool(written),
+            revision=self._revision,
+        )
+        if isinstance(written, store_lib.Unavailable):
+            self._counters.count("suspects.trials.without_store")
+            return not written.may_have_applied and not self._rank(suspects[0])
+        self._counters.count(
+            "suspects.trials." + ("claimed" if written else "conflict")
+        )
+        return bool(written)
+
+    def _undecided(self) -> list[suspect_record.Trial]:
+        since = self._clock.now() - TRIAL_S
+        return [
+            trial
+            for trial in self._record.trials
+            if trial.at > since
+            and self._table.suspects_of(trial.suspects)
+            and max(map(self._table.last_crash_at, trial.suspects)) <= trial.at
+        ]
+
+    def _selected(self) -> tuple[crash_history.SuspectEntry, ...]:
+        entries = self._table.entries()
+        return suspect_record.select(
+            entry
+            for entry in entries
+            if self._table.suspects_of([entry.content])
+        )
+
+    def _write_delay_s(self) -> float | None:
+        """Returns the delay of the next write, or None if none is needed."""
+        wanted = {e.content: _crash_keys(e) for e in self._selected()}
+        present = {e.content: _crash_keys(e) for e in self._record.entries}
+        if any(
+            not crashes <= present.get(content, frozenset())
+            for content, crashes in wanted.items()
+        ):
+            return _WRITE_DELAY_S
+        return _REMOVAL_DELAY_S if present.keys() - wanted.keys() else None
+
+    def _rank(self, key: bytes) -> int:
+        """Returns this node's place in the order of nodes for a key."""
+        names = rendezvous.ordered_servers(key, self._peers.nodes)
+        return names.index(self._peers.name)
+
+    def _write_later(self) -> None:
+        self._timer = None
+        if self._writing or self._write_delay_s() is None:
+            return
+        writing = defer.ensureDeferred(self._write(()))
+        writing.addErrback(
+            lambda f: self._log.error(
+                "suspects_write_failed", reason=f.getTraceback()
+            )
+        )
+
+    async def _write(
+        self, claimed: tuple[suspect_record.Trial, ...]
+    ) -> (
+        store_lib.Committed
+        | store_lib.Conflict
+        | store_lib.NoLease
+        | store_lib.Unavailable
+    ):
+        """Writes what this node knows, unless the record has changed."""
+        record = suspect_record.SuspectRecord(
+            self._selected(), (*self._undecided(), *claimed)
+        )
+        value = suspect_record.encode(record, self._clock.now())
+        self._writing = True
+        try:
+            result = await self._store.transact(
+                {keys.SUSPECTS: self._revision},
+                (store_lib.Put(keys.SUSPECTS, value),),
+            )
+        finally:
+            self._writing = False
+        self._counters.count("suspects.writes")
+        match result:
+            case store_lib.Committed(revision=revision):
+                if revision > self._revision:
+                    self._revision, self._record = revision, record
+                self.suspects_changed()
+            case store_lib.Conflict(items=items):
+                for item in items:
+                    self.changed(item)
+                self.suspects_changed()
+            case _:
+                self._log.warning("suspects_not_written", reason=repr(result))
+                self._retry()
+        return result
+
+    def _retry(self) -> None:
+        if self._closed or (self._timer is not None and self._timer.active()):
+            return
+        rank = min(_MAX_RANK, self._rank(keys.SUSPECTS.encode()))
+        delay_s = _RETRY_S * self._rng.uniform(1.0, 2.0)
+        self._timer = self._reactor.callLater(
+            delay_s + rank * _RANK_DELAY_S, self._write_later
+        )
+
+
+def _crash_keys(
+    entry: crash_history.SuspectEntry,
+) -> frozenset[tuple[str, str]]:
+    return frozenset((c.server, c.incarnation) for c in entry.crashes)
--- a/azureline/routing/suspects.py
+++ b/azureline/routing/suspects.py
@@ -1,12 +1,14 @@
 """Quarantine of requests that crash the backend servers that run them.
 
-Every content in flight at a crash is a suspect.  Suspects run one at a time
-per server, in an order that all nodes agree on, so that a second crash
-separates the content that caused it from those that ran beside it.  Nodes
-exchange their observations as gossip entries, which merge in any order.
+Every signature in flight at a crash is a suspect: the content of a request,
+or a part of its prompt.  Suspects run one at a time, in an order that all
+nodes agree on, so that a further crash separates the signature that caused it
+from those that were in flight beside it.  Nodes exchange their observations as
+gossip entries, which merge in any order.
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import heapq
 import math
@@ -15,7 +17,9 @@
 
 from azureline import requests
 from azureline.core import errors
+from azureline.routing import crash_history
 from azureline.routing import rendezvous
+from azureline.routing import signatures
 
 # Number of servers that the picker chooses among for one content.
 _PAIR = 2
@@ -35,40 +39,6 @@
         """Name of the model or service whose servers the call runs on."""
 
 
-class Crash(NamedTuple):
-    """One crash of a backend server.
-
-    Attributes:
-      server: name of the backend server.
-      incarnation: the incarnation that crashed; with the server's name it
-        identifies the crash.
-      at: Unix time in seconds at which the crash was observed.
-    """
-
-    server: str
-    incarnation: str
-    at: float
-
-
-class SuspectEntry(NamedTuple):
-    """A gossip entry: the crash history of one content.
-
-    A merge takes the union of the crashes and the later `cleared`, so entries
-    may arrive repeatedly, late and in any order.
-
-    Attributes:
-      content: digest of the request's content.
-      model: name of its model.
-      crashes: crashes with this content in flight.
-      cleared: Unix time in seconds of the latest complete run, or 0.
-    """
-
-    content: bytes
-    model: str
-    crashes: tuple[Crash, ...]
-    cleared: float
-
-
 class Settings(NamedTuple):
     """Settings of the detection of crashing requests.
 
@@ -78,12 +48,21 @@
       quarantine_s: seconds that a suspect has on its server before the next
         suspect may run there.
       refusal_crashes: number of crashes after which a content is refused,
-        if no other earlier suspect was in flight at one of its crashes after
-        the first.
-      certain_refusal_crashes: number of crashes after which a content is
-        refused in any case.
-      refuse_s: seconds of the first refusal; each further crash doubles it.
+        if no other suspect was in flight at one of its trials that failed.
+      part_refusal_crashes: the same for a part of prompts.  Parts are shared,
+        so crashes of other causes accuse them more often.
+      refusal_trials: number of failed trials after which a content is refused
+        in any case, and a part unless another suspect can have caused them.
+      trial_gap_s: minimum time in seconds from the crash that makes a suspect
+        to a crash that counts as a failed trial.  Servers that crash together
+        accuse a popular part many times at once.
+      refuse_s: seconds of the first refusal.
+      refuse_growth: factor of the refusal's length for each further failed
+        trial.
       refuse_cap_s: longest refusal in seconds.
+      ambiguity_s: seconds for which a call with several suspected parts waits
+        for each of them after the first, so that a call with fewer suspects
+        is tried first.
       retention_s: seconds after its last crash for which a suspect is
         remembered, in addition to the time for which it would be refused.
       max_entries: maximum number of remembered contents.
@@ -96,9 +75,13 @@
     settle_s: float = 2.0
     quarantine_s: float = 5.0
     refusal_crashes: int = 2
-    certain_refusal_crashes: int = 5
+    part_refusal_crashes: int = 4
+    refusal_trials: int = 4
+    trial_gap_s: float = 0.0
     refuse_s: float = 600.0
+    refuse_growth: float = 2.0
     refuse_cap_s: float = 86400.0
+    ambiguity_s: float = 0.3
     retention_s: float = 900.0
     max_entries: int = 4096
     tolerated_crashes: int = 0
@@ -117,9 +100,11 @@
 
     Attributes:
       server: name of that server.
+      suspects: the suspected signatures of the call.
     """
 
     server: str
+    suspects: tuple[bytes, ...] = ()
 
 
 class Wait(NamedTuple):
@@ -142,7 +127,7 @@
           settings: the settings.
         """
         self._settings = settings
-        self._entries: dict[bytes, SuspectEntry] = {}
+        self._entries: dict[bytes, crash_history.SuspectEntry] = {}
         self._by_crash: dict[tuple[str, str], set[bytes]] = {}
         self._in_flight: dict[str, dict[str, requests.ModelCall]] = {}
         self._crashed_at: dict[str, float] = {}
@@ -154,6 +139,7 @@
         call: Call,
         replicas: Sequence[str],
         usable: Sequence[str],
+        parts: Sequence[bytes] = (),
     ) -> Allowed | Quarantine | Wait | errors.Refusal:
         """Decides whether and where a call may be sent.
 
@@ -162,31 +148,59 @@
           call: the call to decide on.
           replicas: all servers of its model, including those that are down.
           usable: those servers that accept work.
+          parts: signatures of the parts of its prompt.
 
         Returns:
           `Allowed`, `Quarantine` or `Wait`, or a `CRASH_SUSPECT` refusal with
-          the seconds until the content may be tried again.
+          the seconds until the signature may be tried again.
         """
-        crashes = self._effective(call.content)
-        if len(crashes) <= self._settings.tolerated_crashes:
-            if crashes or not self._settings.hold_new_contents:
+        suspects = self.suspects_of((call.content, *parts))
+        if not suspects:
+            if (
+                self.crash_count(call.content)
+                or not self._settings.hold_new_contents
+            ):
                 return Allowed()
             hold_until = self._hold_until(call.content, replicas)
             return Wait(hold_until) if hold_until > wall else Allowed()
-        last = max(crash.at for crash in crashes)
-        # Gossip about other contents in the same crash may not have arrived.
+        last = max(self.last_crash_at(signature) for signature in suspects)
+        # Gossip about other signatures in the same crash may not have arrived.
         settled_at = last + self._settings.settle_s
         if wall < settled_at:
             return Wait(settled_at)
-        if self._must_refuse(call.content, crashes):
-            refused_until = last + self._refusal_s(len(crashes))
-            if wall < refused_until:
-                return self._refuse(len(crashes), refused_until - wall)
+        refused = self.find_refused(wall, suspects)
+        if refused is not None:
+            return self._refuse(refused, wall)
         if not usable:
             return Wait(wall + self._settings.settle_s)
-        server = rendezvous.first_server(call.content, usable)
-        start_at = self._start_at(call, last, server, usable)
-        return Quarantine(server) if wall >= start_at else Wait(start_at)
+        server = rendezvous.first_server(suspects[0], usable)
+        start_at = self._start_at(call, suspects, server, usable)
+        if wall < start_at:
+            return Wait(start_at)
+        return Quarantine(server, suspects)
+
+    def suspects_of(self, candidates: Iterable[bytes]) -> tuple[bytes, ...]:
+        """Returns the signatures that crashed servers more than tolerated."""
+        tolerated = self._settings.tolerated_crashes
+        return tuple(s for s in candidates if self.crash_count(s) > tolerated)
+
+    def find_refused(
+        self, wall: float, suspects: Sequence[bytes]
+    ) -> bytes | None:
+        """Returns the first signature for which a call is refused, or None.
+
+        Args:
+          wall: Unix time in seconds.
+          suspects: the suspected signatures of the call.
+        """
+        for signature in suspects:
+            if (
+                wall < self._refused_until(signature)
+                and self._must_refuse(signature)
+                and not self._is_excused(signature, suspects)
+            ):
+                return signature
+        return None
 
     def started(self, server: str, call: requests.ModelCall) -> None:
         """Counts a call as in flight at a server."""
@@ -221,18 +235,26 @@
         """
         self._crashed_at[server] = wall
         calls = tuple(self._in_flight.pop(server, {}).values())
-        crash = Crash(server, incarnation, wall)
+        crash = crash_history.Crash(server, incarnation, wall)
         for call in calls:
-            entry = SuspectEntry(call.content, call.model, (crash,), 0.0)
+            entry = crash_history.SuspectEntry(
+                call.content, call.model, (crash,), 0.0
+            )
             self._merge(entry)
         return calls
 
-    def crash_count(self, content: bytes) -> int:
-        """Returns the number of crashes since a content's last full run."""
-        return len(self._effective(content))
+    def crash_count(self, signature: bytes) -> int:
+        """Returns the number of crashes since a signature was last cleared."""
+        return len(self._effective(signature))
+
+    def last_crash_at(self, signature: bytes) -> float:
+        """Returns the Unix time of a signature's last crash, or 0."""
+        return max((c.at for c in self._effective(signature)), default=0.0)
 
     def merge(
-        self, entries: Iterable[SuspectEntry], wall: float = math.inf
+        self,
+        entries: Iterable[crash_history.SuspectEntry],
+        wall: float = math.inf,
     ) -> None:
         """Merges gossip entries of other nodes.
 
@@ -252,7 +274,7 @@
                 known = self._crashed_at.get(server, 0.0)
                 self._crashed_at[server] = max(known, at)
 
-    def take_changes(self, count: int) -> list[SuspectEntry]:
+    def take_changes(self, count: int) -> list[crash_history.SuspectEntry]:
         """Removes and returns up to `count` changed entries to gossip.
 
         Entries with the most crashes come first.
@@ -265,18 +287,26 @@
             del self._ungossiped[entry.content]
         return changed[:count]
 
-    def entries(self) -> list[SuspectEntry]:
+    def entries(self) -> list[crash_history.SuspectEntry]:
         """Returns all entries, for a node that has just started."""
         return list(self._entries.values())
 
     def expire(self, wall: float) -> None:
-        """Removes contents without a recent crash."""
+        """Removes contents without a recent crash, and crashes long cleared."""
         for content, entry in list(self._entries.items()):
             last = max((c.at for c in entry.crashes), default=0.0)
-            count = len(entry.crashes)
-            keep_s = self._settings.retention_s + self._refusal_s(count)
+            keep_s = self._settings.retention_s
+            if self._must_refuse(content):
+                # The next trial is decided on the crashes of the earlier ones.
+                keep_s += self._settings.refuse_cap_s
+            else:
+                keep_s += self._settings.refuse_s
             if wall - last > keep_s:
                 self._forget(content)
+                continue
+            for crash in entry.crashes:
+                if crash.at < entry.cleared - self._settings.retention_s:
+                    self._unlink(content, crash)
         oldest = wall - self._settings.settle_s
         self._crashed_at = {
             server: at
@@ -284,19 +314,41 @@
             if at >= oldest
         }
 
-    def _refuse(self, crashes: int, seconds: float) -> errors.Refusal:
+    def _refuse(self, signature: bytes, wall: float) -> errors.Refusal:
+        common = (
+            "a part of this prompt"
+            if signatures.is_part(signature)
+            else "this content"
+        )
+        crashes = self.crash_count(signature)
         return errors.Refusal(
             errors.ErrorKind.CRASH_SUSPECT,
-            f"{crashes} backend servers crashed while running this content",
-            seconds,
+            f"{crashes} backend servers crashed while running {common}",
+            self._refused_until(signature) - wall,
         )
 
-    def _refusal_s(self, crashes: int) -> float:
-        extra_crashes = max(0, crashes - self._settings.refusal_crashes)
-        seconds = self._settings.refuse_s * 2.0 ** min(extra_crashes, 30)
-        return min(seconds, self._settings.refuse_cap_s)
+    def _refused_until(self, signature: bytes) -> float:
+        """Returns the Unix time until which a signature may be refused."""
+        crashes = self._effective(signature)
+        last = max((crash.at for crash in crashes), default=0.0)
+        extra_trials = max(0, len(self._failed_trials(crashes)) - 1)
+        growth = self._settings.refuse_growth ** min(extra_trials, 30)
+        return last + min(
+            self._settings.refuse_s * growth, self._settings.refuse_cap_s
+        )
 
-    def _effective(self, content: bytes) -> tuple[Crash, ...]:
+    def _failed_trials(
+        self, crashes: Sequence[crash_history.Crash]
+    ) -> list[crash_history.Crash]:
+        """Returns the crashes after those that made a signature a suspect."""
+        tolerated = self._settings.tolerated_crashes
+        ordered = sorted(crashes, key=lambda crash: crash.at)
+        if len(ordered) <= tolerated:
+            return []
+        counts_from = ordered[tolerated].at + self._settings.trial_gap_s
+        return [c for c in ordered[tolerated + 1 :] if c.at >= counts_from]
+
+    def _effective(self, content: bytes) -> tuple[crash_history.Crash, ...]:
         """Returns the crashes since the content's last complete run."""
         entry = self._entries.get(content)
         if entry is None:
@@ -315,55 +367,93 @@
         latest = max((self._crashed_at.get(s, 0.0) for s in pair), default=0.0)
         return latest + self._settings.settle_s
 
-    def _must_refuse(self, content: bytes, crashes: Sequence[Crash]) -> bool:
-        if len(crashes) >= self._settings.certain_refusal_crashes:
+    def _must_refuse(self, signature: bytes) -> bool:
+        crashes = self._effective(signature)
+        failed = self._failed_trials(crashes)
+        if len(failed) >= self._settings.refusal_trials:
             return True
-        if len(crashes) < self._settings.refusal_crashes:
+        needed = self._settings.refusal_crashes
+        if signatures.is_part(signature):
+            needed = self._settings.part_refusal_crashes
+        if len(crashes) < needed:
+            return False
+        return any(self._only_suspect(signature, crash) for crash in failed)
+
+    def _is_excused(self, signature: bytes, present: Sequence[bytes]) -> bool:
+        """Returns whether suspects that a call lacks explain a part's crashes.
+
+        Args:
+          signature: a signature of the call.
+          present: all suspected signatures of the call.
+        """
+        if not signatures.is_part(signature):
             return False
-        repeats = sorted(crashes, key=lambda c: c.at)[1:]
-        return any(self._only_suspect(content, crash) for crash in repeats)
+        failed = self._failed_trials(self._effective(signature))
+        return all(
+            any(
+                signatures.is_part(other)
+                and other not in present
+                and self.crash_count(other) > self._settings.tolerated_crashes
+                for other in self._other_suspects(signature, crash)
+            )
+            for crash in failed
+        )
 
-    def _only_suspect(self, content: bytes, crash: Crash) -> bool:
+    def _only_suspect(
+        self, signature: bytes, crash: crash_history.Crash
+    ) -> bool:
         """Returns whether no other earlier suspect was in flight at a crash."""
+        return not any(self._other_suspects(signature, crash))
+
+    def _other_suspects(
+        self, signature: bytes, crash: crash_history.Crash
+    ) -> Iterator[bytes]:
+        """Yields the other earlier suspects that were in flight at a crash."""
         key = (crash.server, crash.incarnation)
-        return not any(
-            other != content and self._was_suspect(other, crash)
-            for other in self._by_crash.get(key, ())
-        )
+        for other in self._by_crash.get(key, ()):
+            if other != signature and self._was_suspect(other, crash):
+                yield other
 
-    def _was_suspect(self, content: bytes, crash: Crash) -> bool:
+    def _was_suspect(self, content: bytes, crash: crash_history.Crash) -> bool:
         return any(c.at < crash.at for c in self._effective(content))
 
     def _start_at(
         self,
         call: Call,
-        last: float,
+        suspects: Sequence[bytes],
         server: str,
         usable: Sequence[str],
     ) -> float:
         """Returns the Unix time at which a suspect may run on its server.
 
-        Suspects of the same model run on one server in the order of their
-        digests, which is the same on all nodes.  Each earlier one delays the
-        suspect by `quarantine_s`, unless it was cleared or is refused.
+        Calls with more suspected parts start later: one with fewer clears
+        those parts that are not the cause.  Suspected contents of the same
+        model run on one server in the order of their digests, which is the
+        same on all nodes.  Each earlier one delays the call by `quarantine_s`,
+        unless it was cleared or is refused.
         """
+        settings = self._settings
+        last = max(self.last_crash_at(signature) for signature in suspects)
+        parts = sum(signatures.is_part(signature) for signature in suspects)
+        start_at = last + settings.settle_s
+        start_at += settings.ambiguity_s * max(0, parts - 1)
+        if call.content not in suspects:
+            return start_at
         ahead = 0
         for content, entry in self._entries.items():
             if entry.model != call.model or content >= call.content:
                 continue
-            crashes = self._effective(content)
-            exempt = len(crashes) <= self._settings.tolerated_crashes
-            if exempt or self._must_refuse(content, crashes):
+            if signatures.is_part(content) or self._must_refuse(content):
+                continue
+            if self.crash_count(content) <= settings.tolerated_crashes:
                 continue
             if rendezvous.first_server(content, usable) == server:
                 ahead += 1
-        return (
-            last + self._settings.settle_s + ahead * self._settings.quarantine_s
-        )
+        return start_at + ahead * settings.quarantine_s
 
-    def _merge(self, entry: SuspectEntry) -> None:
+    def _merge(self, entry: crash_history.SuspectEntry) -> None:
         old = self._entries.get(entry.content)
-        merged = _union(entry if old is None else old, entry)
+        merged = crash_history.union(entry if old is None else old, entry)
         if merged == old:
             return
         self._entries[entry.content] = merged
@@ -390,23 +480,16 @@
         return len(crashes), max((c.at for c in crashes), default=0.0)
 
     def _forget(self, content: bytes) -> None:
-        entry = self._entries.pop(content)
+        for crash in self._entries[content].crashes:
+            self._unlink(content, crash)
+        del self._entries[content]
         self._ungossiped.pop(content, None)
-        for crash in entry.crashes:
-            key = (crash.server, crash.incarnation)
-            self._by_crash[key].discard(content)
-            if not self._by_crash[key]:
-                del self._by_crash[key]
-
 
-def _union(a: SuspectEntry, b: SuspectEntry) -> SuspectEntry:
-    """Returns the merge of two gossip entries about one content."""
-    crashes: dict[tuple[str, str], Crash] = {}
-    for crash in (*a.crashes, *b.crashes):
+    def _unlink(self, content: bytes, crash: crash_history.Crash) -> None:
+        entry = self._entries[content]
+        crashes = tuple(c for c in entry.crashes if c != crash)
+        self._entries[content] = entry._replace(crashes=crashes)
         key = (crash.server, crash.incarnation)
-        known = crashes.get(key, crash)
-        crashes[key] = min(known, crash)
-    return a._replace(
-        crashes=tuple(sorted(crashes.values())),
-        cleared=max(a.cleared, b.cleared),
-    )
+        self._by_crash[key].discard(content)
+        if not self._by_crash[key]:
+            del self._by_crash[key]
--- a/azureline/serving/suspect_gossip.py
+++ b/azureline/serving/suspect_gossip.py
@@ -9,6 +9,7 @@
 from azureline.fleet import messages as fleet_messages
 from azureline.metrics import counters as metrics
 from azureline.nodes import neighbours as neighbours_lib
+from azureline.routing import crash_history
 from azureline.routing import suspects as suspects_lib
 
 PREFIX = "suspect/"
@@ -16,7 +17,7 @@
 EXPIRE_TICKS = 20
 MAX_ENTRIES_PER_TICK = 8
 ENTRY_TTL_S = 1800
-_CODEC = wire.Codec({1: suspects_lib.SuspectEntry, 2: suspects_lib.Crash})
+_CODEC = wire.Codec({1: crash_history.SuspectEntry, 2: crash_history.Crash})
 
 
 class SuspectGossip:
--- a/tests/builders_crash_suspects.py
+++ b/tests/builders_crash_suspects.py
@@ -10,12 +10,14 @@
 
 from azureline.core import errors
 from azureline.metrics import counters as metrics
+from azureline.platform import store as store_lib
 from azureline.relay import assignment as assignments
 from azureline.relay import crash_detection
 from azureline.relay import crash_suspects
 from azureline.relay import keys
 from azureline.relay import peers
 from azureline.relay import request_identity
+from azureline.relay import requests
 from azureline.util import events
 from tests import builders_relay
 from tests import builders_serving
@@ -27,6 +29,8 @@
 BACK_S = 1.5
 # Seconds that a deadly request runs until its server crashes.
 DEADLY_S = 0.05
+# Delay of an answer of the store in seconds.
+STORE_S = 0.004
 # Seconds after which callers leave.
 PATIENCE_S = 3.0
 
@@ -47,6 +51,56 @@
             )
 
 
+class SharedStore:
+    """The platform's store: one key with compare-and-swap, and its watches."""
+
+    def __init__(self, fleet: "Fleet"):
+        """Creates an empty store that answers."""
+        self._fleet = fleet
+        self.item: store_lib.Item | None = None
+        self.revision = 10
+        self.calls = 0
+        self.is_down = False
+
+    def client(self, number: int) -> "StoreClient":
+        """Returns the client of a node."""
+        return StoreClient(self, self._fleet, number)
+
+    def apply(self, expected: dict[str, int], puts: Any) -> Any:
+        """Runs a transaction and tells all nodes that reach the store."""
+        self.calls += 1
+        ((_, revision),) = expected.items()
+        present = self.item.revision if self.item else 0
+        if revision != present:
+            return store_lib.Conflict((self.item,) if self.item else ())
+        self.revision += 1
+        self.item = store_lib.Item(puts[0].key, puts[0].value, self.revision)
+        for number in range(len(self._fleet.records)):
+            if number not in self._fleet.cut:
+                self._fleet.clock.callLater(0.01, self.tell, number)
+        return store_lib.Committed(self.revision)
+
+    def tell(self, number: int) -> None:
+        """Shows a node what is stored."""
+        if self.item is not None and number not in self._fleet.frozen:
+            self._fleet.nodes[number].crash_suspects.record.changed(self.item)
+
+
+class StoreClient(NamedTuple):
+    """A node's client of the store."""
+
+    store: SharedStore
+    fleet: "Fleet"
+    number: int
+
+    async def transact(self, expected: dict[str, int], puts: Any) -> Any:
+        """Runs a transaction after the store's delay."""
+        await task.deferLater(self.fleet.clock, STORE_S, lambda: None)
+        if self.store.is_down or self.number in self.fleet.cut:
+            return store_lib.Unavailable("down", may_have_applied=False)
+        return self.store.apply(expected, puts)
+
+
 class Node(NamedTuple):
     """The simulated components of one node."""
 
@@ -86,13 +140,21 @@
         self.at_servers: dict[str, list[Any]] = {s: [] for s in self.servers}
         self.runs: list[Run] = []
         self.ends: list[float] = []
+        self.store = SharedStore(self)
+        # Nodes that reach neither the store nor other nodes, and nodes that
+        # stand still.
+        self.cut: set[int] = set()
+        self.frozen: set[int] = set()
         self.records = [
             keys.NodeRecord(f"n{i}", f"h{i}", 1, f"d{i % 2}", 1000)
             for i in range(nodes)
         ]
-        self.nodes = [self._node(record) for record in self.records]
+        self.nodes: list[Node] = []
+        for number in range(nodes):
+            self.nodes.append(self._node(number))
 
-    def _node(self, record: keys.NodeRecord) -> Node:
+    def _node(self, number: int) -> Node:
+        record = self.records[number]
         counters = metrics.Counters()
         found = peers.Peers(record, self.clock, counters, self.rng)
         found._datagrams = _LossyLink(self, record.host)
@@ -103,6 +165,7 @@
             self.clock,
             self.rng,
             found,
+            self.store.client(number),
             lambda server: None,
             counters,
             events.null_log(),
@@ -111,13 +174,17 @@
         return Node(found, part)
 
     def restart(self, number: int) -> None:
-        """Replaces a node by one without any suspects."""
+        """Replaces a node by one that knows what is stored."""
         self.nodes[number].crash_suspects.close()
-        self.nodes[number] = self._node(self.records[number])
+        self.nodes[number] = self._node(number)
+        if number not in self.cut:
+            self.store.tell(number)
 
     def deliver(self, host: str, source: str, port: int, message: Any) -> None:
         """Delivers a datagram to the current node at an address."""
         number = int(host[1:])
+        if {number, int(source[1:])} & (self.cut | self.frozen):
+            return
         self.nodes[number].peers.datagram(source, port, message)
 
     def up(self) -> list[str]:
@@ -130,19 +197,31 @@
         up = self.up()
         return assignments.UsableServers(tuple(up), len(up), len(self.servers))
 
-    def request(self, body: bytes) -> Any:
-        """Returns a request with a body."""
-        return builders_relay.request(caller="c", body=body)
+    def request(self, body: bytes, parts: str = "") -> Any:
+        """Returns a request.
+
+        Args:
+          body: its body.
+          parts: names of the shared parts of its prompt, separated by commas.
+        """
+        own = f"own-{body.hex()}"
+        names = [*parts.split(","), own] if parts else []
+        return builders_relay.request(
+            caller="c",
+            body=body,
+            parts=tuple(requests.PromptPart(name, 10) for name in names),
+        )
 
-    def check(self, number: int, body: bytes) -> Any:
+    def check(self, number: int, body: bytes, parts: str = "") -> Any:
         """Returns a node's decision on a request, or its deferred."""
-        node, request = self.nodes[number], self.request(body)
+        node, request = self.nodes[number], self.request(body, parts)
         deadline = self.clock.now() + PATIENCE_S
         permit = defer.ensureDeferred(
             node.crash_suspects.acquire_permit(
                 request, SERVICE, self.usable, deadline
             )
         )
+        self.play(2 * STORE_S)
         return permit.result if permit.called else permit
 
     def end(self, server: str, *bodies: bytes, seen_by: int = 0) -> None:
--- a/tests/test_relay_attempt.py
+++ b/tests/test_relay_attempt.py
@@ -47,6 +47,7 @@
             reactor.seconds,
             lambda first_s: None,
             lambda head: None,
+            lambda: None,
         )
         caller = builders_relay.request(headers=((b"host", b"x"),))
         request = wire.build_request(caller, 5.0, "e1", None, None)
--- a/tests/test_relay_crash_detection.py
+++ b/tests/test_relay_crash_detection.py
@@ -43,7 +43,7 @@
         return defer.succeed(self.seen)
 
     def contents(self):
-        return [c for ending in self.crashes for c in ending.contents]
+        return [c for ending in self.crashes for c in ending.signatures]
 
 
 def test_a_server_whose_port_refuses_connections_has_crashed():
--- a/tests/test_relay_crash_suspects.py
+++ b/tests/test_relay_crash_suspects.py
@@ -6,6 +6,8 @@
 from azureline.relay import crash_detection
 from azureline.relay import crash_suspects
 from azureline.relay import request_identity
+from azureline.relay import suspect_reports
+from azureline.relay import suspect_store
 from tests import builders_crash_suspects as builders
 from tests import builders_relay
 
@@ -33,12 +35,16 @@
     assert fleet.check(3, b"other") == crash_suspects.SendPermit()
 
 
-def test_after_two_crashes_all_nodes_send_it_to_the_same_server():
+def test_after_two_crashes_one_node_at_a_time_sends_it_to_the_same_server():
     fleet = builders.Fleet()
     _crash(fleet, b"a", server="s0")
     _crash(fleet, b"a", server="s1")
-    turns = {fleet.check(n, b"a").server_id for n in range(5)}
-    assert len(turns) == 1 and turns != {""}
+    checks = [fleet.check(n, b"a") for n in range(5)]
+    sent = [c for c in checks if isinstance(c, crash_suspects.SendPermit)]
+    assert len(sent) == 1 and sent[0].server_id
+    fleet.play(suspect_store.TRIAL_S + 0.1)
+    later = [c.result for c in checks if c not in sent and c.called]
+    assert [permit.server_id for permit in later] == [sent[0].server_id]
 
 
 def test_a_copy_waits_while_the_first_is_in_flight():
@@ -48,7 +54,7 @@
     part, permit = fleet.nodes[0].crash_suspects, fleet.check(0, b"a")
     part.send_started(permit)
     waiting = fleet.check(0, b"a")
-    fleet.play(0.5)
+    fleet.play(suspect_store.TRIAL_S + 0.5)
     assert not waiting.called
     part.send_ended(permit)
     fleet.play(0.5)
@@ -91,6 +97,7 @@
     fleet = builders.Fleet()
     _crash(fleet, b"a", server="s0")
     permit = fleet.check(0, b"a")
+    assert permit.server_id == ""
     part, request = fleet.nodes[0].crash_suspects, fleet.request(b"a")
     arguments = (permit, request, builders.SERVICE, fleet.usable, "s5")
     assert part.permits(*arguments)
@@ -121,12 +128,25 @@
     fleet = builders.Fleet()
     for server in ("s0", "s1", "s2"):
         _crash(fleet, b"a", server=server)
+    fleet.store.item = None
     fleet.restart(3)
     assert fleet.check(3, b"a") == crash_suspects.SendPermit()
     fleet.play(CONTACT_S)
     assert fleet.check(3, b"a").kind is errors.ErrorKind.ENDED_SERVERS
 
 
+def test_a_restart_of_all_nodes_keeps_the_suspects():
+    fleet = builders.Fleet()
+    for server in ("s0", "s1", "s2"):
+        _crash(fleet, b"a", server=server)
+    for number in range(5):
+        fleet.restart(number)
+    refusals = [fleet.check(number, b"a") for number in range(5)]
+    fleet.play(1.0)
+    for refusal in refusals:
+        assert refusal.result.kind is errors.ErrorKind.ENDED_SERVERS
+
+
 def test_the_number_of_suspects_is_bounded():
     fleet = builders.Fleet(nodes=1)
     for number in range(200):
@@ -136,7 +156,7 @@
     part = fleet.nodes[0].crash_suspects
     assert len(part._suspects.entries()) <= 4096
     fleet.play(11.0)
-    assert len(part._outlines) <= 4096
+    assert len(part._reports.outlines) <= 4096
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -167,16 +187,19 @@
     assert "ended_servers" not in innocent
 
 
-class _IgnoresReports(crash_suspects.CrashSuspects):
+class _IgnoresReports(suspect_reports.SuspectReports):
     """Deliberate fault: a node knows only the crashes that it saw itself."""
 
+    def merge(self, entries):
+        del entries
+
     def _on_crash_report(self, report, host, port):
         if host == self._peers.own.host:
             super()._on_crash_report(report, host, port)
 
 
 def test_the_checks_detect_nodes_that_ignore_reports(monkeypatch):
-    monkeypatch.setattr(crash_suspects, "CrashSuspects", _IgnoresReports)
+    monkeypatch.setattr(suspect_reports, "SuspectReports", _IgnoresReports)
     fleet, answers = builders.Fleet(nodes=12), []
     for turn in range(40):
         fleet.call(0.4 * turn, turn % 12, b"deadly", answers)
--- a/tests/test_routing_suspects.py
+++ b/tests/test_routing_suspects.py
@@ -9,6 +9,7 @@
 import pytest
 
 from azureline.core import errors
+from azureline.routing import crash_history
 from azureline.routing import outcome
 from azureline.routing import picker
 from azureline.routing import rendezvous
@@ -22,13 +23,13 @@
 _RESTART_S = 5.0
 
 _crashes = st.builds(
-    suspects.Crash,
+    crash_history.Crash,
     st.sampled_from(_ENGINES),
     st.sampled_from(["i1", "i2"]),
     st.floats(WALL, WALL + 100.0),
 )
 _entries = st.builds(
-    suspects.SuspectEntry,
+    crash_history.SuspectEntry,
     st.sampled_from([b"a", b"b", b"c"]),
     st.just("seam"),
     st.lists(_crashes, max_size=3).map(tuple),
@@ -114,8 +115,8 @@
 def test_a_node_whose_clock_is_ahead_does_not_delay_suspects():
     suspect_table = suspects.SuspectTable()
     call = build.call()
-    crash = suspects.Crash("e0", "i1", WALL + 3600.0)
-    entry = suspects.SuspectEntry(call.content, "seam", (crash,), 0.0)
+    crash = crash_history.Crash("e0", "i1", WALL + 3600.0)
+    entry = crash_history.SuspectEntry(call.content, "seam", (crash,), 0.0)
     suspect_table.merge([entry], WALL)
     check = suspect_table.check(WALL + 2.0, call, _ENGINES, _ENGINES)
     assert isinstance(check, suspects.Quarantine)
@@ -293,8 +294,8 @@
 class _RefusesAllSuspects(suspects.SuspectTable):
     """Deliberate fault: one crash is enough for a refusal."""
 
-    def _must_refuse(self, content, crashes):
-        return bool(crashes)
+    def _must_refuse(self, signature):
+        return self.crash_count(signature) > 0
 
 
 def test_the_checks_catch_nodes_without_gossip():
@@ -308,8 +309,9 @@
 class _WithoutOrder(suspects.SuspectTable):
     """Deliberate fault: all suspects of a crash run again concurrently."""
 
-    def _start_at(self, call, last, server, usable):
+    def _start_at(self, call, suspects, server, usable):
         del call, server, usable
+        last = max(map(self.last_crash_at, suspects))
         return last + self._settings.settle_s
 
 
