Cut streams off whose resumption gets an error that is no 5xx

Callers found the error's text in their stream, which ended as complete: a resumable stream broke off after two events, and the next engine answered 400, 404, 429 or 302.

Cause: an answer below 500 of any attempt was passed on as a whole, also after the response had begun. It is a broken attempt now: the next engine is asked while attempts are left, then the stream is cut off.

--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -180,6 +180,10 @@
                     End.FAILED, f"status {head.status}", head.status, kept=kept
                 )
             )
+        elif self._received.response_started:
+            self._finish(
+                Result(End.BROKEN, f"status {head.status} within a stream")
+            )
         else:
             pass_on(self._received, http1.Answer(head, self._body.content()))
             if head.status < 300:
--- a/tests/test_relay_attempt.py
+++ b/tests/test_relay_attempt.py
@@ -30,6 +30,76 @@
         self.got += len(data)
 
 
+_ID = b"9c41d07be2a35f68"
+_SEAL = b"Azureline-Server-Seal: x\r\n"
+_ECHO = b"Azureline-Request-Id: %s\r\n" % _ID
+_EVENTS = b"id: 0\ndata: a\n\nid: 1\ndata: b\n\n"
+
+
+class _Caller(_ReceivedRequest):
+    """A fake caller connection that keeps what it receives."""
+
+    def __init__(self):
+        super().__init__()
+        self.statuses = []
+        self.body = b""
+        self.finished = False
+
+    def start_response(self, status, reason, headers):
+        super().start_response(status, reason, headers)
+        self.statuses.append(status)
+
+    def write_body(self, data):
+        self.body += data
+
+    def finish_response(self):
+        self.finished = True
+
+
+class ReportedFaultsTest(unittest.TestCase):
+    """Faults of backend servers that other operators reported."""
+
+    def setUp(self):
+        self.received = _Caller()
+        self.reader = stream_events.EventReader("")
+        self.client = builders_http1.client(self)
+
+    async def _attempt(self, address, fresh=True, **fields):
+        one_attempt = attempt.Attempt(
+            self.received,
+            _ID.decode(),
+            builders_relay.route(**fields),
+            self.reader,
+            reactor.seconds,
+            lambda first_s: None,
+            lambda head: None,
+            lambda: None,
+        )
+        caller = builders_relay.request(headers=((b"host", b"x"),))
+        request = wire.build_request(caller, 5.0, "e1", None, None)
+        one_attempt.begin(self.client, address, request, fresh=fresh)
+        return await one_attempt.done.addTimeout(5.0, reactor)
+
+    async def test_an_error_in_the_middle_of_a_stream_is_not_passed_on(self):
+        kind = builders_relay.routes.Kind.STREAMING
+        for status in (b"400 Bad", b"404 None", b"429 Many", b"302 Found"):
+            self.setUp()
+            head = b"HTTP/1.1 200 OK\r\n%s%sContent-Length: 999\r\n\r\n"
+            error = b"HTTP/1.1 %s\r\n%sContent-Length: 5\r\n\r\nerror"
+            address, _ = builders_http1.serve(
+                self,
+                [head % (_SEAL, _ECHO) + _EVENTS, "reset"],
+                [error % (status, _ECHO)],
+            )
+            first = await self._attempt(address, kind=kind)
+            second = await self._attempt(address, kind=kind)
+            assert first.end is attempt.End.BROKEN
+            assert second.end is attempt.End.BROKEN, status
+            assert self.received.body == _EVENTS, status
+            assert self.received.statuses == [200]
+            assert not self.received.finished, status
+
+
 class EndlessAnswerTest(unittest.TestCase):
     async def _attempt(self, status, **fields):
         seal = b"Azureline-Server-Seal: x\r\n"
