Trust no refusal without an id on a kept connection

Callers could be told 'not run, try again', or a request run at a second engine, when an engine wrote an earlier refusal once more on a kept connection and the copy named no request: it was taken for the refusal of the next request there. A copy that names the earlier request was rejected before. Requests that run at most once use new connections; what shares a kept one are repeatable requests, so this could waste a run, not repeat one that may run once.

A refusal on a kept connection has to name its request now; otherwise the attempt is broken and the connection closed. An answer that ends within its head was sound already; it has a test now.

--- a/azureline/platform/requests.py
+++ b/azureline/platform/requests.py
@@ -78,6 +78,7 @@
       sealed: whether the answer carries the backend server's checksum.
       matches_request: whether the answer echoes this request's id or no id at
         all.
+      names_request: whether the answer names a request.
       encoded: whether the body has a content encoding other than identity.
       retry_after_s: seconds after which a retry is advised, or None.
     """
@@ -87,6 +88,7 @@
     wrong_server: bool
     sealed: bool
     matches_request: bool
+    names_request: bool
     encoded: bool
     retry_after_s: float | None
 
@@ -187,6 +189,7 @@
         wrong_server=head.status == 421,
         sealed=bool(head.get(names.SEAL)),
         matches_request=not echoed or echoed == request_id.encode(),
+        names_request=bool(echoed),
         encoded=encoding not in (b"", b"identity"),
         retry_after_s=_parse_seconds(head.get(names.RETRY_AFTER)),
     )
--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -131,6 +131,8 @@
         self._reply = wire.parse_answer_head(head, self._request_id)
         if not self._reply.matches_request:
             self._break_off("answer has another request's id")
+        elif self._reply.not_run and not self._is_own_refusal():
+            self._break_off("refusal on a kept connection names no request")
         elif self._reply.encoded:
             self._break_off("answer has a content encoding")
         elif head.status < 300 and not self._reply.sealed:
@@ -195,6 +197,16 @@
         end = End.BROKEN if failure.sent else End.NOT_SENT
         self._finish(Result(end, failure.reason, lost=failure.sent))
 
+    def _is_own_refusal(self) -> bool:
+        """Returns whether a refusal answers this request for certain.
+
+        A server may send the refusal of an earlier request of the connection
+        once more.
+        """
+        assert self._reply is not None
+        is_reused = self._call is not None and self._call.reused
+        return self._reply.names_request or not is_reused
+
     def _record_begun(self) -> None:
         if not self.begun:
             self.begun = True
--- a/azureline/util/http1.py
+++ b/azureline/util/http1.py
@@ -132,6 +132,8 @@
         self.listener: Listener | None = listener
         self.connection: _Connection | None = None
         self.connecting: defer.Deferred[Any] | None = None
+        # Whether its connection had carried another call before.
+        self.reused = False
 
     def cancel(self) -> None:
         """Closes the connection; the listener is not called any more."""
@@ -368,6 +370,7 @@
         self._calls += 1
         self._interim_count = 0
         call.connection = self
+        call.reused = self._calls > 1
         request = call.request
         headers = list(request.headers)
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
--- a/tests/test_relay_attempt.py
+++ b/tests/test_relay_attempt.py
@@ -99,6 +99,30 @@
             assert self.received.statuses == [200]
             assert not self.received.finished, status
 
+    async def test_an_answer_that_ends_within_its_head_is_broken(self):
+        for kind in builders_relay.routes.Kind:
+            self.setUp()
+            address, _ = builders_http1.serve(
+                self, [b"HTTP/1.1 200 OK\r\n" + _SEAL + _ECHO, "close"]
+            )
+            result = await self._attempt(address, kind=kind)
+            assert result.end is attempt.End.BROKEN and result.lost
+            assert self.received.statuses == []
+
+    async def test_a_repeated_refusal_without_an_id_promises_nothing(self):
+        refusal = (
+            b"HTTP/1.1 503 Full\r\nAzureline-Not-Executed: 1\r\n"
+            b"%sContent-Length: 0\r\n\r\n"
+        )
+        address, served = builders_http1.serve(
+            self, [refusal % _ECHO], [refusal % b""]
+        )
+        first = await self._attempt(address, fresh=False)
+        second = await self._attempt(address, fresh=False)
+        assert first.end is attempt.End.NOT_RUN
+        assert len(served.connections) == 1
+        assert second.end is attempt.End.BROKEN
+
 
 class EndlessAnswerTest(unittest.TestCase):
     async def _attempt(self, status, **fields):
