Take a stream without framing and without events as broken

Callers got 200 with an empty body, framed as whole, when an engine sent the head of a stream without a length or chunks and then ended: the kernel closes such a connection in order, which looks like the end of the answer.

The test failed before (DELIVERED). A stream of that kind that ends between two events still counts as complete, as the bytes say no more.

--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -197,6 +197,12 @@
         end = End.BROKEN if failure.sent else End.NOT_SENT
         self._finish(Result(end, failure.reason, lost=failure.sent))
 
+    def _ends_with_connection(self) -> bool:
+        """Returns whether the answer has neither a length nor chunks."""
+        assert self._head is not None
+        framing = (b"content-length", b"transfer-encoding")
+        return not any(self._head.get(name) for name in framing)
+
     def _is_own_refusal(self) -> bool:
         """Returns whether a refusal answers this request for certain.
 
@@ -230,6 +236,9 @@
 
     def _end_stream(self) -> None:
         fault = self._reader.end()
+        if self._ends_with_connection() and not self._reader.last_event:
+            # The connection of a server that crashes may end in order, too.
+            fault = fault or "stream ended without an event"
         if fault:
             self._finish(Result(End.BROKEN, fault, lost=True))
             return
--- a/tests/test_relay_attempt.py
+++ b/tests/test_relay_attempt.py
@@ -109,6 +109,15 @@
             assert result.end is attempt.End.BROKEN and result.lost
             assert self.received.statuses == []
 
+    async def test_a_stream_without_a_length_and_events_is_broken(self):
+        kind = builders_relay.routes.Kind.STREAMING
+        address, _ = builders_http1.serve(
+            self, [b"HTTP/1.1 200 OK\r\n%s%s\r\n" % (_SEAL, _ECHO), "close"]
+        )
+        result = await self._attempt(address, kind=kind)
+        assert result.end is attempt.End.BROKEN and result.lost
+        assert self.received.statuses == []
+
     async def test_a_repeated_refusal_without_an_id_promises_nothing(self):
         refusal = (
             b"HTTP/1.1 503 Full\r\nAzureline-Not-Executed: 1\r\n"
