Play a part of prompts that crashes engines in the soak

Prompts of the soak have parts, and the soak checks that those with the deadly part stop reaching engines. The check of one deadly request goes by the servers that it is sent to, as engines end under the part now, too.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -116,6 +116,28 @@
     assert soak_checks.check_limits("e1", server) == []
 
 
+def test_prompts_that_keep_crashing_engines_are_reported():
+    sent = [
+        soak_checks.SentRequest(
+            "deadly_part",
+            0,
+            _answer()._replace(request_id=f"p{n}"),
+            "n1",
+            float(n),
+        )
+        for n in range(14)
+    ]
+    rows = [{"request_id": f"p{n}", "at": float(n)} for n in range(14)]
+    arrivals = [
+        {**row, "born": 1, "leaving": False, "pause_s": 0.0} for row in rows
+    ]
+    seen = {"e": {"caused_crashes": rows, "arrivals": arrivals}}
+    (found,) = soak_checks.find_late_prompts(sent, seen)
+    assert found.startswith("BUDGET: 6 prompts")
+    seen["e"]["arrivals"] = arrivals[:11]
+    assert soak_checks.find_late_prompts(sent, seen) == []
+
+
 def test_crashing_request_that_keeps_running_is_reported():
     sent = _sent(*range(9))
     runs = [{"request_id": f"r{n}", "at": float(n)} for n in range(9)]
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -44,6 +44,8 @@
 MIN_LIMIT_S = 7.0
 # Fraction of the requests that crash servers, once that fault is active.
 CRASHING_FRACTION = 0.03
+# Name of a part of prompts that crashes engines, once that fault is active.
+DEADLY_PART = "deadly"
 
 
 class Result(NamedTuple):
@@ -66,6 +68,14 @@
     duration_s: float
 
 
+def _parts(rng: random.Random, deadly: bool) -> dict[str, str]:
+    """Returns the header that names the parts of a prompt."""
+    second = DEADLY_PART if deadly else f"second{rng.randrange(4)}"
+    names = ("first", second, f"own{rng.getrandbits(32):x}")
+    prefix = ",".join(f"{name}:5" for name in names)
+    return {"Azureline-Prompt-Prefix": prefix}
+
+
 class SoakRun:
     """The run of one seed."""
 
@@ -84,6 +94,7 @@
         # have lost its state or be late, so the checks exempt it for a while.
         self._disturbed: dict[str, list[float]] = {n: [] for n in NODES}
         self._send_deadly = False
+        self._send_deadly_part = False
         self._version = 7
         self._proxy: soak_proxy.FaultProxy
 
@@ -99,16 +110,19 @@
             for seed in seeds:
                 threads.submit(self._run_caller, random.Random(seed))
             self._inject()
-            self._send_deadly = False
+            self._send_deadly = self._send_deadly_part = False
             recovered = self._recovered()
             self._stopping.set()
             threads.shutdown()
             seen = {name: self._recorded(name) for name in SERVERS}
         found = soak_checks.find_violations(self._sent, seen, self._disturbed)
         deadly = [one for one in self._sent if one.kind == "deadly"]
+        ledgers = {name: seen[name] for name in SERVERS[2:]}
         found += soak_checks.find_late_crashing_runs(
-            deadly, seen, self._disturbed
+            deadly, ledgers, self._disturbed
         )
+        prompts = [one for one in self._sent if one.kind == "deadly_part"]
+        found += soak_checks.find_late_prompts(prompts, seen, self._disturbed)
         if not recovered:
             found.append(f"RECOVER: not served within {RECOVERY_TIMEOUT_S:g} s")
         return found, self._sent, self._faults
@@ -157,6 +171,15 @@
             sent = soak_checks.SentRequest("deadly", 0, answer, node, at)
             self._sent.append(sent)
             return answer
+        if self._send_deadly_part and rng.random() < CRASHING_FRACTION:
+            path, headers = (
+                rng.choice(("/ask/x", "/again/x")),
+                _parts(rng, True),
+            )
+            answer = caller.send(path, "m0", headers=headers)
+            sent = soak_checks.SentRequest("deadly_part", 0, answer, node, at)
+            self._sent.append(sent)
+            return answer
         kind = rng.choice(("look", "post", "ask", "again"))
         tokens = rng.randint(1, 30)
         model = rng.choice(("m0", "m0", "m1", "m2"))
@@ -169,7 +192,11 @@
             )
         else:
             answer = caller.send(
-                f"/{kind}/x", model, tokens=tokens, wait_limit_ms=5000
+                f"/{kind}/x",
+                model,
+                tokens=tokens,
+                wait_limit_ms=5000,
+                headers=_parts(rng, False),
             )
         sent = soak_checks.SentRequest(kind, tokens, answer, node, at)
         self._sent.append(sent)
@@ -248,6 +275,7 @@
                 server, pause={"seconds": 1.0 + lasts_s, "for_s": 0.5}
             ),
             "deadly": self._begin_deadly,
+            "deadly_part": self._begin_deadly_part,
             "late_orders": lambda: self._post_faults(engine, late_orders=2),
             "config": self._change_config,
         }
@@ -302,6 +330,11 @@
             self._post_faults(name, deadly={"mark": "deadly"})
         self._send_deadly = True
 
+    def _begin_deadly_part(self) -> None:
+        for name in SERVERS[:2]:
+            self._post_faults(name, deadly={"parts": [DEADLY_PART]})
+        self._send_deadly_part = True
+
     def _change_config(self) -> None:
         self._version += self._rng.randint(1, 3)
         document = builders_relay.site_document(self._version)
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -23,6 +23,8 @@
 # (BUDGET).
 MAX_CRASHES = 3
 MAX_LATE_RUNS = 3
+# The same for prompts with a part under which this many servers crashed.
+MAX_PART_CRASHES = 5
 PROPAGATION_S = 3.0
 # A server that names a limit gets at most LIMIT_RATIO times what the limit
 # allows in LIMIT_WINDOW_S, plus LIMIT_SLACK calls, from PROPAGATION_S after it
@@ -124,6 +126,47 @@
     ]
 
 
+def find_late_prompts(
+    sent: list[SentRequest],
+    seen: dict[str, dict[str, Any]],
+    disturbed: dict[str, list[float]] | None = None,
+) -> list[str]:
+    """Returns a violation if prompts with a crashing part were sent too often.
+
+    Args:
+      sent: all prompts with that part.
+      seen: the records of each backend server, by server name.
+      disturbed: Unix times at which each node was restarted or paused, by node
+        name.
+    """
+    node_of = {one.answer.request_id: one.node for one in sent}
+    crashes = sorted(
+        crash["at"]
+        for server in seen.values()
+        for crash in server.get("caused_crashes", ())
+        if crash["request_id"] in node_of
+    )
+    if len(crashes) < MAX_PART_CRASHES:
+        return []
+    known_at = crashes[MAX_PART_CRASHES - 1] + PROPAGATION_S
+    late = sum(
+        row["at"] > known_at
+        and not any(
+            0 <= row["at"] - at <= NODE_RECOVERY_S
+            for at in (disturbed or {}).get(node_of[row["request_id"]], ())
+        )
+        for server in seen.values()
+        for row in server.get("arrivals", ())
+        if row["request_id"] in node_of
+    )
+    if late <= MAX_LATE_RUNS:
+        return []
+    return [
+        f"BUDGET: {late} prompts with a crashing part arrived late, "
+        f"{len(crashes)} crashes"
+    ]
+
+
 def check_limits(name: str, server: dict[str, Any]) -> list[str]:
     """Returns the windows in which a server got more calls than its limit.
 
