--- a/azureline/relay/crash_suspects.py
+++ b/azureline/relay/crash_suspects.py
@@ -158,7 +158,7 @@
         Returns:
           The permission to send it, or a refusal.
         """
-        claim_at = 0.0
+        claim_at, held = 0.0, False
         while True:
             candidates = self._candidates(request)
             now = self._clock.now()
@@ -186,7 +186,7 @@
                     until = max(until, min(settled_at, deadline))
             if until >= deadline:
                 return self._late_refusal(until, deadline)
-            self._counters.count("suspects.held")
+            held = self._record_held(request, candidates, held)
             await self._sleep(min(until, now + _POLL_S) - self._clock.now())
 
     def permits(
@@ -334,6 +334,19 @@
             ran=errors.Ran.NO,
         )
 
+    def _record_held(
+        self,
+        request: requests.CallerRequest,
+        candidates: tuple[bytes, ...],
+        held: bool,
+    ) -> bool:
+        """Counts a wait, and logs the first one of a request."""
+        self._counters.count("suspects.held")
+        suspects = self._suspects.suspects_of(candidates)
+        if suspects and not held:
+            self._log_decision("suspect_held", request, suspects, "")
+        return True
+
     def _log_decision(
         self,
         event: str,
--- a/tests/test_relay_prompt_parts.py
+++ b/tests/test_relay_prompt_parts.py
@@ -11,6 +11,7 @@
 from azureline.relay import suspect_record
 from azureline.routing import crash_history
 from tests import builders_crash_suspects as builders
+from tests import builders_prompts as prompts
 
 # Required bounds: all nodes know a deadly part within CONTACT_S of the fifth
 # crash and send prompts with it at most LATE_SENDS more times.
@@ -36,31 +37,6 @@
     ]
 
 
-def _play_sound(fleet, rng, seconds, per_s, answers):
-    """Schedules sound prompts at random nodes."""
-    for number in range(int(seconds * per_s)):
-        parts = f"first,m{rng.randrange(6)},n{rng.randrange(10)}"
-        fleet.call(
-            rng.uniform(0.0, seconds),
-            rng.randrange(len(fleet.records)),
-            b"sound %d %d" % (number, rng.getrandbits(32)),
-            answers,
-            parts,
-        )
-
-
-def _play_deadly(fleet, rng, seconds, per_s, parts, answers):
-    """Schedules prompts with deadly parts at random nodes."""
-    for number in range(int(seconds * per_s)):
-        fleet.call(
-            rng.uniform(0.0, seconds),
-            rng.randrange(len(fleet.records)),
-            b"prompt %d %d" % (number, rng.getrandbits(32)),
-            answers,
-            f"first,{parts[number % len(parts)]},n{rng.randrange(10)}",
-        )
-
-
 @pytest.mark.parametrize("nodes", [3, 8])
 @pytest.mark.parametrize(
     ("per_s", "parts"), [(0.2, 1), (2.5, 1), (2.5, 2), (10.0, 3)]
@@ -70,8 +46,8 @@
     rng, sound, deadly = random.Random(5), [], []
     names = [f"deadly{number}" for number in range(parts)]
     fleet.deadly_parts.update(names)
-    _play_sound(fleet, rng, 40.0, 8.0, sound)
-    _play_deadly(fleet, rng, 40.0, per_s, names, deadly)
+    prompts.play_sound(fleet, rng, 40.0, 8.0, sound)
+    prompts.play_deadly(fleet, rng, 40.0, per_s, names, deadly)
     fleet.play(45.0)
     for name in names:
         assert len(_late_sends(fleet, name)) <= LATE_SENDS
@@ -85,8 +61,8 @@
     fleet = builders.Fleet(seed, nodes=5, servers=8)
     rng, sound, deadly = random.Random(seed), [], []
     fleet.deadly_parts.add("deadly")
-    _play_sound(fleet, rng, 30.0, 8.0, sound)
-    _play_deadly(fleet, rng, 30.0, 4.0, ["deadly"], deadly)
+    prompts.play_sound(fleet, rng, 30.0, 8.0, sound)
+    prompts.play_deadly(fleet, rng, 30.0, 4.0, ["deadly"], deadly)
     for _ in range(5):
         fleet.play(rng.uniform(1.0, 5.0))
         for number in range(len(fleet.records)):
@@ -101,7 +77,7 @@
 def test_crashes_of_other_causes_refuse_no_prompt(seed):
     fleet = builders.Fleet(seed, nodes=5, servers=8, loss=0.02)
     rng, sound = random.Random(seed), []
-    _play_sound(fleet, rng, 40.0, 10.0, sound)
+    prompts.play_sound(fleet, rng, 40.0, 10.0, sound)
     for _ in range(6):
         fleet.play(rng.uniform(0.5, 6.0))
         for server in rng.sample(fleet.servers, rng.randint(1, 5)):
@@ -114,7 +90,7 @@
 def test_a_common_first_part_is_cleared_when_all_servers_crash_at_once():
     fleet = builders.Fleet(nodes=5, servers=9)
     rng, sound = random.Random(1), []
-    _play_sound(fleet, rng, 10.0, 30.0, sound)
+    prompts.play_sound(fleet, rng, 10.0, 30.0, sound)
     fleet.play(2.0)
     for server in fleet.servers:
         fleet.crash(server)
@@ -130,8 +106,8 @@
     fleet.deadly_parts.add("deadly")
     fleet.store.is_down = True
     rng, sound, deadly = random.Random(2), [], []
-    _play_sound(fleet, rng, 30.0, 8.0, sound)
-    _play_deadly(fleet, rng, 30.0, 3.0, ["deadly"], deadly)
+    prompts.play_sound(fleet, rng, 30.0, 8.0, sound)
+    prompts.play_deadly(fleet, rng, 30.0, 3.0, ["deadly"], deadly)
     fleet.play(35.0)
     assert len(_late_sends(fleet, "deadly")) <= LATE_SENDS
     assert "crashing_part" not in sound
@@ -182,8 +158,10 @@
     )
     def deadly_prompts_come(self, seconds, per_s):
         names = ["d1", "d2"]
-        _play_sound(self.fleet, self.rng, seconds, 6.0, self.sound)
-        _play_deadly(self.fleet, self.rng, seconds, per_s, names, self.deadly)
+        prompts.play_sound(self.fleet, self.rng, seconds, 6.0, self.sound)
+        prompts.play_deadly(
+            self.fleet, self.rng, seconds, per_s, names, self.deadly
+        )
         self.fleet.play(seconds)
 
     @stateful.rule(number=st.integers(0, 3))
@@ -212,8 +190,10 @@
         self.fleet.store_down(seconds)
 
     def teardown(self):
-        _play_sound(self.fleet, self.rng, 12.0, 6.0, self.sound)
-        _play_deadly(self.fleet, self.rng, 12.0, 4.0, ["d1", "d2"], self.deadly)
+        prompts.play_sound(self.fleet, self.rng, 12.0, 6.0, self.sound)
+        prompts.play_deadly(
+            self.fleet, self.rng, 12.0, 4.0, ["d1", "d2"], self.deadly
+        )
         self.fleet.play(16.0)
         for part in ("d1", "d2"):
             late = _late_sends(self.fleet, part)
