Give each deployment of a test process its own addresses

Cause: the loopback network came from the process id alone. That test starts a second fleet beside the module's, so both had the same addresses, and the second fleet's node-1 listened where the first one's node-3 had been stopped a moment before. Nodes of the first fleet still probed it, gossip crossed, and engine-1 and engine-2 exist in both.

Now each deployment takes a network that no other one of the process uses. The new test failed before (1 address for 2 deployments) and passes.

--- a/tests/test_standins_processes.py
+++ b/tests/test_standins_processes.py
@@ -22,6 +22,16 @@
     return True
 
 
+def test_deployments_of_one_process_share_no_address():
+    with deployment.Deployment() as first, deployment.Deployment() as second:
+        urls = [
+            fleet.start_standin("platform", "platform")
+            for fleet in (first, second)
+        ]
+    hosts = {url.rpartition(":")[0] for url in urls}
+    assert len(hosts) == len(urls), urls
+
+
 def test_deployment_serves_and_stops_all_processes():
     with deployment.Deployment() as fleet:
         fleet.start_standin("platform", "platform")
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -22,6 +22,9 @@
 METRICS_PORT = 8083
 SERVER_PORT = 8090
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Networks of the deployments that this process runs.
+_networks_in_use: set[str] = set()
+_NETWORKS_PER_PROCESS = 4
 
 
 class StartError(RuntimeError):
@@ -45,13 +48,14 @@
         self.urls: dict[str, str] = {}
         self._stack = contextlib.ExitStack()
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        pid = os.getpid()
-        self._network = f"127.{10 + pid % 200}.{pid // 200 % 250}"
+        self._network = ""
         self._seeds: list[str] = []
 
     def __enter__(self) -> "Deployment":
         folder = self._stack.enter_context(tempfile.TemporaryDirectory())
         self.folder = pathlib.Path(folder)
+        self._network = _take_network()
+        self._stack.callback(_networks_in_use.discard, self._network)
         return self
 
     def __exit__(self, *exc_info: Any) -> None:
@@ -193,6 +197,26 @@
         return f"{self._network}.{len(self._processes) + 1}"
 
 
+def _take_network() -> str:
+    """Returns a network that no other deployment of this process uses.
+
+    Nodes of two deployments that shared addresses would join each other.
+
+    Raises:
+      StartError: if this process runs too many deployments.
+    """
+    pid = os.getpid()
+    for slot in range(_NETWORKS_PER_PROCESS):
+        second = 10 + pid % 50 + 50 * slot
+        network = f"127.{second}.{pid // 50 % 250}"
+        if network not in _networks_in_use:
+            _networks_in_use.add(network)
+            return network
+    raise StartError(
+        f"more than {_NETWORKS_PER_PROCESS} deployments in one process"
+    )
+
+
 def _arguments(options: dict[str, Any]) -> list[str]:
     arguments = []
     for name, value in options.items():
