Play restarts and suspended nodes beside parts that crash engines

Now processes do: three nodes, eight engines, all nodes killed or one suspended for 5 s, 0.5 s or 6 s after the first such request, with two such parts at 4 a second; and two requests 8 s before the rest.

--- a/tests/builders_prompt_parts.py
+++ b/tests/builders_prompt_parts.py
@@ -1,17 +1,22 @@
 """Plays of prompts of which some have a part that crashes engines."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import concurrent.futures
 import contextlib
+import functools
 import itertools
 import random
+import signal
 import threading
 import time
+from typing import Any
 from typing import NamedTuple
 
 from tests import builders_site
 from tools import site_caller
 
+ENGINES = (("m0", "m1"),) * 8
 FIRST_PART = "f1"
 DEADLY_PARTS = ("dead0", "dead1", "dead2")
 # Requests with a deadly part that may reach engines once PROPAGATION_S, the
@@ -23,6 +28,7 @@
 # SOUND_AFTER_S after the fifth crash.
 MIN_SOUND_SHARE = 0.9
 SOUND_AFTER_S = 2 * PROPAGATION_S
+SUSPENDED_S = 5.0
 _WAIT_LIMIT_MS = 4000
 
 
@@ -35,6 +41,10 @@
       parts: number of deadly parts, which take turns.
       begins_s: seconds until the first request with a deadly part.
       lasts_s: seconds from then on.
+      pause_s: seconds between the first two requests with a deadly part and
+        the others.
+      disturbed_after_s: seconds from the first request with a deadly part to
+        a disturbance.
     """
 
     callers: int = 12
@@ -42,6 +52,14 @@
     parts: int = 1
     begins_s: float = 4.0
     lasts_s: float = 16.0
+    pause_s: float = 0.0
+    disturbed_after_s: float = 5.0
+
+    def due(self, elapsed_s: float) -> float:
+        """Returns how many requests with a deadly part are due by then."""
+        if not self.pause_s:
+            return self.per_s * elapsed_s
+        return max(2.0, self.per_s * (elapsed_s - self.pause_s))
 
 
 class Sent(NamedTuple):
@@ -81,14 +99,34 @@
     sound_after: float
 
 
-def play(site: builders_site.Site, what: Play, on_tick=None) -> Result:
+def restart_all_nodes(site: builders_site.Site) -> None:
+    """Kills all nodes at once and starts them again."""
+    for name in builders_site.NODES:
+        site.processes.kill(name)
+    for number, name in enumerate(builders_site.NODES, 1):
+        site.processes.start_relay(name, f"d{number}")
+
+
+def suspend_a_node(site: builders_site.Site) -> None:
+    """Suspends a node until SUSPENDED_S later."""
+    name = builders_site.NODES[0]
+    site.signal(name, signal.SIGSTOP)
+    resume = functools.partial(site.signal, name, signal.SIGCONT)
+    threading.Timer(SUSPENDED_S, resume).start()
+
+
+def play(
+    site: builders_site.Site,
+    what: Play,
+    disturb: Callable[[builders_site.Site], None] | None = None,
+) -> Result:
     """Plays sound and deadly requests; returns what came of them.
 
     Args:
       site: a running site with engines.
       what: what is played.
-      on_tick: called every 0.1 s with the seconds since the first request with
-        a deadly part.
+      disturb: called with the site `what.disturbed_after_s` after the first
+        request with a deadly part, or None.
     """
     engines = [n for n in site.processes.urls if n.startswith("engine")]
     parts = DEADLY_PARTS[: what.parts]
@@ -99,10 +137,29 @@
     sent: list[Sent] = []
     with _sound_callers(site, what.callers, sent):
         time.sleep(what.begins_s)
-        _send_deadly(site, what, parts, sent, on_tick or (lambda _: None))
+        with concurrent.futures.ThreadPoolExecutor(1) as thread:
+            disturbing = thread.submit(_disturb, site, what, disturb)
+            _send_deadly(site, what, parts, sent)
+            disturbing.result()
     return _judge(site, engines, parts, sent)
 
 
+def check(result: Result) -> None:
+    """Asserts the required bounds."""
+    figures = result._replace(sent=[])
+    assert result.crashes >= 2, figures
+    assert max(result.late.values()) <= MAX_LATE_ARRIVALS, figures
+    assert result.sound_before >= MIN_SOUND_SHARE, figures
+    least = MIN_SOUND_SHARE * result.sound_before
+    assert result.sound_after >= least, figures
+
+
+def _disturb(site: builders_site.Site, what: Play, disturb: Any) -> None:
+    if disturb is not None:
+        time.sleep(what.disturbed_after_s)
+        disturb(site)
+
+
 def _headers(rng: random.Random, part: str) -> dict[str, str]:
     second = part or f"m{rng.randrange(6)}"
     own = f"{rng.getrandbits(48):x}"
@@ -155,7 +212,6 @@
     what: Play,
     parts: tuple[str, ...],
     sent: list[Sent],
-    on_tick,
 ) -> None:
     rng = random.Random(1)
     began = time.monotonic()
@@ -163,8 +219,7 @@
     with concurrent.futures.ThreadPoolExecutor(64) as threads:
         running = []
         for tick in range(int(what.lasts_s * 10)):
-            on_tick(tick / 10)
-            while len(running) < what.per_s * (time.monotonic() - began):
+            while len(running) < what.due(time.monotonic() - began):
                 node, turn = next(turns)
                 part = parts[turn % len(parts)]
                 request_rng = random.Random(rng.getrandbits(64))
