Keep suspects in an order that does not depend on the hash seed

A play on the virtual clock that found a fault could not be repeated: the suspects of one crash were sent to other nodes in the order of a set, which follows PYTHONHASHSEED. The table keeps them in the order in which they were recorded. The new test failed before.

--- a/azureline/routing/suspects.py
+++ b/azureline/routing/suspects.py
@@ -80,7 +80,9 @@
         """
         self._settings = settings
         self._entries: dict[bytes, crash_history.SuspectEntry] = {}
-        self._by_crash: dict[tuple[str, str], set[bytes]] = {}
+        # Signatures by crash, in the order in which they were recorded, so
+        # that messages do not depend on the hash seed.
+        self._by_crash: dict[tuple[str, str], dict[bytes, None]] = {}
         self._in_flight: dict[str, dict[str, requests.ModelCall]] = {}
         self._crashed_at: dict[str, float] = {}
         self._ungossiped: dict[bytes, None] = {}
@@ -243,7 +245,7 @@
     def accused_entries(self) -> list[crash_history.SuspectEntry]:
         """Returns the suspects, and what was in flight at the same crashes."""
         accused = {
-            content
+            content: None
             for suspect in self.suspects_of(self._entries)
             for crash in self._effective(suspect)
             for content in self._by_crash[crash.server, crash.incarnation]
@@ -433,7 +435,7 @@
         self._ungossiped[entry.content] = None
         for crash in merged.crashes:
             key = (crash.server, crash.incarnation)
-            self._by_crash.setdefault(key, set()).add(entry.content)
+            self._by_crash.setdefault(key, {})[entry.content] = None
         if len(self._entries) > self._settings.max_entries:
             self._evict_least_suspect()
 
@@ -463,6 +465,6 @@
         crashes = tuple(c for c in entry.crashes if c != crash)
         self._entries[content] = entry._replace(crashes=crashes)
         key = (crash.server, crash.incarnation)
-        self._by_crash[key].discard(content)
+        self._by_crash[key].pop(content, None)
         if not self._by_crash[key]:
             del self._by_crash[key]
--- a/tests/test_routing_suspects.py
+++ b/tests/test_routing_suspects.py
@@ -115,6 +115,18 @@
     assert not suspect_table.check(WALL + 60.0, killer, _ENGINES, _ENGINES)
 
 
+def test_accused_entries_come_in_an_order_that_no_hash_seed_changes():
+    suspect_table = suspects.SuspectTable()
+    crash = crash_history.Crash("e1", "i1", WALL)
+    contents = [b"content %d" % number for number in range(20)]
+    suspect_table.merge(
+        crash_history.SuspectEntry(content, "seam", (crash,), 0.0)
+        for content in contents
+    )
+    accused = suspect_table.accused_entries()
+    assert [entry.content for entry in accused] == contents
+
+
 def test_a_node_whose_clock_is_ahead_does_not_delay_suspects():
     suspect_table = suspects.SuspectTable()
     call = build.call()
