Keep the distance to orders before a term that sent none

Engines that compare no fencing tokens got orders of two VMs 1.2 s apart, 3.0 s are required.

Cause: a VM that claims a resource whose last term was its own did not wait, as the orders of an earlier process are its own. But that term may have ended while it still waited for the orders of the holder before it: all leases were revoked twice within 0.7 s, the second node claimed again and took its own term without an order for the last one with orders. The same happened after a restart in the wait, and, found by a new rule of the machine, when a node stopped in the wait and told in the store that it had last sent an order long ago.

Now the term's record keeps how long its holder has to wait; the process remembers when the wait ends, so that a claim anew waits only for what is left. A holder whose wait has ended says so with one more write, so that a restart of its VM still needs no wait. A term in which no order could be sent is not released. Records without the new field are read as before, and older builds take records with it as unreadable, which is the full wait.

--- a/azureline/relay/claims.py
+++ b/azureline/relay/claims.py
@@ -61,8 +61,9 @@
         if last is None:
             return self.wait_s
         if last.node == node:
-            # Orders of an earlier process of the same VM need no wait.
-            return 0.0
+            # Orders of an earlier process of the same VM need no wait, but
+            # those of the holder before it may, if it has sent none.
+            return min(self.wait_s, max(0.0, last.wait_ms / 1000))
         if last.idle_ms < 0:
             return self.wait_s
         # The previous holder released its term and sends no more orders.
--- a/azureline/relay/keys.py
+++ b/azureline/relay/keys.py
@@ -53,10 +53,13 @@
       node: name of the lease holder's VM.
       idle_ms: milliseconds from the last order until the lease holder released
         the term; -1 if it has not released it.
+      wait_ms: milliseconds from the claim until the lease holder may send its
+        first order; 0 once they have passed.
     """
 
     node: str
     idle_ms: int = -1
+    wait_ms: int = 0
 
 
 def pack(record: NodeRecord | HolderRecord | TermRecord) -> bytes:
@@ -88,7 +91,7 @@
     """Returns the decoded term record; None if it is malformed."""
     fields = _decode(value)
     match fields:
-        case [str(), int()]:
+        case [str(), int()] | [str(), int(), int()]:
             return TermRecord(*fields)
         case _:
             return None
--- a/azureline/relay/store_session.py
+++ b/azureline/relay/store_session.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 import random
 from typing import Any
 import uuid
@@ -42,6 +43,7 @@
         log: events.Log,
     ):
         """Creates a store session without leases."""
+        self._reactor = reactor
         self._clock = clock
         self._store = store
         self._record = record
@@ -58,6 +60,11 @@
         )
         self._validity = claims.LeaseValidity(terms)
         self._held_terms: dict[str, claims.Term] = {}
+        # Earliest monotonic time, in seconds, of an order after each claim of
+        # this process; kept when the term is lost.
+        self._orders_from: dict[str, float] = {}
+        # Timers that record the end of a wait for the first order.
+        self._wait_ends: dict[str, Any] = {}
         self._claiming: set[str] = set()
         self._next_claim_at = float("-inf")
         self._on_lost: Callable[[str], None] | None = None
@@ -147,11 +154,8 @@
                 self._remove_term(name, "taken" if record else "removed")
         elif is_own and name not in self._claiming and self._claim_lease.lease:
             # The claim succeeded, but the store's answer was lost.
-            now = self._clock.now()
-            self._held_terms[name] = claims.Term(
-                revision,
-                now + self._terms.wait_s,
-                now + self._terms.overlap_s,
+            self._begin_term(
+                name, revision, self._terms.wait_s, self._terms.overlap_s
             )
             self._log.info("claim_found", held=name, token=revision)
 
@@ -178,8 +182,17 @@
         await self._record_lease.stop()
 
     async def _record_released_terms(self, idle_ms: dict[str, int]) -> None:
-        """Records in the store that this node sends no more orders."""
-        held = [name for name in idle_ms if name in self._held_terms]
+        """Records in the store that this node sends no more orders.
+
+        A term in which no order could be sent yet stays unreleased, so that the
+        next holder keeps its distance from the holder before.
+        """
+        now = self._clock.now()
+        held = [
+            name
+            for name in idle_ms
+            if name in self._held_terms and self._held_terms[name].from_s <= now
+        ]
         if not held:
             return
         expected = {
@@ -218,15 +231,9 @@
         self, name: str, lease: store_lib.Lease, urgent: bool
     ) -> None:
         holder_key, turn_key = keys.HOLDERS + name, keys.TERMS + name
-        record = keys.HolderRecord(self._record.name, self._identity)
-        turn_value = keys.pack(keys.TermRecord(self._record.name))
-        puts = (
-            store_lib.Put(holder_key, keys.pack(record), lease.lease_id),
-            store_lib.Put(turn_key, turn_value),
-        )
         try:
             result = await self._store.transact(
-                {holder_key: 0, turn_key: 0}, puts
+                {holder_key: 0, turn_key: 0}, self._claim_puts(name, lease, 0.0)
             )
             wait_s, overlap_s = 0.0, float("-inf")
             if isinstance(result, store_lib.Conflict):
@@ -239,19 +246,54 @@
                 if last_turn is not None:
                     overlap_s = self._terms.overlap_s
                 if last_turn is not None and not urgent:
-                    previous = keys.term_record(last_turn.value)
-                    wait_s = self._terms.wait_after(previous, self._record.name)
+                    wait_s = self._wait_after(name, last_turn)
                 result = await self._store.transact(
                     {
                         holder_key: current.revision if current else 0,
                         turn_key: last_turn.revision if last_turn else 0,
                     },
-                    puts,
+                    self._claim_puts(name, lease, wait_s),
                 )
             self._claim_finished(name, lease, wait_s, overlap_s, result)
         finally:
             self._claiming.discard(name)
 
+    def _wait_after(self, name: str, last_turn: store_lib.Item) -> float:
+        """Returns the seconds from a claim now to the first order.
+
+        They are remembered before the claim is sent: it may be applied though
+        its answer is lost.
+        """
+        now = self._clock.now()
+        previous = keys.term_record(last_turn.value)
+        wait_s = self._terms.wait_after(previous, self._record.name)
+        if previous is not None and previous.node == self._record.name:
+            orders_from = self._orders_from.get(name, now + wait_s)
+            wait_s = min(wait_s, max(0.0, orders_from - now))
+        self._orders_from[name] = now + wait_s
+        return wait_s
+
+    def _claim_puts(
+        self, name: str, lease: store_lib.Lease, wait_s: float
+    ) -> tuple[store_lib.Put, ...]:
+        """Returns the records of a claim.
+
+        Args:
+          name: name of the resource.
+          lease: the lease of the holder's record.
+          wait_s: seconds from the claim to the first order.
+        """
+        holder = keys.HolderRecord(self._record.name, self._identity)
+        term = keys.TermRecord(
+            self._record.name, wait_ms=math.ceil(wait_s * 1000)
+        )
+        return (
+            store_lib.Put(
+                keys.HOLDERS + name, keys.pack(holder), lease.lease_id
+            ),
+            store_lib.Put(keys.TERMS + name, keys.pack(term)),
+        )
+
     def _is_of_earlier_process(self, item: store_lib.Item) -> bool:
         """Returns whether an earlier process of this VM was the holder."""
         record = keys.holder_record(item.value)
@@ -277,21 +319,51 @@
             return
         if self._claim_lease.lease is not lease:
             return
-        now = self._clock.now()
-        from_s = now + wait_s
-        self._held_terms[name] = claims.Term(
-            result.revision, from_s, now + overlap_s
-        )
+        self._begin_term(name, result.revision, wait_s, overlap_s)
         self._counters.count("claims.won")
         self._log.info(
             "claimed",
             held=name,
             token=result.revision,
-            wait_s=round(from_s - now, 3),
+            wait_s=round(wait_s, 3),
+        )
+
+    def _begin_term(
+        self, name: str, token: int, wait_s: float, overlap_s: float
+    ) -> None:
+        now = self._clock.now()
+        self._held_terms[name] = claims.Term(
+            token, now + wait_s, now + overlap_s
+        )
+        if wait_s:
+            self._wait_ends[name] = self._reactor.callLater(
+                wait_s, self._record_wait_ended, name
+            )
+
+    def _record_wait_ended(self, name: str) -> None:
+        """Records that this VM may claim a resource again without a wait."""
+        del self._wait_ends[name]
+        record = keys.TermRecord(self._record.name)
+        recording = defer.ensureDeferred(
+            self._store.transact(
+                {keys.HOLDERS + name: self._held_terms[name].token},
+                (store_lib.Put(keys.TERMS + name, keys.pack(record)),),
+            )
+        )
+        recording.addCallback(
+            lambda result: self._counters.count(
+                "claims.waits_recorded"
+                if isinstance(result, store_lib.Committed)
+                else "claims.waits_not_recorded"
+            )
         )
+        recording.addErrback(self._claim_failed)
 
     def _remove_term(self, name: str, reason: str) -> None:
         turn = self._held_terms.pop(name)
+        wait_end = self._wait_ends.pop(name, None)
+        if wait_end is not None:
+            wait_end.cancel()
         self._log.info("unclaimed", held=name, token=turn.token, reason=reason)
         if self._on_lost is not None:
             self._on_lost(name)
--- a/tests/test_relay_lease_terms.py
+++ b/tests/test_relay_lease_terms.py
@@ -9,6 +9,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+from twisted.internet import defer
 from twisted.internet import task
 
 from azureline.metrics import counters as metrics
@@ -146,6 +147,21 @@
         self.nodes[name] = self._start_node(name)
         self.elapsed_s[name] = 0.0
 
+    @stateful.rule(name=st.sampled_from(NODES))
+    def node_stops_and_starts_again(self, name):
+        self._stop(name)
+        self.nodes[name] = self._start_node(name)
+        self.elapsed_s[name] = 0.0
+
+    def _stop(self, name):
+        """Releases what a node holds, as its process does before it exits."""
+        idle_ms = 10**6
+        if self.last_order is not None and self.last_order[0] == name:
+            idle_ms = int(1000 * (self.clock.now() - self.last_order[1]))
+        node = self.nodes[name]
+        defer.ensureDeferred(node.session.release({ENGINE: idle_ms}))
+        node.step(CALL_S)
+
     @stateful.rule()
     def all_leases_are_revoked(self):
         self.backing.revoke_all()
@@ -202,3 +218,32 @@
     machine.time_passes(7)
     machine.all_leases_are_revoked()
     machine.time_passes(6)
+
+
+def test_a_term_released_before_its_first_order_keeps_the_distance():
+    machine = _machine_after_claim()
+    first = machine.last_order[0]
+    machine.all_leases_are_revoked()
+    machine.nodes[first].suspended = True
+    machine.time_passes(7)
+    (second,) = (
+        name
+        for name in NODES
+        if name != first and machine.nodes[name].session.held_terms
+    )
+    machine._stop(second)
+    machine.nodes[second].suspended = True
+    machine.time_passes(90)
+    assert machine.last_order[0] not in (first, second)
+
+
+def test_a_holder_killed_after_its_first_order_sends_again_at_once():
+    machine = _machine_after_claim()
+    first = machine.last_order[0]
+    machine.nodes[first].suspended = True
+    machine.time_passes(90)
+    second = machine.last_order[0]
+    assert second != first
+    machine.node_is_killed_and_restarted(second)
+    machine.time_passes(10)
+    assert machine.last_order[:2] == (second, machine.clock.now())
