Move log lines and refusals out of the exchange of a request

Names, fields, their order, texts and times are unchanged; tests of the exchange and of the relay as processes pass.

--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -10,14 +10,15 @@
 from azureline.platform import requests as wire
 from azureline.relay import assignment as assignments
 from azureline.relay import attempt as attempts
+from azureline.relay import attempt_log
 from azureline.relay import crash_suspects
 from azureline.relay import exchange_context
+from azureline.relay import exchange_refusals
 from azureline.relay import request_identity
 from azureline.relay import requests
 from azureline.relay import routes
 from azureline.relay import send_counts
 from azureline.relay import stream_events
-from azureline.relay import wait_policy
 
 # Attempts whose connection failed before the request is refused.
 _MAX_CONNECT_FAILURES = 4
@@ -31,9 +32,6 @@
 # Delay before a request is scheduled again because its server became
 # ineligible while the request waited.
 _RESCHEDULE_DELAY_S = 0.05
-# Callers choose the number and the names of a prompt's parts.
-_MAX_LOGGED_PARTS = 8
-_MAX_LOGGED_NAME = 32
 
 
 class Exchange:
@@ -165,7 +163,9 @@
             return True
         if not self._take_from_budget(service):
             self._context.scheduler.release(assignment)
-            self._refuse(self._budget_refusal())
+            now = self._context.clock.now()
+            refusal = exchange_refusals.budget_used_up(now, self._deadline)
+            self._refuse(self._adjust_refusal(refusal))
             return True
         result = await self._send(assignment, route, permit, admitted.workspace)
         match result.end:
@@ -180,7 +180,9 @@
                 self._context.scheduler.record_unreachable(assignment)
                 if self._connect_failures < _MAX_CONNECT_FAILURES:
                     return False
-                self._refuse(self._adjust_refusal(self._unreachable_refusal()))
+                now = self._context.clock.now()
+                refusal = exchange_refusals.unreachable(now, self._deadline)
+                self._refuse(self._adjust_refusal(refusal))
                 return True
             case _:
                 return await self._handle_broken(
@@ -297,28 +299,21 @@
             )
         events = self._reader.passed - before
         context.scheduler.release(assignment, result, took_s, events)
-        context.log.info(
-            "attempt",
-            request=self._request.request_id,
-            route=route.name,
-            server=assignment.server.server_id,
-            born_ms=assignment.server.born_ms,
-            beat=assignment.server.beat,
-            model=self._request.model,
-            adapter=self._request.adapter,
-            prompt=self._request.prompt_tokens,
-            parts=_shared_part_names(self._request),
-            events=events,
-            send=self._sends,
-            left_s=round(self._deadline - now, 3),
-            first_s=_round_ms(attempt.first_s),
-            pause_s=_round_ms(attempt.pause_s),
-            took_s=round(took_s, 3),
-            waited_s=round(now - self._started_at, 3),
-            outcome=result.end.value,
-            status=result.status,
-            reason=result.reason,
-            content=content.hex(),
+        attempt_log.write(
+            context.log,
+            attempt_log.EndedAttempt(
+                self._request,
+                route,
+                assignment,
+                attempt,
+                result,
+                content,
+                events,
+                self._sends,
+                self._deadline - now,
+                took_s,
+                now - self._started_at,
+            ),
         )
         return result
 
@@ -342,13 +337,8 @@
             return False
         self._refuse(
             self._adjust_refusal(
-                errors.Refusal(
-                    errors.ErrorKind.OVERLOADED,
-                    "Backend servers refused the request.",
-                    retry_after=wait_policy.return_after(
-                        now, self._deadline, result.retry_after_s or 0.5
-                    ),
-                    ran=errors.Ran.NO,
+                exchange_refusals.turned_away(
+                    now, self._deadline, result.retry_after_s
                 )
             )
         )
@@ -407,26 +397,6 @@
             "A server failed; the request may have run.",
         )
 
-    def _budget_refusal(self) -> errors.Refusal:
-        now = self._context.clock.now()
-        return self._adjust_refusal(
-            errors.Refusal(
-                errors.ErrorKind.OVERLOADED,
-                "The budget for repeats is used up.",
-                retry_after=wait_policy.return_after(now, self._deadline, 1.0),
-                ran=errors.Ran.NO,
-            )
-        )
-
-    def _unreachable_refusal(self) -> errors.Refusal:
-        now = self._context.clock.now()
-        return errors.Refusal(
-            errors.ErrorKind.DID_NOT_RUN,
-            "No backend server could be reached.",
-            retry_after=wait_policy.return_after(now, self._deadline, 0.5),
-            ran=errors.Ran.NO,
-        )
-
     def expire(self) -> None:
         """Ends the request when its deadline passes."""
         if self._finished:
@@ -524,12 +494,3 @@
                 self._route.name
             ).observe(took_s)
         return result
-
-
-def _shared_part_names(request: requests.CallerRequest) -> str:
-    names = [p.name for p in request.shared_parts[:_MAX_LOGGED_PARTS]]
-    return ",".join(name[:_MAX_LOGGED_NAME] for name in names)
-
-
-def _round_ms(seconds: float | None) -> float | None:
-    return None if seconds is None else round(seconds, 3)
