Hold a claim whose record was seen before its lost answer was given up on

The watch showed the new record while the claim still waited for the answer; such a record is ignored until the claim has ended, and afterwards nothing changed in the store, so the engine had no acting holder for as long as the lease was renewed.

The session keeps the revision of its own record and looks at it when a claim has ended. What a claim finds in a conflict counts too, if it was written with the current lease; the end of a lease clears all of it.

--- a/azureline/relay/store_session.py
+++ b/azureline/relay/store_session.py
@@ -60,6 +60,10 @@
         )
         self._validity = claims.LeaseValidity(terms)
         self._held_terms: dict[str, claims.Term] = {}
+        # Revisions of this process's holder records, as seen in the store, and
+        # the leases with which resources were claimed.
+        self._own_records: dict[str, int] = {}
+        self._claimed_with: dict[str, store_lib.Lease] = {}
         # Earliest monotonic time, in seconds, of an order after each claim of
         # this process; kept when the term is lost.
         self._orders_from: dict[str, float] = {}
@@ -148,16 +152,26 @@
           record: the holder record; None if there is none.
           revision: revision of the holder's key.
         """
-        is_own = record is not None and record.identity == self._identity
+        if record is not None and record.identity == self._identity:
+            self._own_records[name] = revision
+            self._hold_found_claim(name)
+            return
+        self._own_records.pop(name, None)
         if name in self._held_terms:
-            if not is_own:
-                self._remove_term(name, "taken" if record else "removed")
-        elif is_own and name not in self._claiming and self._claim_lease.lease:
-            # The claim succeeded, but the store's answer was lost.
-            self._begin_term(
-                name, revision, self._terms.wait_s, self._terms.overlap_s
-            )
-            self._log.info("claim_found", held=name, token=revision)
+            self._remove_term(name, "taken" if record else "removed")
+
+    def _hold_found_claim(self, name: str) -> None:
+        """Begins the term of a claim that succeeded though its answer was lost.
+
+        The record may be seen before or after the claim has failed.
+        """
+        token, lease = self._own_records.get(name), self._claim_lease.lease
+        if token is None or self._claimed_with.get(name) is not lease:
+            return
+        if lease is None or name in self._held_terms or name in self._claiming:
+            return
+        self._begin_term(name, token, self._terms.wait_s, self._terms.overlap_s)
+        self._log.info("claim_found", held=name, token=token)
 
     def node_removed(self, name: str) -> None:
         """Handles the removal of a node's record from the store.
@@ -220,6 +234,8 @@
 
     def _claim_lease_ended(self) -> None:
         self._validity.end()
+        self._own_records.clear()
+        self._claimed_with.clear()
         for name in list(self._held_terms):
             self._remove_term(name, "lease ended")
 
@@ -230,33 +246,50 @@
     async def _claim(
         self, name: str, lease: store_lib.Lease, urgent: bool
     ) -> None:
-        holder_key, turn_key = keys.HOLDERS + name, keys.TERMS + name
+        self._claimed_with[name] = lease
         try:
-            result = await self._store.transact(
-                {holder_key: 0, turn_key: 0}, self._claim_puts(name, lease, 0.0)
-            )
-            wait_s, overlap_s = 0.0, float("-inf")
-            if isinstance(result, store_lib.Conflict):
-                found = {item.key: item for item in result.items}
-                current, last_turn = found.get(holder_key), found.get(turn_key)
-                if current is not None and not self._is_of_earlier_process(
-                    current
-                ):
-                    return
-                if last_turn is not None:
-                    overlap_s = self._terms.overlap_s
-                if last_turn is not None and not urgent:
-                    wait_s = self._wait_after(name, last_turn)
-                result = await self._store.transact(
-                    {
-                        holder_key: current.revision if current else 0,
-                        turn_key: last_turn.revision if last_turn else 0,
-                    },
-                    self._claim_puts(name, lease, wait_s),
-                )
-            self._claim_finished(name, lease, wait_s, overlap_s, result)
+            await self._send_claim(name, lease, urgent)
         finally:
             self._claiming.discard(name)
+        self._hold_found_claim(name)
+
+    async def _send_claim(
+        self, name: str, lease: store_lib.Lease, urgent: bool
+    ) -> None:
+        holder_key, turn_key = keys.HOLDERS + name, keys.TERMS + name
+        result = await self._store.transact(
+            {holder_key: 0, turn_key: 0}, self._claim_puts(name, lease, 0.0)
+        )
+        wait_s, overlap_s = 0.0, float("-inf")
+        if isinstance(result, store_lib.Conflict):
+            found = {item.key: item for item in result.items}
+            current, last_turn = found.get(holder_key), found.get(turn_key)
+            if current is not None and not self._is_of_earlier_process(current):
+                self._note_holder(name, current, lease)
+                return
+            if last_turn is not None:
+                overlap_s = self._terms.overlap_s
+            if last_turn is not None and not urgent:
+                wait_s = self._wait_after(name, last_turn)
+            result = await self._store.transact(
+                {
+                    holder_key: current.revision if current else 0,
+                    turn_key: last_turn.revision if last_turn else 0,
+                },
+                self._claim_puts(name, lease, wait_s),
+            )
+        self._claim_finished(name, lease, wait_s, overlap_s, result)
+
+    def _note_holder(
+        self, name: str, current: store_lib.Item, lease: store_lib.Lease
+    ) -> None:
+        """Notes whether the holder that a claim found is this process."""
+        record = keys.holder_record(current.value)
+        is_own = record is not None and record.identity == self._identity
+        if is_own and current.lease == lease.lease_id:
+            self._own_records[name] = current.revision
+        else:
+            self._own_records.pop(name, None)
 
     def _wait_after(self, name: str, last_turn: store_lib.Item) -> float:
         """Returns the seconds from a claim now to the first order.
@@ -314,7 +347,7 @@
         if isinstance(result, store_lib.Unavailable):
             self._next_claim_at = self._clock.now() + _CLAIM_RETRY_S
         if not isinstance(result, store_lib.Committed):
-            # If only the answer was lost, `taken` finds the claim in the store.
+            # If only the answer was lost, the claim is found in the store.
             self._counters.count("claims.failed")
             return
         if self._claim_lease.lease is not lease:
--- a/tests/test_relay_lease_terms.py
+++ b/tests/test_relay_lease_terms.py
@@ -43,6 +43,7 @@
         self.name = name
         self.suspended = False
         self.watch_stalled = False
+        self._seen_revision = -1
         self._clock = clock
         self._store_state = backing
         self._reactor = task.Clock()
@@ -72,7 +73,9 @@
         record = keys.holder_record(item.value) if item else None
         if not self.watch_stalled:
             revision = item.revision if item else 0
-            self.session.holder_changed(ENGINE, record, revision)
+            if revision != self._seen_revision:
+                self._seen_revision = revision
+                self.session.holder_changed(ENGINE, record, revision)
             of_earlier_process = (
                 record is not None
                 and record.node == self.name
@@ -247,3 +250,20 @@
     machine.node_is_killed_and_restarted(second)
     machine.time_passes(10)
     assert machine.last_order[:2] == (second, machine.clock.now())
+
+
+def test_a_claim_seen_in_the_store_before_its_answer_was_lost_is_held():
+    clock = _Clock()
+    backing = builders_store.FakeStore(clock.now)
+    node = _Node("n1", clock, backing)
+    node.session.claim("another engine")
+    node.client.fault = builders_store.Fault.LOST
+    node.session.claim(ENGINE)
+    node.watch_stalled = False
+    node.step(0.0)
+    node.watch_stalled = True
+    node.client.fault = builders_store.Fault.NONE
+    for _ in range(15):
+        clock.seconds += CALL_S
+        node.step(CALL_S)
+    assert node.session.may_send_orders(ENGINE)
