Repeat no rejected copy of an order before the engine reports

Cause: an order got no answer and was carried out. Its copy was rejected, as the engine had gone on to the next sequence, and the holder noted that it did not know the sequence from then on: only a report of half a second later would do. But the open order was sent again at the next reservation, rejected again, and the time noted anew. With more than two reservations a second the holder never believed a report.

An order is not repeated while the sequence is unknown; the report that follows within half a second resolves it or shows that it may be repeated.

--- a/azureline/relay/engine_controller.py
+++ b/azureline/relay/engine_controller.py
@@ -295,7 +295,7 @@
 
     def _select_order(self, now: float) -> orders.Order | None:
         if self.memory.open_order is not None:
-            return self.memory.open_order
+            return self.memory.next_order()
         in_use = self._adapter_references.in_use(now)
         for pending in self._pending:
             order = self.memory.adapter_order(pending.adapter, now, in_use)
--- a/azureline/relay/engine_memory.py
+++ b/azureline/relay/engine_memory.py
@@ -286,10 +286,12 @@
         Returns None if the target is reached, or if the engine can take no
         order now.
         """
+        if self.sequence_unknown:
+            return None
         if self._open_order is not None:
             # Repeating the same order is safe: it is accepted at most once.
             return self._open_order
-        if self.sequence_unknown or self._busy or self._running is not None:
+        if self._busy or self._running is not None:
             return None
         missing = self._missing_models()
         # While an engine unloads an adapter, it rejects model orders until the
--- a/tests/test_relay_engine_controller.py
+++ b/tests/test_relay_engine_controller.py
@@ -62,6 +62,45 @@
         return defer.Deferred()
 
 
+class _LossyEngine:
+    """Accepts orders; the answer to the first one is lost."""
+
+    def __init__(self):
+        self.orders = 0
+        self.sequence = 0
+        self.adapters = []
+
+    def fetch(self, address, request, timeout_s):
+        if request.target == b"/report":
+            return defer.succeed(self._answer(200, self._report()))
+        self.orders += 1
+        order = json.loads(request.body)
+        status = 409
+        if order["expected"] == self.sequence:
+            self.sequence += 1
+            self.adapters.append(order["adapter"])
+            status = 202
+        answer = self._answer(status, {})
+        if self.orders == 1:
+            answer = http1.Failure("timeout", sent=True)
+        return defer.succeed(answer)
+
+    def _answer(self, status, document):
+        head = http1.Head(status, b"", ())
+        return http1.Answer(head, json.dumps(document).encode())
+
+    def _report(self):
+        model = {"name": "a", "version": 1, "adapters": self.adapters}
+        return {
+            "models": [model],
+            "born": 1,
+            "busy": False,
+            "sequence": self.sequence,
+            "queued_reqs": 0,
+            "running_reqs": 0,
+        }
+
+
 def _controller(clock, engine=None, published=None, pauses=None):
     dependencies = engine_controller.ControllerDependencies(
         reactor=clock,
@@ -139,3 +178,22 @@
     clock.advance(STEP_S)
     controller.step()
     assert engine.calls > 0
+
+
+def test_orders_go_on_after_a_lost_answer_though_requests_come_all_the_time():
+    clock = builders_serving.Clock()
+    engine = _LossyEngine()
+    controller = _controller(clock, engine)
+    controller.step()
+    granted = []
+    for number in range(60):
+        clock.advance(0.1)
+        reference = adapter_references.ReferenceKey("127.0.0.1", 1, number)
+        request = messages.ReservationRequest(
+            number, "e1", "a", f"a{number % 3 + 1}", 10, (), 5000, 0
+        )
+        controller.reserve(request, reference).addCallback(granted.append)
+        controller.step()
+    # One for each adapter, and one copy of that whose answer was lost.
+    assert engine.orders == 4
+    assert granted[-1].granted
--- a/tests/test_relay_engine_memory.py
+++ b/tests/test_relay_engine_memory.py
@@ -167,6 +167,21 @@
     assert memory.open_order == unanswered
 
 
+def test_rejected_copy_of_an_order_is_not_repeated_before_a_report():
+    memory = _memory_after_report("a", "b")
+    memory.set_target(("c", "a", "b"), 0.0)
+    unanswered = _send_next(memory, orders.Outcome.UNKNOWN)
+    _send_next(memory, orders.Outcome.OUT_OF_TURN, 2.0)
+    assert memory.next_order() is None
+    listed = [builders.resident("a"), builders.resident("b")]
+    assert memory.apply_report(0, listed, False, 2.1, 2.6)
+    assert memory.next_order() == unanswered
+    _send_next(memory, orders.Outcome.OUT_OF_TURN, 3.0)
+    assert memory.needs_report(3.0 + 2 * engine_memory.REPORT_LAG_S)
+    assert memory.apply_report(1, listed, False, 3.1, 3.6)
+    assert memory.open_order is None
+
+
 class _Engine:
     """Models an engine that carries out orders, including late ones."""
 
