Excuse a part whose failed trials a part with more crashes explains

Cause: one failed trial that nothing else explained convicted a part, whatever explained the others.

A deadly part has as many crashes as any part beside it, apart from a common one, which its prompts hold too.

The new test failed before (crashing_part) and passes.

--- a/azureline/routing/suspects.py
+++ b/azureline/routing/suspects.py
@@ -347,10 +347,11 @@
     def _is_excused(self, signature: bytes, present: Sequence[bytes]) -> bool:
         """Returns whether parts that a prompt lacks explain a part's crashes.
 
-        Any part that was not cleared since a failed trial may have caused it.
-        After more failed trials most of them need another suspect: some parts
-        belong to one session and do not come again, so that nothing clears
-        them.
+        A part with more crashes explains a failed trial in any case, so that
+        what is left may be a single crash with another cause.  Any other part
+        that was not cleared since may explain it too.  After more failed
+        trials most of them need another suspect: some parts belong to one
+        session and do not come again, so that nothing clears them.
 
         Args:
           signature: a signature of the call.
@@ -358,20 +359,35 @@
         """
         if not signatures.is_part(signature):
             return False
-        failed = self._failed_trials(self._effective(signature))
-        suspected = self._settings.tolerated_crashes + 1
-        lone = 0
-        for crash in failed:
-            others = [
+        settings, crashes = self._settings, self._effective(signature)
+        others = [
+            self._most_crashes_beside(signature, crash, present)
+            for crash in self._failed_trials(crashes)
+        ]
+        blamed = sum(most <= len(crashes) for most in others)
+        if blamed < settings.part_refusal_trials:
+            return True
+        if not all(others):
+            return False
+        lone = sum(most <= settings.tolerated_crashes for most in others)
+        trials = settings.part_excuse_trials
+        return len(others) < trials or lone * trials <= len(others)
+
+    def _most_crashes_beside(
+        self,
+        signature: bytes,
+        crash: crash_history.Crash,
+        present: Sequence[bytes],
+    ) -> int:
+        """Returns the most crashes of a part beside one, but those present."""
+        return max(
+            (
                 self.crash_count(other)
                 for other in self._parts_beside(signature, crash)
                 if other not in present
-            ]
-            if not others:
-                return False
-            lone += max(others) < suspected
-        trials = self._settings.part_excuse_trials
-        return len(failed) < trials or lone * trials <= len(failed)
+            ),
+            default=0,
+        )
 
     def _parts_beside(
         self, signature: bytes, crash: crash_history.Crash
--- a/tests/test_relay_prompt_parts.py
+++ b/tests/test_relay_prompt_parts.py
@@ -142,6 +142,29 @@
     assert trials == ["served"]
 
 
+def test_a_rare_part_under_one_crash_of_another_cause_is_not_refused():
+    fleet = builders.Fleet(nodes=3)
+    under = [
+        "first,deadly,rare",
+        "first,deadly,rare",
+        "first,other,rare",
+        "first,deadly,rare",
+        "first,deadly,third",
+        "first,deadly,fourth",
+        "first,deadly,fifth",
+    ]
+    for number, parts in enumerate(under):
+        fleet.end_prompt(f"s{number}", b"%d" % number, parts)
+        fleet.play(1.0)
+        fleet.clear("first,other")
+    answers: list[str] = []
+    fleet.begin(1, b"new", answers, "first,rare")
+    refusal = fleet.check(2, b"newer", "first,deadly")
+    assert refusal.kind is errors.ErrorKind.CRASHING_PART
+    fleet.play(1.0)
+    assert answers == ["served"]
+
+
 # In walk 3165 the common first part was refused, and with it 63 of 86 prompts.
 @pytest.mark.parametrize("seed", [3165, *range(20)])
 def test_seeded_walks_keep_deadly_parts_back_and_sound_prompts_served(seed):
