Refuse prompts for a part half a second after its last crash has settled

Cause: a crash of another cause, or one whose deadly part was known to a cut-off node only, hit a trial. A prompt with all the parts that were under it found no part that it lacked to explain the crash, and was refused at once, while prompts with other middle parts were about to clear the first part by a trial.

Prompts now wait for half a second more, in which nothing with a refused part is sent.

--- a/azureline/routing/suspect_settings.py
+++ b/azureline/routing/suspect_settings.py
@@ -20,6 +20,8 @@
       part_refusal_trials: number of those crashes that are failed trials.
       part_excuse_trials: number of failed trials for each one that a part may
         have caused which is no suspect; fewer trials need no suspect.
+      part_confirm_s: seconds after `settle_s` for which calls wait before they
+        are refused for a part.
       trial_gap_s: minimum time in seconds from the crash that makes a suspect
         to a crash that counts as a failed trial.  Servers that crash together
         accuse a popular part many times at once.
@@ -46,6 +48,7 @@
     part_refusal_crashes: int = 4
     part_refusal_trials: int = 2
     part_excuse_trials: int = 4
+    part_confirm_s: float = 0.5
     trial_gap_s: float = 0.0
     refuse_s: float = 600.0
     refuse_growth: float = 2.0
--- a/azureline/routing/suspects.py
+++ b/azureline/routing/suspects.py
@@ -125,6 +125,9 @@
             return Wait(settled_at)
         refused = self.find_refused(wall, candidates)
         if refused is not None:
+            confirmed_at = self._confirmed_at(refused)
+            if wall < confirmed_at:
+                return Wait(confirmed_at)
             return self._refuse(refused, wall)
         if not usable:
             return Wait(wall + self._settings.settle_s)
@@ -279,6 +282,15 @@
             if at >= oldest
         }
 
+    def _confirmed_at(self, signature: bytes) -> float:
+        """Returns the Unix time at which calls are refused for a signature.
+
+        Until then, trials of other prompts may clear a part that they share.
+        """
+        settings = self._settings
+        confirm_s = settings.part_confirm_s * signatures.is_part(signature)
+        return self.last_crash_at(signature) + settings.settle_s + confirm_s
+
     def _refuse(self, signature: bytes, wall: float) -> errors.Refusal:
         common = (
             "a part of this prompt"
@@ -380,14 +392,12 @@
         present: Sequence[bytes],
     ) -> int:
         """Returns the most crashes of a part beside one, but those present."""
-        return max(
-            (
-                self.crash_count(other)
-                for other in self._parts_beside(signature, crash)
-                if other not in present
-            ),
-            default=0,
-        )
+        counts = [
+            self.crash_count(other)
+            for other in self._parts_beside(signature, crash)
+            if other not in present
+        ]
+        return max(counts, default=0)
 
     def _parts_beside(
         self, signature: bytes, crash: crash_history.Crash
