Say which failed trials count in the settings of suspects

The setting is compared with the failed trials that no part with more crashes explains, since 'Excuse a part whose failed trials a part with more crashes explains'.

--- a/azureline/routing/suspect_settings.py
+++ b/azureline/routing/suspect_settings.py
@@ -17,7 +17,8 @@
         in any case.
       part_refusal_crashes: number of crashes after which a part of prompts is
         refused, unless other parts can have caused its failed trials.
-      part_refusal_trials: number of those crashes that are failed trials.
+      part_refusal_trials: number of those crashes that are failed trials which
+        no part with more crashes explains.
       part_excuse_trials: number of failed trials for each one that a part may
         have caused which is no suspect; fewer trials need no suspect.
       part_confirm_s: seconds after `settle_s` for which calls wait before they
