Log when the store returns from an older copy

The client of the platform's store reads the header Store-Era of all answers. A rise is logged as store_returned, with the version in force, and counted as store.returns. Nothing is decided by it yet. Before, no line told a return from an ordinary outage, so the hypotheses of the incident could not be told apart in the logs of a node that receives the change feed.

--- a/azureline/platform/names.py
+++ b/azureline/platform/names.py
@@ -21,6 +21,9 @@
 # Requests a second that a backend server takes from all nodes together.
 LIMIT = b"server-limit"
 
+# Era of the store, in all its answers; rises when it returns from a copy.
+STORE_ERA = b"store-era"
+
 # The caller's API key, and the workspace that the key belongs to.
 API_KEY = b"x-api-key"
 WORKSPACE = b"azureline-tenant"
--- a/azureline/platform/store.py
+++ b/azureline/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store: reads, watches, transactions and leases."""
 
 import base64
+from collections.abc import Callable
 import json
 from typing import Any
 from typing import NamedTuple
@@ -8,6 +9,8 @@
 
 from twisted.internet import defer
 
+from azureline.platform import eras
+from azureline.platform import names
 from azureline.util import http1
 
 # Seconds that the client waits for an answer after a watch's wait at the store
@@ -160,8 +163,28 @@
         self._address = address
         self._timeout_s = timeout_s
         self._host = f"{address.host}:{address.port}".encode()
+        self._era: int | None = None
+        self._on_return: list[Callable[[int], None]] = []
         self.calls = 0
 
+    @property
+    def era(self) -> int:
+        """Latest era of the store that this node knows."""
+        return eras.FIRST_ERA if self._era is None else self._era
+
+    def on_return(self, callback: Callable[[int], None]) -> None:
+        """Adds a function that is called with the era after each return."""
+        self._on_return.append(callback)
+
+    def learn_era(self, era: int) -> None:
+        """Records that the store is in an era; earlier ones are ignored."""
+        if self._era is None:
+            self._era = era
+        elif era > self._era:
+            self._era = era
+            for callback in self._on_return:
+                callback(era)
+
     async def list(
         self, prefix: str, allow_stale: bool = False
     ) -> Listing | Unavailable:
@@ -341,6 +364,9 @@
         answer = await self._fetch(request, timeout_s or self._timeout_s)
         if isinstance(answer, http1.Failure):
             return Unavailable(answer.reason, may_have_applied=answer.sent)
+        era = eras.parse_era(answer.head.get(names.STORE_ERA))
+        if era is not None:
+            self.learn_era(era)
         return _parse_answer(answer, accepted)
 
     def _fetch(
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -241,6 +241,7 @@
             log,
             self._counters,
         )
+        self._store.on_return(self._store_view.returned)
         self._follower = follower.Follower(
             reactor,
             self._clock,
@@ -447,13 +448,7 @@
 
 
 def _claim_terms(orders: settings_lib.Orders) -> claims.LeaseTimes:
-    return claims.LeaseTimes(
-        orders.lease_s,
-        orders.renew_s,
-        orders.valid_s,
-        orders.turn_s,
-        orders.margin_s,
-    )
+    return claims.LeaseTimes(*orders)
 
 
 def run(settings: settings_lib.RelaySettings) -> None:
--- a/azureline/relay/store_view.py
+++ b/azureline/relay/store_view.py
@@ -112,6 +112,17 @@
         elif key == keys.SUSPECTS:
             self._suspects.removed()
 
+    def returned(self, era: int) -> None:
+        """Records that the store has come back from an older copy.
+
+        Args:
+          era: the era that began with the return.
+        """
+        self._counters.count("store.returns")
+        self._log.warning(
+            "store_returned", era=era, version=self._table.version
+        )
+
     def away(self) -> None:
         """Records that the store does not answer."""
         self._catalogue.store_away()
