--- a/standins/kv_service.py
+++ b/standins/kv_service.py
@@ -1,7 +1,8 @@
 """A stand-in for the users' store, by its published protocol.
 
 It keeps items with revisions, leases, watches and a bounded history.  Injected
-faults make it lose replies, refuse clients or stop answering.
+faults make it lose replies, refuse clients, stop answering or come back from an
+older copy of its state.
 """
 
 import base64
@@ -18,6 +19,13 @@
 
 MAX_WAIT_MS = 30000
 PAGE_ITEMS = 50
+# Rises by one with each return from an older copy; in all answers.
+ERA_HEADER = "Store-Era"
+# Time between two copies of the state, and how many are kept.
+_COPY_INTERVAL_S = 0.25
+_MAX_COPIES = 120
+# Time after a return at which the operator writes a lost configuration again.
+_REWRITE_S = 0.5
 
 
 class _Item(NamedTuple):
@@ -38,6 +46,28 @@
     answer: defer.Deferred[Any]
 
 
+class _Copy(NamedTuple):
+    """A copy of the state.
+
+    Attributes:
+      at: time of the copy in seconds.
+      items: items by key.
+      leases: seconds until the end of each lease, and its duration.
+      revision: revision of the last change.
+      next_lease: number of the last lease.
+      history: changes that a watch can replay.
+      compacted_revision: revision of the last change that was discarded.
+    """
+
+    at: float
+    items: dict[str, _Item]
+    leases: dict[int, tuple[float, float]]
+    revision: int
+    next_lease: int
+    history: list[tuple[int, str, dict[str, Any]]]
+    compacted_revision: int
+
+
 class KvService(common.App):
     """The store; takes its time from the reactor's clock."""
 
@@ -57,6 +87,9 @@
         self._down_until = 0.0
         self._refused_hosts: frozenset[str] = frozenset()
         self._next_lease = 1000
+        self.era = 1
+        self._copies: list[_Copy] = []
+        self._rewrite_s = _REWRITE_S
         self.route("GET", "/kv-key", self._key)
         self.route("GET", "/kv-range", self._range)
         self.route("GET", "/kv-watch", self._watch)
@@ -72,15 +105,27 @@
         `lose_answers` applies the next N changes without a reply; `down_s`
         leaves all requests unanswered for that many seconds; `refuse` answers
         503 to a list of client addresses; `forget` discards the history;
+        `restore` (`age_s`, `down_s`) stops answering for `down_s` seconds and
+        comes back from a copy that is `age_s` seconds old; `rewrite_s` is the
+        time after which the operator then writes a lost configuration again;
         `operator` writes a configuration.
         """
         match name:
+            case "restore":
+                self._down_until = self.reactor.seconds() + value["down_s"]
+                # The fault itself is answered first.
+                self.reactor.callLater(0.01, self._close_client_connections)
+                self.reactor.callLater(
+                    value["down_s"], self.restore, value["age_s"]
+                )
             case "lose_answers":
                 self._answers_to_lose = value
             case "down_s":
                 self._down_until = self.reactor.seconds() + value
             case "refuse":
                 self._refused_hosts = frozenset(value)
+            case "rewrite_s":
+                self._rewrite_s = value
             case "operator":
                 self.put("op/config", json.dumps(value).encode())
             case "forget":
@@ -105,8 +150,64 @@
             self._delete(key)
             self._notify_watches()
 
+    def restore(self, age_s: float) -> None:
+        """Returns to a copy that is at least `age_s` seconds old, if any."""
+        newest_at = self.reactor.seconds() - age_s
+        copies = [copy for copy in self._copies if copy.at <= newest_at]
+        copy = copies[-1] if copies else self._copies[0]
+        self._copies = copies or self._copies[:1]
+        config = self.items.get("op/config")
+        now = self.reactor.seconds()
+        self.era += 1
+        self.items = dict(copy.items)
+        self._leases = {
+            lease_id: _Lease(ttl_s, now + left_s)
+            for lease_id, (left_s, ttl_s) in copy.leases.items()
+        }
+        self._revision = copy.revision
+        self._next_lease = copy.next_lease
+        self._history = list(copy.history)
+        self._compacted_revision = copy.compacted_revision
+        self._reset_watches()
+        if config is not None and self.items.get("op/config") != config:
+            self.reactor.callLater(
+                self._rewrite_s, self._rewrite_config, config
+            )
+
+    def _rewrite_config(self, config: _Item) -> None:
+        """Writes the operator's configuration again unless a newer one is."""
+        current = self.items.get("op/config")
+        if current is None or _version(current) < _version(config):
+            self.put("op/config", base64.b64decode(config.value))
+
+    def _save_copy(self) -> None:
+        now = self.reactor.seconds()
+        if self._copies and now < self._copies[-1].at + _COPY_INTERVAL_S:
+            return
+        leases = {
+            lease_id: (lease.ends_at - now, lease.ttl_s)
+            for lease_id, lease in self._leases.items()
+        }
+        self._copies.append(
+            _Copy(
+                now,
+                dict(self.items),
+                leases,
+                self._revision,
+                self._next_lease,
+                list(self._history),
+                self._compacted_revision,
+            )
+        )
+        del self._copies[:-_MAX_COPIES]
+
+    def _close_client_connections(self) -> None:
+        for transport in list(self._transports):
+            transport.abortConnection()
+
     def render(self, request: server.Request) -> Any:
         """Handles a request unless the store is down or refuses the client."""
+        request.setHeader(ERA_HEADER, str(self.era))
         subject_to_faults = request.path != b"/faults"
         if subject_to_faults and self.reactor.seconds() < self._down_until:
             return server.NOT_DONE_YET
@@ -142,7 +243,7 @@
     def _watch(self, request: server.Request) -> Any:
         after = int(_argument(request, "after"))
         wait_s = int(_argument(request, "wait_ms")) / 1000
-        if after < self._compacted_revision:
+        if not self._compacted_revision <= after <= self._revision:
             return common.json_reply({}, 410)
         watch = _Watch(_argument(request, "prefix"), after, defer.Deferred())
         if self._answer_watch(watch):
@@ -207,6 +308,7 @@
         """Removes expired leases; none expire while the store is down."""
         now = self.reactor.seconds()
         if now >= self._down_until:
+            self._save_copy()
             for lease_id, lease in list(self._leases.items()):
                 if lease.ends_at <= now:
                     del self._leases[lease_id]
@@ -264,6 +366,10 @@
         return common.json_reply({"events": rows, "as_of": self._revision})
 
 
+def _version(config: _Item) -> int:
+    return json.loads(base64.b64decode(config.value))["version"]
+
+
 def _argument(request: server.Request, name: str) -> str:
     values = request.args.get(name.encode(), [b""])
     return values[0].decode()
--- a/tests/builders_site.py
+++ b/tests/builders_site.py
@@ -22,6 +22,12 @@
     def __init__(self, processes: deployment.Deployment):
         """Creates a site over processes that are already running."""
         self.processes = processes
+        self.killed: set[str] = set()
+
+    def kill(self, node: str) -> None:
+        """Kills a node's process; callers use the others."""
+        self.processes.kill(node)
+        self.killed.add(node)
 
     def caller(self, node: str = NODES[0]) -> site_caller.Caller:
         """Returns a caller of one node."""
@@ -90,6 +96,7 @@
     ledgers: int = 2,
     engines: tuple[tuple[str, ...], ...] = (("m0", "m1"), ("m0",)),
     load_s: float = 0.3,
+    domains: int = 0,
 ) -> Iterator[Site]:
     """Runs a site until the block ends.
 
@@ -98,7 +105,9 @@
       ledgers: number of plain servers.
       engines: for each engine, the models that it holds at first.
       load_s: seconds that an engine takes to load a model.
+      domains: number of failure domains; by default each node has its own.
     """
+    domains = domains or len(nodes)
     with deployment.Deployment() as processes:
         processes.start_site_store(builders_relay.site_document())
         for number, models in enumerate(engines, 1):
@@ -107,13 +116,13 @@
                 service="llm",
                 models=True,
                 resident=list(models),
-                domain=f"d{(number - 1) % len(NODES) + 1}",
+                domain=f"d{(number - 1) % domains + 1}",
                 load_s=load_s,
             )
         for number in range(1, ledgers + 1):
             processes.start_site_server(f"ledger-{number}", service="ledger")
         for number, name in enumerate(nodes, 1):
-            processes.start_relay(name, f"d{number}")
+            processes.start_relay(name, f"d{(number - 1) % domains + 1}")
         site = Site(processes)
         for name in nodes:
             site.until(f"{name} is ready", lambda name=name: site.ready(name))
--- a/tests/test_relay_lease_terms.py
+++ b/tests/test_relay_lease_terms.py
@@ -92,6 +92,7 @@
         super().__init__()
         self.clock = _Clock()
         self.backing = builders_store.FakeStore(self.clock.now)
+        self.backing.run_due()
         self.nodes = {n: self._start_node(n) for n in NODES}
         self.elapsed_s = dict.fromkeys(NODES, 0.0)
         self.last_order: tuple[str, float, int] | None = None
@@ -165,6 +166,10 @@
         defer.ensureDeferred(node.session.release({ENGINE: idle_ms}))
         node.step(CALL_S)
 
+    @stateful.rule(age_s=st.floats(0.1, 12.0))
+    def store_returns_from_an_older_copy(self, age_s):
+        self.backing.restore(age_s)
+
     @stateful.rule()
     def all_leases_are_revoked(self):
         self.backing.revoke_all()
@@ -223,6 +228,37 @@
     machine.time_passes(6)
 
 
+def test_a_claim_lost_in_a_return_keeps_the_distance():
+    """The store has forgotten the holder, which still sends orders."""
+    machine = LeaseTermMachine()
+    machine.time_passes(20)
+    first = machine.last_order[0]
+    machine.store_calls_of_a_node_fail(first, builders_store.Fault.SILENT, 1.0)
+    machine.store_returns_from_an_older_copy(12.0)
+    machine.time_passes(60)
+    assert machine.last_order[0] != first
+
+
+def test_a_holder_sends_on_soon_after_a_return():
+    machine = _machine_after_claim()
+    first = machine.last_order[0]
+    machine.store_returns_from_an_older_copy(1.0)
+    machine.time_passes(15)
+    assert machine.last_order[:2] == (first, machine.clock.now())
+
+
+def test_tokens_rise_when_the_store_returns_in_series():
+    machine = _machine_after_claim()
+    for _ in range(3):
+        name = machine.last_order[0]
+        machine.node_is_suspended_or_resumed(name, suspended=True)
+        machine.time_passes(90)
+        assert machine.last_order[0] != name
+        machine.node_is_suspended_or_resumed(name, suspended=False)
+        machine.store_returns_from_an_older_copy(9.0)
+        machine.time_passes(90)
+
+
 def test_a_term_released_before_its_first_order_keeps_the_distance():
     machine = _machine_after_claim()
     first = machine.last_order[0]
