Order the store's revisions across returns from older copies

Cause: a revision, or the id of a lease, was compared without the era of the store that gave it out. A node that receives the change feed dropped all rows up to its old revision; a compare with a revision given out again could succeed; a lease id given out again could be renewed or ended for its new owner.

Change: the client of the store turns each revision into a position, ordered by era and then by revision, which equals the revision in the first era. Calls with a position or lease of an earlier era are not sent; an answer of another era is not taken for the call's result. A watch ends as soon as any call or feed shows a new era. A watcher sends its domain the differences of its listing, so that fed nodes need not list the store.

--- a/azureline/platform/store.py
+++ b/azureline/platform/store.py
@@ -1,4 +1,8 @@
-"""Client of the platform's store: reads, watches, transactions and leases."""
+"""Client of the platform's store: reads, watches, transactions and leases.
+
+All revisions that it takes and returns are positions, which are ordered across
+the store's eras.  Nothing of one era is used for a call in another.
+"""
 
 import base64
 from collections.abc import Callable
@@ -13,6 +17,7 @@
 from azureline.platform import names
 from azureline.util import http1
 
+_EARLIER_ERA = "the store has returned from an older copy"
 # Seconds that the client waits for an answer after a watch's wait at the store
 # has ended.  This time-out is the only means to detect a dead connection.
 _WATCH_MARGIN_S = 0.5
@@ -40,7 +45,7 @@
     Attributes:
       key: the key.
       value: its bytes.
-      revision: store revision of the key's last change.
+      revision: position of the key's last change.
       lease: id of the lease that the key is attached to, or 0.  The store
         deletes the key when the lease ends.
     """
@@ -52,7 +57,7 @@
 
 
 class Deleted(NamedTuple):
-    """A deleted key, with the store revision of the deletion."""
+    """A deleted key, with the position of the deletion."""
 
     key: str
     revision: int
@@ -63,7 +68,7 @@
 
     Attributes:
       items: the items.
-      revision: revision from which a watch sees every change that the listing
+      revision: position from which a watch sees every change that the listing
         may lack.
     """
 
@@ -76,7 +81,7 @@
 
     Attributes:
       events: the changes, in the order of their revisions.
-      revision: revision from which the next watch continues.
+      revision: position from which the next watch continues.
     """
 
     events: tuple[Item | Deleted, ...]
@@ -84,9 +89,10 @@
 
 
 class HistoryGone(NamedTuple):
-    """Falsy sentinel: the store no longer has the history of the revision.
+    """Falsy sentinel: the store does not have the history of the position.
 
-    The prefix must be listed again before the next watch.
+    It has discarded it, or has returned from an older copy.  The prefix must be
+    listed again before the next watch.
     """
 
     def __bool__(self) -> bool:
@@ -108,7 +114,7 @@
 
 
 class Committed(NamedTuple):
-    """The transaction took effect at a store revision."""
+    """The transaction took effect at a position."""
 
     revision: int
 
@@ -164,6 +170,8 @@
         self._timeout_s = timeout_s
         self._host = f"{address.host}:{address.port}".encode()
         self._era: int | None = None
+        # Eras in which leases were granted; their ids are given out again.
+        self._lease_eras: dict[int, int] = {}
         self._on_return: list[Callable[[int], None]] = []
         self.calls = 0
 
@@ -178,6 +186,8 @@
 
     def learn_era(self, era: int) -> None:
         """Records that the store is in an era; earlier ones are ignored."""
+        if not eras.FIRST_ERA <= era <= eras.MAX_ERA:
+            return
         if self._era is None:
             self._era = era
         elif era > self._era:
@@ -199,7 +209,7 @@
             date.
         """
         items: dict[str, Item] = {}
-        revision, after = 0, ""
+        revision, after, era = 0, "", 0
         for _ in range(MAX_PAGES):
             query = {"prefix": prefix}
             if after:
@@ -209,9 +219,12 @@
             page = await self._call("GET", "/kv-range", query)
             if isinstance(page, Unavailable):
                 return page
+            era = era or page["_era"]
+            if page["_era"] != era:
+                return Unavailable(_EARLIER_ERA, may_have_applied=False)
             try:
-                found = [_parse_item(row) for row in page["items"]]
-                revision = revision or int(page["as_of"])
+                found = [_parse_item(row, era) for row in page["items"]]
+                revision = revision or eras.position(era, int(page["as_of"]))
                 more = bool(page.get("truncated"))
             except (KeyError, TypeError, ValueError) as e:
                 return Unavailable(f"listing: {e!r}", may_have_applied=False)
@@ -231,7 +244,7 @@
         if answer.get("_status") == 404:
             return None
         try:
-            return _parse_item(answer)
+            return _parse_item(answer, answer["_era"])
         except (KeyError, TypeError, ValueError) as e:
             return Unavailable(f"item: {e!r}", may_have_applied=False)
 
@@ -242,12 +255,15 @@
 
         Args:
           prefix: prefix of the keys.
-          after: revision after which changes are returned.
+          after: position after which changes are returned.
           wait_s: maximum time in seconds that the store waits for a change.
         """
+        era = eras.era_of(after)
+        if era != self.era:
+            return HistoryGone()
         query = {
             "prefix": prefix,
-            "after": str(after),
+            "after": str(eras.revision_of(after)),
             "wait_ms": str(int(wait_s * 1000)),
         }
         answer = await self._call(
@@ -259,11 +275,11 @@
         )
         if isinstance(answer, Unavailable):
             return answer
-        if answer.get("_status") == 410:
+        if answer.get("_status") == 410 or answer["_era"] != era:
             return HistoryGone()
         try:
-            events = tuple(_parse_event(row) for row in answer["events"])
-            return Changes(events, int(answer["as_of"]))
+            events = tuple(_parse_event(row, era) for row in answer["events"])
+            return Changes(events, eras.position(era, int(answer["as_of"])))
         except (KeyError, TypeError, ValueError) as e:
             return Unavailable(f"watch: {e!r}", may_have_applied=False)
 
@@ -276,14 +292,21 @@
         """Runs a transaction if every key has its expected revision.
 
         Args:
-          expected: revision by key; 0 where the key must not exist.
+          expected: position by key; 0 where the key must not exist.
           puts: the writes.
           deletes: keys to delete.
         """
+        era = self.era
+        known = [at for at in expected.values() if at]
+        leases = [put.lease for put in puts if put.lease]
+        if any(eras.era_of(at) != era for at in known):
+            return Unavailable(_EARLIER_ERA, may_have_applied=False)
+        if not all(map(self._is_current, leases)):
+            return NoLease()
         body = {
             "expected": [
-                {"key": key, "revision": revision}
-                for key, revision in expected.items()
+                {"key": key, "revision": eras.revision_of(at)}
+                for key, at in expected.items()
             ],
             "puts": [
                 {
@@ -300,15 +323,17 @@
         )
         if isinstance(answer, Unavailable):
             return answer
-        status = answer.get("_status")
+        if answer["_era"] != era and (known or leases):
+            return Unavailable(_EARLIER_ERA, may_have_applied=True)
+        status, era = answer.get("_status"), answer["_era"]
         try:
             if status == 412:
                 rows = answer.get("items") or []
                 present = [r for r in rows if r.get("revision")]
-                return Conflict(tuple(_parse_item(r) for r in present))
+                return Conflict(tuple(_parse_item(r, era) for r in present))
             if status == 404:
                 return NoLease()
-            return Committed(int(answer["revision"]))
+            return Committed(eras.position(era, int(answer["revision"])))
         except (AttributeError, KeyError, TypeError, ValueError) as e:
             return Unavailable(f"change: {e!r}", may_have_applied=True)
 
@@ -319,24 +344,37 @@
         if isinstance(answer, Unavailable):
             return answer
         try:
-            return Lease(int(answer["lease"]), answer["ttl_ms"] / 1000)
+            lease = Lease(int(answer["lease"]), answer["ttl_ms"] / 1000)
+            self._lease_eras[lease.lease_id] = answer["_era"]
+            return lease
         except (KeyError, TypeError, ValueError) as e:
             return Unavailable(f"lease: {e!r}", may_have_applied=True)
 
     async def renew(self, lease_id: int) -> bool | Unavailable:
         """Renews a lease; False if it has ended."""
-        answer = await self._call(
-            "POST", f"/kv-keep/{lease_id}", {}, (200, 404), body={}
-        )
-        if isinstance(answer, Unavailable):
-            return answer
-        return answer.get("_status") != 404
+        if self._is_current(lease_id):
+            answer = await self._call(
+                "POST", f"/kv-keep/{lease_id}", {}, (200, 404), body={}
+            )
+            if isinstance(answer, Unavailable):
+                return answer
+            if answer.get("_status") != 404 and self._is_current(lease_id):
+                return True
+        self._lease_eras.pop(lease_id, None)
+        return False
 
     async def revoke(self, lease_id: int) -> None:
         """Ends a lease, so that the store deletes its keys."""
-        await self._call(
-            "DELETE", f"/kv-lease-end/{lease_id}", {}, (200, 204, 404)
-        )
+        is_current = self._is_current(lease_id)
+        self._lease_eras.pop(lease_id, None)
+        if is_current:
+            await self._call(
+                "DELETE", f"/kv-lease-end/{lease_id}", {}, (200, 204, 404)
+            )
+
+    def _is_current(self, lease_id: int) -> bool:
+        """Returns whether a lease was granted in the store's current era."""
+        return self._lease_eras.get(lease_id) == self.era
 
     async def _call(
         self,
@@ -367,7 +405,12 @@
         era = eras.parse_era(answer.head.get(names.STORE_ERA))
         if era is not None:
             self.learn_era(era)
-        return _parse_answer(answer, accepted)
+        if era is not None and era < self.era:
+            return Unavailable(_EARLIER_ERA, may_have_applied=True)
+        parsed = _parse_answer(answer, accepted)
+        if not isinstance(parsed, Unavailable):
+            parsed["_era"] = self.era
+        return parsed
 
     def _fetch(
         self, request: http1.Request, timeout_s: float
@@ -399,16 +442,17 @@
     return value
 
 
-def _parse_item(row: dict[str, Any]) -> Item:
+def _parse_item(row: dict[str, Any], era: int) -> Item:
     return Item(
         str(row["key"]),
         base64.b64decode(row["value"]),
-        int(row["revision"]),
+        eras.position(era, int(row["revision"])),
         int(row.get("lease") or 0),
     )
 
 
-def _parse_event(row: dict[str, Any]) -> Item | Deleted:
+def _parse_event(row: dict[str, Any], era: int) -> Item | Deleted:
     if row.get("removed"):
-        return Deleted(str(row["key"]), int(row["revision"]))
-    return _parse_item(row)
+        at = eras.position(era, int(row["revision"]))
+        return Deleted(str(row["key"]), at)
+    return _parse_item(row, era)
--- a/azureline/relay/change_feed.py
+++ b/azureline/relay/change_feed.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 import zlib
 
+from azureline.platform import eras
 from azureline.platform import store as store_lib
 from azureline.relay import keys
 from azureline.relay import messages
@@ -34,6 +35,9 @@
 # Maximum number of datagrams in reply to one request. The requester asks again
 # for the rest, so that a burst does not fill the link of the watcher's VM.
 _MAX_REPLY_FEEDS = 8
+# Maximum number of keys that a listing may lack for its differences to be sent.
+# They stay in one datagram; with more of them the receivers list the store.
+_MAX_LISTING_REMOVALS = 60
 # Maximum size of the rows in one datagram, in bytes, without its overhead.
 _MAX_ROWS_BYTES = 1200
 
@@ -136,13 +140,48 @@
     def __init__(self):
         self._rows: list[messages.FeedRow] = []
         self._complete_after: int | None = None
+        # Positions of earlier eras up to which the log is complete.
+        self._era_ends: dict[int, int] = {}
         self.last_revision = 0
 
     def reset(self, revision: int) -> None:
         """Clears the log after a listing at a revision."""
         self._rows = []
+        self._era_ends = {}
         self._complete_after = self.last_revision = revision
 
+    def add_listing(
+        self,
+        known: dict[str, store_lib.Item],
+        items: dict[str, store_lib.Item],
+        revision: int,
+    ) -> None:
+        """Adds what a listing changes in the items known before.
+
+        Args:
+          known: the items before it, by key.
+          items: the items of the listing, by key.
+          revision: its revision.
+        """
+        removed = [
+            store_lib.Deleted(key, revision) for key in known.keys() - items
+        ]
+        if self._complete_after is None or len(removed) > _MAX_LISTING_REMOVALS:
+            self.reset(revision)
+            return
+        before = eras.era_of(self.last_revision)
+        if before != eras.era_of(revision):
+            self._era_ends[before] = self.last_revision
+        # The next watch returns what was written during the listing.
+        changed = [
+            item
+            for key, item in items.items()
+            if item.revision <= revision
+            and (key not in known or known[key].value != item.value)
+        ]
+        changed.sort(key=lambda item: item.revision)
+        self.add([*changed, *removed], revision)
+
     def add(
         self,
         events: Iterable[store_lib.Item | store_lib.Deleted],
@@ -166,6 +205,8 @@
         """
         if self._complete_after is None or revision < self._complete_after:
             return Gap(revision)
+        if revision > self._era_ends.get(eras.era_of(revision), revision):
+            return Gap(revision)  # The store has forgotten changes after it.
         rows = [row for row in self._rows if row.revision > revision]
         return self._split(rows, revision)
 
--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -10,6 +10,7 @@
 
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
+from azureline.platform import eras
 from azureline.platform import store as store_lib
 from azureline.relay import change_feed
 from azureline.relay import messages
@@ -105,7 +106,10 @@
         self._pace = pace
         self._counters = counters
         self._log = log
+        # Position up to which this node has all changes, and the items there.
         self._revision: int | None = None
+        self._items: dict[str, store_lib.Item] = {}
+        self._watching: defer.Deferred[Any] | None = None
         self._failures = 0
         # Time of the first answer of the store after the last failure.
         self._answering_since: float | None = None
@@ -141,6 +145,17 @@
         if self._running is not None:
             self._running.cancel()
 
+    def store_returned(self, era: int) -> None:
+        """Ends the watch of an earlier era, so that the store is listed.
+
+        Args:
+          era: the era that began.
+        """
+        self._answering_since = None
+        watching, self._watching = self._watching, None
+        if watching is not None:
+            watching.callback(store_lib.HistoryGone())
+
     def _log_failure(self, failure: Any) -> None:
         if not failure.check(defer.CancelledError):
             self._log.error("follower_failed", reason=failure.getTraceback())
@@ -164,14 +179,15 @@
             self._call_failed(listing)
             return False
         self._call_answered()
+        known, self._items = self._items, {i.key: i for i in listing.items}
         self._revision = listing.revision
-        self._feed_log.reset(listing.revision)
+        self._feed_log.add_listing(known, self._items, listing.revision)
         self._receiver.listed(listing.items)
         return True
 
     async def _watch(self, revision: int) -> bool:
         wait_s = _PROBE_WAIT_S if self._failures else self._pace.watch_s
-        result = await self._store.watch(_ALL_KEYS, revision, wait_s)
+        result = await self._first_of_watch_and_return(revision, wait_s)
         match result:
             case store_lib.Unavailable():
                 self._call_failed(result)
@@ -179,7 +195,8 @@
             case store_lib.HistoryGone():
                 self._counters.count("store.history_gone")
                 self._log.warning("store_history_gone", after=revision)
-                self._revision = None
+                if self._role is not change_feed.Role.FED:
+                    self._revision = None
                 return True
             case store_lib.Changes():
                 self._call_answered()
@@ -187,14 +204,36 @@
                     self._apply(result)
         return True
 
+    def _first_of_watch_and_return(
+        self, revision: int, wait_s: float
+    ) -> defer.Deferred[Any]:
+        """Watches until there are changes or the store returns from a copy.
+
+        The connection of a watch that waits may be silent after a return.
+        """
+        watching: defer.Deferred[Any] = defer.Deferred(lambda _: watch.cancel())
+        self._watching = watching
+
+        def end(result: Any) -> None:
+            if self._watching is watching:
+                self._watching = None
+                watching.callback(result)
+
+        watch = defer.ensureDeferred(
+            self._store.watch(_ALL_KEYS, revision, wait_s)
+        )
+        watch.addBoth(end)
+        return watching
+
     def _apply(self, result: store_lib.Changes) -> None:
         known = self._revision
         new_events = [e for e in result.events if e.revision > known]
         for event in new_events:
             match event:
                 case store_lib.Item():
-                    self._receiver.changed(event)
+                    self._item_changed(event)
                 case store_lib.Deleted(key=key):
+                    self._items.pop(key, None)
                     self._receiver.removed(key)
         self._revision = max(known, result.revision)
         self._feed_log.add(new_events, self._revision)
@@ -248,6 +287,7 @@
         """Handles a change feed message from a watcher."""
         if feed.store_lost:
             return
+        self._store.learn_era(eras.era_of(feed.upto))
         now = self._clock.now()
         self._roles.heartbeat_received(now)
         is_fed = self._role is change_feed.Role.FED
@@ -309,6 +349,7 @@
 
     def _apply_row(self, row: messages.FeedRow) -> None:
         if row.removed:
+            self._items.pop(row.key, None)
             self._receiver.removed(row.key)
             return
         value = change_feed.decompressed_value(row)
@@ -316,8 +357,11 @@
             self._unfetched.add(row.key)
             self._fetch_next()
         else:
-            item = store_lib.Item(row.key, value, row.revision)
-            self._receiver.changed(item)
+            self._item_changed(store_lib.Item(row.key, value, row.revision))
+
+    def _item_changed(self, item: store_lib.Item) -> None:
+        self._items[item.key] = item
+        self._receiver.changed(item)
 
     def _on_feed_request(
         self, request: messages.FeedRequest, host: str, port: int
@@ -348,7 +392,7 @@
             if isinstance(item, store_lib.Unavailable):
                 self._unfetched.add(key)
             elif item is not None:
-                self._receiver.changed(item)
+                self._item_changed(item)
             await self._sleep(_FETCH_INTERVAL_S)
         finally:
             self._fetching = False
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -253,6 +253,7 @@
             self._counters,
             log,
         )
+        self._store.on_return(self._follower.store_returned)
         self._sweep = task.LoopingCall(self._run_sweep)
         self._sweep.clock = reactor
         self._factory = caller_side.make_factory(self, routes.Limits().idle_s)
--- a/tests/builders_store.py
+++ b/tests/builders_store.py
@@ -174,7 +174,7 @@
         era = self.era
         if any(r and eras.era_of(r) != era for r in expected.values()):
             return store_lib.Unavailable("earlier era", may_have_applied=False)
-        if any(not self._is_current(put.lease) for put in puts):
+        if any(put.lease and not self._is_current(put.lease) for put in puts):
             return store_lib.NoLease()
         result = await self._call(
             lambda: self._store.change(expected, puts, deletes)
@@ -204,7 +204,7 @@
             await self._call(lambda: self._store.revoke(lease_id))
 
     def _is_current(self, lease_id: int) -> bool:
-        return self._lease_eras.get(lease_id, self.era) == self.era
+        return self._lease_eras.get(lease_id) == self.era
 
     def _learn_era(self) -> None:
         if self._store.era > self.era:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -112,3 +112,55 @@
         assert await self.store.renew(lease.lease_id) is False
         late = await self.store.transact({}, (put,))
         assert isinstance(late, store_lib.NoLease)
+
+    async def test_positions_rise_over_a_return_from_an_older_copy(self):
+        put = store_lib.Put("k", b"1")
+        first = await self.store.transact({}, (put,))
+        listing = await self.store.list("")
+        self.app._copies.clear()
+        self.app._save_copy()
+        last = await self.store.transact({}, (put._replace(value=b"2"),))
+        self.app.restore(0.0)
+        item = await self.store.get("k")
+        assert self.store.era == 2
+        assert item.value == b"1" and item.revision > last.revision
+        again = await self.store.transact({"k": item.revision}, (put,))
+        assert again.revision > item.revision > first.revision
+        gone = await self.store.watch("", listing.revision, 0.1)
+        assert isinstance(gone, store_lib.HistoryGone)
+
+    async def test_nothing_of_an_earlier_era_is_sent(self):
+        self.app._save_copy()
+        put = store_lib.Put("k", b"1")
+        done = await self.store.transact({"k": 0}, (put,))
+        lease = await self.store.grant(5.0)
+        self.app.restore(0.0)
+        # Another client gets the same revision and the same lease.
+        other = builders_http1.client(self)
+        other = store_lib.StoreClient(other, self.address, 0.3)
+        await other.transact({"k": 0}, (put._replace(value=b"other"),))
+        others_lease = await other.grant(5.0)
+        assert others_lease.lease_id == lease.lease_id
+        await self.store.get("k")
+        returns = await self.store.transact({"k": done.revision}, (put,))
+        assert isinstance(returns, store_lib.Unavailable)
+        assert not returns.may_have_applied
+        assert await self.store.renew(lease.lease_id) is False
+        await self.store.revoke(lease.lease_id)
+        assert await other.renew(lease.lease_id) is True
+        assert (await self.store.get("k")).value == b"other"
+        leased = put._replace(lease=lease.lease_id)
+        written = await self.store.transact({}, (leased,))
+        assert isinstance(written, store_lib.NoLease)
+
+    async def test_a_write_into_a_returned_store_is_not_taken_for_done(self):
+        self.app._save_copy()
+        put = store_lib.Put("k", b"1")
+        done = await self.store.transact({"k": 0}, (put,))
+        self.app.restore(0.0)
+        self.app.put("k", b"other")
+        returned = []
+        self.store.on_return(returned.append)
+        result = await self.store.transact({"k": done.revision}, (put,))
+        assert isinstance(result, store_lib.Unavailable)
+        assert result.may_have_applied and returned == [2]
--- a/tests/test_relay_change_feed.py
+++ b/tests/test_relay_change_feed.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from azureline.platform import eras
 from azureline.platform import store as store_lib
 from azureline.relay import change_feed
 from azureline.relay import keys
@@ -106,3 +107,44 @@
         return known
     seen += [row.key for row in rows]
     return max(known, feed.upto)
+
+
+def _listed(*items):
+    return {item.key: item for item in items}
+
+
+def test_a_listing_after_a_return_is_sent_as_its_differences():
+    log = change_feed.FeedLog()
+    log.reset(10)
+    log.add([_item(11)], 11)
+    known = _listed(*(store_lib.Item(k, b"old", 9) for k in ("a", "b", "c")))
+    at = eras.position(2, 8)
+    found = _listed(
+        store_lib.Item("a", b"old", eras.position(2, 5)),
+        store_lib.Item("b", b"new", eras.position(2, 6)),
+    )
+    log.add_listing(known, found, at)
+    (feed,) = log.after(11)
+    assert (feed.after, feed.upto) == (11, at)
+    assert [(r.key, r.removed) for r in feed.rows] == [
+        ("b", False),
+        ("c", True),
+    ]
+    (feed,) = log.after(10)
+    assert [r.key for r in feed.rows] == ["servers/i-11", "b", "c"]
+
+
+def test_a_node_with_changes_that_the_store_forgot_must_list_it():
+    log = change_feed.FeedLog()
+    log.reset(10)
+    log.add_listing({}, {}, eras.position(2, 8))
+    assert isinstance(log.after(12), change_feed.Gap)
+    assert log.after(10)
+
+
+def test_a_listing_that_lacks_many_keys_must_be_repeated_by_all():
+    log = change_feed.FeedLog()
+    log.reset(10)
+    known = _listed(*(_item(n) for n in range(1, 200)))
+    log.add_listing(known, {}, eras.position(2, 8))
+    assert isinstance(log.after(10), change_feed.Gap)
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -7,6 +7,7 @@
 from twisted.trial import unittest
 
 from azureline.metrics import counters as counters_lib
+from azureline.platform import eras
 from azureline.platform import store as store_lib
 from azureline.relay import change_feed
 from azureline.relay import follower
@@ -25,14 +26,25 @@
     """A store with one listing whose watches fail."""
 
     async def list(self, prefix):
-        return store_lib.Listing((), 10)
+        return store_lib.Listing(self.items, self.revision)
 
     def __init__(self):
         self.silent = False
         self.waits = []
+        self.era = eras.FIRST_ERA
+        self.items = ()
+        self.revision = 10
+        self.on_return = lambda era: None
+
+    def learn_era(self, era):
+        if era > self.era:
+            self.era = era
+            self.on_return(era)
 
     async def watch(self, prefix, after, wait_s):
         self.waits.append(wait_s)
+        if eras.era_of(after) != self.era:
+            return store_lib.HistoryGone()
         if self.silent:
             await defer.Deferred()
         return store_lib.Unavailable("status 429", may_have_applied=False)
@@ -42,8 +54,10 @@
     def __init__(self):
         self.keys = []
         self.is_away = False
+        self.listings = 0
 
-    def listed(self, items): ...
+    def listed(self, items):
+        self.listings += 1
 
     def changed(self, item):
         self.keys.append(item.key)
@@ -77,6 +91,7 @@
             counters,
             events.null_log(),
         )
+        self.store.on_return = self.follower.store_returned
         self.follower.start()
         self.addCleanup(self.follower.close)
 
@@ -161,6 +176,34 @@
         # seconds.
         assert 10 <= len(self.store.waits) <= 30
 
+    def test_a_silent_watch_ends_when_the_store_returns_from_a_copy(self):
+        self.store.silent = True
+        self.reactor.pump([0.1] * 10)
+        assert self.receiver.listings == 1
+        self.store.revision = eras.position(2, 5)
+        self.store.learn_era(2)
+        self.reactor.pump([0.1] * 5)
+        assert self.receiver.listings == 2
+        assert self.store.waits[-1] == 20.0
+
+    def test_a_fed_node_hears_of_a_return_from_the_feed(self):
+        for number in (2, 3):
+            record = keys.NodeRecord(f"n{number}", "127.0.0.9", 1, "d1", 1000)
+            self.peers.set_node(record)
+        self.store.silent = True
+        self._feed(10, 10)
+        self.reactor.pump([0.1] * 10)
+        assert self.follower.role is change_feed.Role.FED
+        self._feed(10, 12, self._row(12))
+        replies = []
+        self.peers.reply = lambda host, port, message: replies.append(message)
+        first = eras.position(2, 5)
+        self._feed(first, first)
+        assert self.store.era == 2
+        assert replies == [messages.FeedRequest(12)]
+        self._feed(12, first + 1, self._row(first + 1))
+        assert self.receiver.keys[-1] == f"servers/i-{first + 1}"
+
     def test_the_second_watcher_applies_the_feed_of_the_first(self):
         record = keys.NodeRecord("n0", "127.0.0.9", 1, "d1", 1000)
         self.peers.set_node(record)
