Keep the distance to orders of claims that the store has forgotten

What was seen: in the state machine two VMs sent orders 0 to 2.6 s apart after a return of the store, 3.0 s required; the same machine found two lease holders at once that took themselves for alone.

Cause: a claim takes the record of the last term in the store for the newest one. After a return from an older copy that record, and the holder's key, may lack terms claimed since the copy, so the next claimer did not wait.

Change: records of terms name their era. Where the record is of an earlier era, or missing, the first order waits until the validity of every earlier lease and the distance have passed since this process learnt of the era. On a return each process replaces its leases and claims again what it held; it waits only if another node could have begun to send orders meanwhile. In the first era records keep their form, for nodes of the build before.

--- a/azureline/relay/claims.py
+++ b/azureline/relay/claims.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from azureline.platform import eras
 from azureline.relay import keys
 from azureline.relay import ranking
 
@@ -71,6 +72,107 @@
         return max(0.0, left_s)
 
 
+class Start(NamedTuple):
+    """When a lease holder may act, counted from its claim.
+
+    Attributes:
+      wait_s: seconds until its first order.
+      overlap_s: seconds until no earlier lease holder takes its own lease for
+        valid; negative infinity if there was none.
+    """
+
+    wait_s: float = 0.0
+    overlap_s: float = float("-inf")
+
+
+class LostTerm(NamedTuple):
+    """A term of this process that ended with an era of the store.
+
+    Attributes:
+      term: the term.
+      era: the era that ended.
+      until_s: monotonic time in seconds until which no other node can have
+        sent an order, even if one has claimed the resource in that era.
+    """
+
+    term: "Term"
+    era: int
+    until_s: float
+
+
+class EraHistory:
+    """What this process knows of terms that the store has forgotten.
+
+    After the store's return from an older copy, the record of a resource's last
+    term may lack terms that were claimed since the copy.
+    """
+
+    def __init__(self, times: LeaseTimes, now: float):
+        """Creates a history.
+
+        Args:
+          times: times of leases.
+          now: monotonic time in seconds, at which the process starts.
+        """
+        self._times = times
+        self._era_known_at = now
+        self._lost: dict[str, LostTerm] = {}
+
+    def era_began(
+        self,
+        era: int,
+        held: Mapping[str, "Term"],
+        renewed_at: float,
+        now: float,
+    ) -> None:
+        """Records the begin of an era and the terms that ended with the last.
+
+        Args:
+          era: the era that begins.
+          held: the terms of this process.
+          renewed_at: monotonic time in seconds of the last renewal.
+          now: monotonic time in seconds.
+        """
+        self._era_known_at = now
+        # Another node can claim once the lease has ended in the store, and then
+        # waits; it stops within its own validity after the return.
+        until_s = renewed_at + self._times.ttl_s + self._times.turn_s
+        self._lost = {
+            name: LostTerm(term, era - 1, until_s)
+            for name, term in held.items()
+        }
+
+    def is_complete(self, last: keys.TermRecord | None, era: int) -> bool:
+        """Returns whether the record of the last term is the newest.
+
+        Args:
+          last: the record in the store, if there is one that can be read.
+          era: the store's era.
+        """
+        if era == eras.FIRST_ERA:
+            return True
+        return last is not None and last.era == era
+
+    def start_after_return(self, name: str, era: int, now: float) -> Start:
+        """Returns the start of a term whose predecessor may be forgotten.
+
+        Args:
+          name: name of the resource.
+          era: the store's era.
+          now: monotonic time in seconds.
+        """
+        lost = self._lost.get(name)
+        if lost is not None and lost.era + 1 == era and now < lost.until_s:
+            return Start(
+                max(0.0, lost.term.from_s - now), lost.term.alone_from_s - now
+            )
+        known_for_s = now - self._era_known_at
+        return Start(
+            max(0.0, self._times.wait_s - known_for_s),
+            self._times.overlap_s - known_for_s,
+        )
+
+
 class LeaseValidity:
     """Validity of this node's lease for sending orders."""
 
@@ -79,6 +181,11 @@
         self._terms = terms
         self._renewed_at = float("-inf")
 
+    @property
+    def renewed_at(self) -> float:
+        """Monotonic time in seconds of the last renewal."""
+        return self._renewed_at
+
     def extend(self, sent_at: float) -> None:
         """Extends the validity after a successful renewal.
 
--- a/azureline/relay/keys.py
+++ b/azureline/relay/keys.py
@@ -4,6 +4,8 @@
 
 import msgpack
 
+from azureline.platform import eras
+
 ROOT = "azureline/"
 NODES = ROOT + "nodes/"
 # Bound to a lease: the lease holder of a resource, an engine or a planner.
@@ -55,16 +57,21 @@
         the term; -1 if it has not released it.
       wait_ms: milliseconds from the claim until the lease holder may send its
         first order; 0 once they have passed.
+      era: era of the store in which the record was written.
     """
 
     node: str
     idle_ms: int = -1
     wait_ms: int = 0
+    era: int = eras.FIRST_ERA
 
 
 def pack(record: NodeRecord | HolderRecord | TermRecord) -> bytes:
     """Returns the encoded record."""
-    return msgpack.packb(list(record))
+    fields = list(record)
+    if isinstance(record, TermRecord) and record.era == eras.FIRST_ERA:
+        fields.pop()  # Earlier versions know no eras.
+    return msgpack.packb(fields)
 
 
 def node_record(value: bytes) -> NodeRecord | None:
@@ -91,7 +98,11 @@
     """Returns the decoded term record; None if it is malformed."""
     fields = _decode(value)
     match fields:
-        case [str(), int()] | [str(), int(), int()]:
+        case (
+            [str(), int()]
+            | [str(), int(), int()]
+            | [str(), int(), int(), int()]
+        ):
             return TermRecord(*fields)
         case _:
             return None
--- a/azureline/relay/leases.py
+++ b/azureline/relay/leases.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from twisted.internet import defer
-from twisted.internet import task
 
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
@@ -18,6 +17,8 @@
 # so simultaneous retries would prolong an overload of the store.
 _MIN_RETRY_S = 0.2
 _MAX_RETRY_S = 0.8
+# All nodes replace their leases when the store returns from an older copy.
+_REPLACE_SPREAD_S = 0.3
 
 
 class LeaseKeeper:
@@ -56,6 +57,7 @@
         self._log = log
         self._lease: store_lib.Lease | None = None
         self._loop: defer.Deferred[Any] | None = None
+        self._pause: Any = None
         self._on_begun: Callable[[store_lib.Lease], Awaitable[bool]]
         self._on_renewed: Callable[[float], None]
         self._on_ended: Callable[[], None]
@@ -97,6 +99,12 @@
             self._lease = None
             self._on_ended()
 
+    def replace(self) -> None:
+        """Gives the lease up and acquires another soon, if it is running."""
+        self.give_up()
+        if self._pause is not None and self._pause.active():
+            self._pause.reset(self._rng.uniform(0.0, _REPLACE_SPREAD_S))
+
     async def stop(self) -> None:
         """Stops the keeper and ends the lease in the store."""
         loop, self._loop = self._loop, None
@@ -122,8 +130,15 @@
             if not succeeded:
                 pause_s = backoff.pause_s(_MIN_RETRY_S, _MAX_RETRY_S, failures)
             failures = 0 if succeeded else failures + 1
-            pause_s *= self._rng.uniform(0.9, 1.1)
-            await task.deferLater(self._reactor, pause_s, lambda: None)
+            await self._sleep(pause_s * self._rng.uniform(0.9, 1.1))
+
+    def _sleep(self, seconds: float) -> defer.Deferred[None]:
+        waiter: defer.Deferred[None] = defer.Deferred(
+            lambda _: pause.cancel() if pause.active() else None
+        )
+        pause = self._reactor.callLater(seconds, waiter.callback, None)
+        self._pause = pause
+        return waiter
 
     async def _begin(self) -> bool:
         sent_at = self._clock.now()
--- a/azureline/relay/store_session.py
+++ b/azureline/relay/store_session.py
@@ -59,6 +59,7 @@
             *shared, terms.ttl_s, terms.renew_s, counters, log
         )
         self._validity = claims.LeaseValidity(terms)
+        self._history = claims.EraHistory(terms, clock.now())
         self._held_terms: dict[str, claims.Term] = {}
         # Revisions of this process's holder records, as seen in the store, and
         # the leases with which resources were claimed.
@@ -67,6 +68,8 @@
         # Earliest monotonic time, in seconds, of an order after each claim of
         # this process; kept when the term is lost.
         self._orders_from: dict[str, float] = {}
+        # Resources held when the store returned, until a claim was answered.
+        self._to_reclaim: set[str] = set()
         # Timers that record the end of a wait for the first order.
         self._wait_ends: dict[str, Any] = {}
         self._claiming: set[str] = set()
@@ -134,7 +137,7 @@
             if not self._claim_lease.running:
                 self._claim_lease.start(
                     _accept_lease,
-                    self._validity.extend,
+                    self._claim_lease_renewed,
                     self._claim_lease_ended,
                 )
             return
@@ -170,9 +173,24 @@
             return
         if lease is None or name in self._held_terms or name in self._claiming:
             return
-        self._begin_term(name, token, self._terms.wait_s, self._terms.overlap_s)
+        start = claims.Start(self._terms.wait_s, self._terms.overlap_s)
+        self._begin_term(name, token, start)
         self._log.info("claim_found", held=name, token=token)
 
+    def store_returned(self, era: int) -> None:
+        """Gives up what the store may have forgotten, and claims it again.
+
+        Args:
+          era: the store's era, which began with its return from a copy.
+        """
+        self._history.era_began(
+            era, self._held_terms, self._validity.renewed_at, self._clock.now()
+        )
+        self._next_claim_at = float("-inf")
+        self._to_reclaim |= self._held_terms.keys()
+        self._record_lease.replace()
+        self._claim_lease.replace()
+
     def node_removed(self, name: str) -> None:
         """Handles the removal of a node's record from the store.
 
@@ -215,7 +233,11 @@
         puts = tuple(
             store_lib.Put(
                 keys.TERMS + name,
-                keys.pack(keys.TermRecord(self._record.name, idle_ms[name])),
+                keys.pack(
+                    keys.TermRecord(
+                        self._record.name, idle_ms[name], era=self._store.era
+                    )
+                ),
             )
             for name in held
         )
@@ -232,6 +254,11 @@
         written = await self._store.transact({}, (put,))
         return isinstance(written, store_lib.Committed)
 
+    def _claim_lease_renewed(self, sent_at: float) -> None:
+        self._validity.extend(sent_at)
+        for name in list(self._to_reclaim):
+            self.claim(name, urgent=name.startswith(keys.PLANNER))
+
     def _claim_lease_ended(self) -> None:
         self._validity.end()
         self._own_records.clear()
@@ -257,28 +284,43 @@
         self, name: str, lease: store_lib.Lease, urgent: bool
     ) -> None:
         holder_key, turn_key = keys.HOLDERS + name, keys.TERMS + name
+        start = self._start_after(name, None, urgent)
         result = await self._store.transact(
-            {holder_key: 0, turn_key: 0}, self._claim_puts(name, lease, 0.0)
+            {holder_key: 0, turn_key: 0},
+            self._claim_puts(name, lease, start.wait_s),
         )
-        wait_s, overlap_s = 0.0, float("-inf")
+        if not isinstance(result, store_lib.Unavailable):
+            self._to_reclaim.discard(name)
         if isinstance(result, store_lib.Conflict):
             found = {item.key: item for item in result.items}
             current, last_turn = found.get(holder_key), found.get(turn_key)
-            if current is not None and not self._is_of_earlier_process(current):
+            if current is not None and not self._is_replaceable(current, lease):
                 self._note_holder(name, current, lease)
                 return
-            if last_turn is not None:
-                overlap_s = self._terms.overlap_s
-            if last_turn is not None and not urgent:
-                wait_s = self._wait_after(name, last_turn)
+            start = self._start_after(name, last_turn, urgent)
             result = await self._store.transact(
                 {
                     holder_key: current.revision if current else 0,
                     turn_key: last_turn.revision if last_turn else 0,
                 },
-                self._claim_puts(name, lease, wait_s),
+                self._claim_puts(name, lease, start.wait_s),
             )
-        self._claim_finished(name, lease, wait_s, overlap_s, result)
+        self._claim_finished(name, lease, start, result)
+
+    def _start_after(
+        self, name: str, last_turn: store_lib.Item | None, urgent: bool
+    ) -> claims.Start:
+        """Returns when a claim that is sent now lets this node act."""
+        now, era = self._clock.now(), self._store.era
+        last = keys.term_record(last_turn.value) if last_turn else None
+        if not self._history.is_complete(last, era):
+            start = self._history.start_after_return(name, era, now)
+            self._orders_from[name] = now + start.wait_s
+            return start._replace(wait_s=0.0) if urgent else start
+        if last_turn is None:
+            return claims.Start()
+        wait_s = 0.0 if urgent else self._wait_after(name, last)
+        return claims.Start(wait_s, self._terms.overlap_s)
 
     def _note_holder(
         self, name: str, current: store_lib.Item, lease: store_lib.Lease
@@ -291,14 +333,13 @@
         else:
             self._own_records.pop(name, None)
 
-    def _wait_after(self, name: str, last_turn: store_lib.Item) -> float:
+    def _wait_after(self, name: str, previous: keys.TermRecord | None) -> float:
         """Returns the seconds from a claim now to the first order.
 
         They are remembered before the claim is sent: it may be applied though
         its answer is lost.
         """
         now = self._clock.now()
-        previous = keys.term_record(last_turn.value)
         wait_s = self._terms.wait_after(previous, self._record.name)
         if previous is not None and previous.node == self._record.name:
             orders_from = self._orders_from.get(name, now + wait_s)
@@ -318,7 +359,9 @@
         """
         holder = keys.HolderRecord(self._record.name, self._identity)
         term = keys.TermRecord(
-            self._record.name, wait_ms=math.ceil(wait_s * 1000)
+            self._record.name,
+            wait_ms=math.ceil(wait_s * 1000),
+            era=self._store.era,
         )
         return (
             store_lib.Put(
@@ -327,21 +370,24 @@
             store_lib.Put(keys.TERMS + name, keys.pack(term)),
         )
 
-    def _is_of_earlier_process(self, item: store_lib.Item) -> bool:
-        """Returns whether an earlier process of this VM was the holder."""
+    def _is_replaceable(
+        self, item: store_lib.Item, lease: store_lib.Lease
+    ) -> bool:
+        """Returns whether a holder's record may be replaced by a claim.
+
+        It may if it is of an earlier process of this VM, or of this process
+        under a lease that it no longer has.
+        """
         record = keys.holder_record(item.value)
-        return (
-            record is not None
-            and record.node == self._record.name
-            and record.identity != self._identity
-        )
+        if record is None or record.node != self._record.name:
+            return False
+        return record.identity != self._identity or item.lease != lease.lease_id
 
     def _claim_finished(
         self,
         name: str,
         lease: store_lib.Lease,
-        wait_s: float,
-        overlap_s: float,
+        start: claims.Start,
         result: Any,
     ) -> None:
         if isinstance(result, store_lib.Unavailable):
@@ -352,31 +398,29 @@
             return
         if self._claim_lease.lease is not lease:
             return
-        self._begin_term(name, result.revision, wait_s, overlap_s)
+        self._begin_term(name, result.revision, start)
         self._counters.count("claims.won")
         self._log.info(
             "claimed",
             held=name,
             token=result.revision,
-            wait_s=round(wait_s, 3),
+            wait_s=round(start.wait_s, 3),
         )
 
-    def _begin_term(
-        self, name: str, token: int, wait_s: float, overlap_s: float
-    ) -> None:
+    def _begin_term(self, name: str, token: int, start: claims.Start) -> None:
         now = self._clock.now()
         self._held_terms[name] = claims.Term(
-            token, now + wait_s, now + overlap_s
+            token, now + start.wait_s, now + start.overlap_s
         )
-        if wait_s:
+        if start.wait_s:
             self._wait_ends[name] = self._reactor.callLater(
-                wait_s, self._record_wait_ended, name
+                start.wait_s, self._record_wait_ended, name
             )
 
     def _record_wait_ended(self, name: str) -> None:
         """Records that this VM may claim a resource again without a wait."""
         del self._wait_ends[name]
-        record = keys.TermRecord(self._record.name)
+        record = keys.TermRecord(self._record.name, era=self._store.era)
         recording = defer.ensureDeferred(
             self._store.transact(
                 {keys.HOLDERS + name: self._held_terms[name].token},
--- a/azureline/relay/store_view.py
+++ b/azureline/relay/store_view.py
@@ -122,6 +122,7 @@
         self._log.warning(
             "store_returned", era=era, version=self._table.version
         )
+        self._store_session.store_returned(era)
 
     def away(self) -> None:
         """Records that the store does not answer."""
--- a/tests/test_relay_lease_terms.py
+++ b/tests/test_relay_lease_terms.py
@@ -60,6 +60,7 @@
             metrics.Counters(),
             events.null_log(),
         )
+        self.client.on_return(self.session.store_returned)
         self.session.start()
 
     def step(self, seconds):
