Take no entry that a returned store brings back for news

Cause: the listing after a return replaced what a node knew.

Change: an entry that is older than the one seen of the same start is not taken. The entry of a server that was removed before the return counts once it has changed or has outlived the time after which it lapses. Nodes whose records are missing stay known for 4 s.

Three tests of the catalogue; the first two fail on the code before.

--- a/azureline/relay/store_view.py
+++ b/azureline/relay/store_view.py
@@ -19,6 +19,9 @@
 from azureline.relay import suspect_store
 from azureline.util import events
 
+# Nodes whose records the store has forgotten write them again within this time.
+_NODE_RENEWAL_S = 4.0
+
 
 class StoreView:
     """Distributes changes of the store to the components of a node.
@@ -58,6 +61,9 @@
         self._log = log
         self._counters = counters
         self.servers_known = False
+        self._returned_at = float("-inf")
+        # Nodes whose records are missing since the store's return.
+        self._missing_nodes: set[str] = set()
 
     def listed(self, items: tuple[store_lib.Item, ...]) -> None:
         """Replaces all known items; those not in `items` are gone."""
@@ -102,9 +108,10 @@
                 self._remove_server(server)
         elif key.startswith(keys.NODES):
             name = key.removeprefix(keys.NODES)
-            self._peers.drop_node(name)
-            self._retry_budget.set_nodes(len(self._peers.nodes))
-            self._store_session.node_removed(name)
+            if self._clock.now() < self._returned_at + _NODE_RENEWAL_S:
+                self._missing_nodes.add(name)
+            else:
+                self._drop_node(name)
         elif key.startswith(keys.HOLDERS):
             name = key.removeprefix(keys.HOLDERS)
             self._peers.set_holder(name, None)
@@ -122,6 +129,8 @@
         self._log.warning(
             "store_returned", era=era, version=self._table.version
         )
+        self._returned_at = self._clock.now()
+        self._catalogue.store_returned()
         self._store_session.store_returned(era)
 
     def away(self) -> None:
@@ -134,8 +143,21 @@
 
     def expire(self) -> None:
         """Removes servers whose entries expired without a renewal."""
-        for server in self._catalogue.expire(self._clock.now()):
+        now = self._clock.now()
+        for server in self._catalogue.accept_doubtful(now):
+            self._log.info(
+                "server_confirmed",
+                server=server.server_id,
+                service=server.service,
+                beat=server.beat,
+            )
+            self._server_updated(server)
+        for server in self._catalogue.expire(now):
             self._remove_server(server)
+        if now >= self._returned_at + _NODE_RENEWAL_S:
+            for name in self._missing_nodes:
+                self._drop_node(name)
+            self._missing_nodes.clear()
 
     def _known_keys(self) -> list[str]:
         known = [names.SERVERS_PREFIX + s.server_id for s in self._catalogue]
@@ -173,7 +195,9 @@
             )
             return
         known = self._catalogue.get(entry.server_id)
-        self._catalogue.update(entry)
+        if not self._catalogue.update(entry):
+            self._counters.count("servers.older_entry")
+            return
         if known is None or known.leaving != entry.leaving:
             self._log.info(
                 "server",
@@ -188,6 +212,9 @@
                 on_disk=list(entry.on_disk),
                 revision=item.revision,
             )
+        self._server_updated(entry)
+
+    def _server_updated(self, entry: servers.BackendServer) -> None:
         self._residency.entered(entry.server_id, self._clock.now())
         self._crash_detector.server_started(entry)
         self._controllers.entry_updated(entry)
@@ -200,8 +227,14 @@
         self._residency.forget(server.server_id)
         self._controllers.entry_removed(server.server_id)
 
+    def _drop_node(self, name: str) -> None:
+        self._peers.drop_node(name)
+        self._retry_budget.set_nodes(len(self._peers.nodes))
+        self._store_session.node_removed(name)
+
     def _apply_node(self, item: store_lib.Item) -> None:
         record = keys.node_record(item.value)
         if record is not None:
+            self._missing_nodes.discard(record.name)
             self._peers.set_node(record)
             self._retry_budget.set_nodes(len(self._peers.nodes))
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -376,6 +376,44 @@
         assert [s.server_id for s in catalogue.expire(102.1)] == ["e1"]
         assert [s.server_id for s in catalogue] == ["e2"]
 
+    def _returned(self, *entries):
+        """Returns a catalogue that had entries, which the store forgot."""
+        catalogue = servers.Catalogue()
+        catalogue.store_back(-10.0)
+        for entry in entries:
+            catalogue.update(entry)
+        return catalogue
+
+    def test_an_older_entry_does_not_replace_a_newer_one(self):
+        catalogue = self._returned(builders.server("e1", "a", beat=7))
+        catalogue.store_returned()
+        assert not catalogue.update(builders.server("e1", "b", beat=6))
+        assert catalogue.get("e1").holds("a")
+        assert catalogue.update(builders.server("e1", "b", beat=8))
+
+    def test_the_copied_entry_of_a_server_that_is_gone_gets_no_requests(self):
+        catalogue = self._returned(builders.server("e1", beat=7))
+        catalogue.remove("e1", 50.0)
+        catalogue.store_returned()
+        assert not catalogue.update(builders.server("e1", beat=7))
+        assert catalogue.accept_doubtful(60.0) == []
+        catalogue.remove("e1", 61.0)
+        assert catalogue.accept_doubtful(70.0) == []
+        assert len(catalogue) == 0
+
+    def test_a_copied_entry_that_its_server_keeps_alive_counts(self):
+        for entry in (builders.server("e1", beat=7), None):
+            catalogue = self._returned(builders.server("e1", beat=7))
+            catalogue.remove("e1", 50.0)
+            catalogue.store_returned()
+            catalogue.update(builders.server("e1", beat=7))
+            if entry is None:
+                assert catalogue.update(builders.server("e1", beat=8))
+            else:
+                catalogue.accept_doubtful(60.0)
+                assert catalogue.accept_doubtful(64.0) == [entry]
+            assert len(catalogue.of_service("llm")) == 1
+
     def test_without_an_outage_a_lapsed_entry_is_removed_at_once(self):
         catalogue = servers.Catalogue()
         catalogue.store_back(-10.0)
