Write suspects and trials that a returned store has forgotten again

Cause: the record of suspects was compared by revision, so that a node ignored the record that a return brought back, and a trial claimed since the copy excluded nobody who started after it: two nodes could run a suspect at once.

Change: a return resets what this node takes for stored. Suspects and trials that the record lacks are written again; a trial known here still excludes others.

--- a/azureline/relay/servers.py
+++ b/azureline/relay/servers.py
@@ -164,10 +164,13 @@
         if current is not None and _is_older(server, current):
             return False
         gone = self._forgotten.get(server_id)
-        if gone is not None and current is None:
-            if _is_older(server, gone) or _is_same(server, gone):
-                self._doubtful[server_id] = _Doubtful(server)
-                return False
+        if (
+            gone is not None
+            and current is None
+            and (_is_older(server, gone) or _is_same(server, gone))
+        ):
+            self._doubtful[server_id] = _Doubtful(server)
+            return False
         self._add(server)
         return True
 
--- a/azureline/relay/store_view.py
+++ b/azureline/relay/store_view.py
@@ -132,6 +132,7 @@
         self._returned_at = self._clock.now()
         self._catalogue.store_returned()
         self._store_session.store_returned(era)
+        self._suspects.store_returned()
 
     def away(self) -> None:
         """Records that the store does not answer."""
--- a/azureline/relay/suspect_store.py
+++ b/azureline/relay/suspect_store.py
@@ -77,6 +77,8 @@
         self._log = log
         self._revision = 0
         self._record = suspect_record.SuspectRecord()
+        # Trials claimed before the store's last return.
+        self._forgotten: tuple[suspect_record.Trial, ...] = ()
         self._writing = False
         self._timer: Any = None
         self._closed = False
@@ -87,6 +89,13 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
+    def store_returned(self) -> None:
+        """Keeps the trials that the store may have forgotten."""
+        self._forgotten = tuple(self._undecided())
+        self._revision = 0
+        self._record = suspect_record.SuspectRecord()
+        self.suspects_changed()
+
     def changed(self, item: store_lib.Item) -> None:
         """Applies the record as it was written by this or another node."""
         if item.revision <= self._revision:
@@ -103,6 +112,8 @@
 
     def removed(self) -> None:
         """Applies the removal of the record."""
+        if not self._revision:
+            return
         self._revision = 0
         self._record = suspect_record.SuspectRecord()
         self.suspects_changed()
@@ -164,12 +175,21 @@
         since = self._clock.now() - TRIAL_S
         return [
             trial
-            for trial in self._record.trials
+            for trial in (*self._record.trials, *self._unrecorded())
             if trial.at > since
             and self._table.suspects_of(trial.suspects)
             and max(map(self._table.last_crash_at, trial.suspects)) <= trial.at
         ]
 
+    def _unrecorded(self) -> list[suspect_record.Trial]:
+        """Returns the trials that the record lacks since the store's return."""
+        recorded = {(t.node, t.suspects) for t in self._record.trials}
+        return [
+            trial
+            for trial in self._forgotten
+            if (trial.node, trial.suspects) not in recorded
+        ]
+
     def _selected(self) -> tuple[crash_history.SuspectEntry, ...]:
         return suspect_record.select(self._table.accused_entries())
 
@@ -182,6 +202,9 @@
             for content, crashes in wanted.items()
         ):
             return _WRITE_DELAY_S
+        since = self._clock.now() - TRIAL_S
+        if any(trial.at > since for trial in self._unrecorded()):
+            return _WRITE_DELAY_S
         return _REMOVAL_DELAY_S if present.keys() - wanted.keys() else None
 
     def _rank(self, key: bytes) -> int:
--- a/tests/builders_crash_suspects.py
+++ b/tests/builders_crash_suspects.py
@@ -10,6 +10,7 @@
 
 from azureline.core import errors
 from azureline.metrics import counters as metrics
+from azureline.platform import eras
 from azureline.platform import store as store_lib
 from azureline.relay import assignment as assignments
 from azureline.relay import crash_detection
@@ -80,6 +81,19 @@
                 self._fleet.clock.callLater(0.01, self.tell, number)
         return store_lib.Committed(self.revision)
 
+    def restore(self, item: store_lib.Item | None) -> None:
+        """Returns from a copy with an item; tells the nodes that reach it."""
+        era = eras.era_of(self.revision) + 1
+        self.revision = eras.position(era, 10)
+        if item is not None:
+            at = eras.position(era, eras.revision_of(item.revision))
+            item = item._replace(revision=at)
+            self.revision = at
+        self.item = item
+        for number, node in enumerate(self._fleet.nodes):
+            node.crash_suspects.record.store_returned()
+            self.tell(number)
+
     def tell(self, number: int) -> None:
         """Shows a node what is stored."""
         if self.item is not None and number not in self._fleet.frozen:
--- a/tests/test_relay_crash_suspects.py
+++ b/tests/test_relay_crash_suspects.py
@@ -209,3 +209,56 @@
     runs = [run.at for run in fleet.runs]
     late = [at for at in runs if at > runs[2] + builders.DEADLY_S + CONTACT_S]
     assert len(late) > RETRIES
+
+
+def test_suspects_that_the_store_forgot_are_written_again():
+    fleet = builders.Fleet()
+    copy = fleet.store.item
+    for server in ("s0", "s1", "s2"):
+        _crash(fleet, b"a", server=server)
+    assert fleet.store.item != copy
+    fleet.store.restore(copy)
+    fleet.play(2.0)
+    assert fleet.store.item is not None
+    fleet.restart(3)
+    fleet.play(1.0)
+    assert isinstance(fleet.check(3, b"a"), errors.Refusal)
+
+
+def test_a_record_that_came_back_older_can_be_written_again():
+    fleet = builders.Fleet()
+    _crash(fleet, b"a", server="s0")
+    _crash(fleet, b"a", server="s1")
+    copy = fleet.store.item
+    _crash(fleet, b"b", server="s0")
+    _crash(fleet, b"b", server="s1")
+    fleet.store.restore(copy)
+    fleet.play(2.0)
+    calls = fleet.store.calls
+    fleet.play(5.0)
+    assert fleet.store.calls == calls
+    fleet.restart(2)
+    fleet.play(1.0)
+    found = fleet.check(2, b"b")
+    fleet.play(0.5)
+    assert getattr(found, "result", found).content
+
+
+def test_a_trial_that_the_store_forgot_still_excludes_others():
+    fleet = builders.Fleet()
+    _crash(fleet, b"a", server="s0")
+    _crash(fleet, b"a", server="s1")
+    copy = fleet.store.item
+    checks = [fleet.check(n, b"a") for n in range(2)]
+    fleet.play(0.2)
+    fleet.store.restore(copy)
+    fleet.restart(4)
+    fleet.play(0.2)
+    checks.append(fleet.check(4, b"a"))
+    fleet.play(0.3)
+    permits = [
+        check
+        for check in (getattr(c, "result", c) for c in checks)
+        if isinstance(check, crash_suspects.SendPermit) and check.server_id
+    ]
+    assert len(permits) == 1
