Keep a copy of a configuration that the store has forgotten

What was seen: a node that started after a return of the store had version 7 in force while all others had 8 (CONFIG), until the operators wrote again.

Cause: a process that starts knows only the store. A version number that the store has forgotten can also be given to another configuration, which nodes with the forgotten one did not take.

Change: one of the nodes that have a newer version than the operators' key stores a copy, which the others read after that key; it is removed once the operators have written again. An equal version of a later era that differs is put in force. The process's entry point moves out of node.py, which has grown.

One write for each return that loses a configuration.

--- a/azureline/relay/keys.py
+++ b/azureline/relay/keys.py
@@ -14,6 +14,8 @@
 TERMS = ROOT + "turns/"
 # Not bound to a lease: suspects of crashing servers, and their trials.
 SUSPECTS = ROOT + "crash_suspects"
+# Not bound to a lease: a configuration that the operators' key has lost.
+CONFIG_COPY = ROOT + "config_copy"
 # Prefix of a planner's resource name, followed by its service.
 PLANNER = "plan:"
 
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -3,8 +3,6 @@
 from collections.abc import Awaitable
 import contextlib
 import random
-import signal
-import sys
 from typing import Any
 
 from twisted.internet import defer
@@ -19,6 +17,7 @@
 from azureline.platform import requests as wire
 from azureline.platform import store as store_lib
 from azureline.relay import claims
+from azureline.relay import config_copy
 from azureline.relay import controllers as controllers_lib
 from azureline.relay import crash_detection
 from azureline.relay import crash_suspects
@@ -226,6 +225,9 @@
         )
         self._peers.on(messages.EngineState, self._on_engine_state)
         self._peers.on(messages.EngineLoad, self._on_engine_load)
+        self._config_copy = config_copy.ConfigCopy(
+            reactor, self._store, self._peers, self._counters, log
+        )
         self._store_view = store_view.StoreView(
             self._clock,
             self._table,
@@ -238,6 +240,7 @@
             self._retry_budget,
             self._crash_detector,
             self._crash_suspects.record,
+            self._config_copy,
             log,
             self._counters,
         )
@@ -287,6 +290,7 @@
         self._stack.callback(self._controllers.close)
         self._crash_suspects.start()
         self._stack.callback(self._crash_suspects.close)
+        self._stack.callback(self._config_copy.close)
         self._demand.start()
         self._stack.callback(self._demand.close)
         self._sweep.start(_SWEEP_S, now=False)
@@ -450,47 +454,3 @@
 
 def _claim_terms(orders: settings_lib.Orders) -> claims.LeaseTimes:
     return claims.LeaseTimes(*orders)
-
-
-def run(settings: settings_lib.RelaySettings) -> None:
-    """Runs a node until it receives SIGTERM or SIGINT.
-
-    Args:
-      settings: the node's settings.
-
-    Raises:
-      SystemExit: if the node could not start.
-    """
-    log = events.setup(settings.log.lines_per_s, settings.name)
-    node = Node(settings, log)
-    start_errors: list[Any] = []
-
-    def stop() -> None:
-        stopping = defer.ensureDeferred(node.stop())
-        stopping.addErrback(
-            lambda f: log.error("stop_failed", reason=f.getTraceback())
-        )
-        stopping.addBoth(lambda _: default_reactor.stop())
-
-    def begin() -> None:
-        signal.signal(
-            signal.SIGTERM, lambda *_: default_reactor.callFromThread(stop)
-        )
-        signal.signal(
-            signal.SIGINT, lambda *_: default_reactor.callFromThread(stop)
-        )
-        signal.signal(
-            signal.SIGHUP,
-            lambda *_: default_reactor.callFromThread(node.reload),
-        )
-        try:
-            node.start()
-        except Exception as e:  # Any failure to start stops the process.
-            log.error("start_failed", reason=repr(e))
-            start_errors.append(e)
-            default_reactor.stop()
-
-    default_reactor.callWhenRunning(begin)
-    default_reactor.run(installSignalHandlers=False)
-    if start_errors:
-        sys.exit(1)
--- a/azureline/relay/routes.py
+++ b/azureline/relay/routes.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from azureline.core import errors
+from azureline.platform import eras
 from azureline.relay import workspaces as workspaces_lib
 
 
@@ -204,6 +205,7 @@
         """
         self._rng = rng
         self._config: SiteConfig | None = None
+        self._position = 0
         self._by_host: dict[str, list[Route]] = {}
         self._workspaces = workspaces_lib.Workspaces()
 
@@ -217,15 +219,27 @@
         """The version in force; 0 before the first."""
         return self._config.version if self._config else 0
 
-    def put_in_force(self, config: SiteConfig) -> bool:
+    def put_in_force(self, config: SiteConfig, position: int = 0) -> bool:
         """Puts a configuration in force if it is newer than the current one.
 
+        A version that the store has forgotten may be given to another
+        configuration in a later era.
+
+        Args:
+          config: the configuration.
+          position: position of its write in the store; 0 if unknown.
+
         Returns:
           Whether the configuration in force changed.
         """
-        if config.version <= self.version:
+        if config.version < self.version:
+            return False
+        if config.version == self.version and (
+            eras.era_of(position) <= eras.era_of(self._position)
+            or config == self._config
+        ):
             return False
-        self._config = config
+        self._config, self._position = config, position
         self._workspaces = workspaces_lib.Workspaces(config.workspaces)
         self._by_host = {}
         for route in config.routes:
--- a/azureline/relay/store_view.py
+++ b/azureline/relay/store_view.py
@@ -6,6 +6,7 @@
 from azureline.platform import names
 from azureline.platform import site_config
 from azureline.platform import store as store_lib
+from azureline.relay import config_copy as config_copies
 from azureline.relay import controllers as controllers_lib
 from azureline.relay import crash_detection
 from azureline.relay import keys
@@ -21,6 +22,7 @@
 
 # Nodes whose records the store has forgotten write them again within this time.
 _NODE_RENEWAL_S = 4.0
+_CONFIG_KEYS = (names.CONFIG_KEY, keys.CONFIG_COPY)
 
 
 class StoreView:
@@ -43,6 +45,7 @@
         retry_budget: retry_budgets.RetryBudget,
         crash_detector: crash_detection.CrashDetector,
         suspects: suspect_store.SuspectStore,
+        config_copy: config_copies.ConfigCopy,
         log: events.Log,
         counters: metrics.Counters,
     ):
@@ -58,6 +61,7 @@
         self._retry_budget = retry_budget
         self._crash_detector = crash_detector
         self._suspects = suspects
+        self._config_copy = config_copy
         self._log = log
         self._counters = counters
         self.servers_known = False
@@ -69,7 +73,7 @@
         """Replaces all known items; those not in `items` are gone."""
         present = {item.key for item in items}
         # The configuration comes first: it defines which services have engines.
-        for item in sorted(items, key=lambda i: i.key != names.CONFIG_KEY):
+        for item in sorted(items, key=lambda i: i.key not in _CONFIG_KEYS):
             self.changed(item)
         for key in self._known_keys():
             if key not in present:
@@ -79,7 +83,7 @@
     def changed(self, item: store_lib.Item) -> None:
         """Applies an item that was written."""
         key = item.key
-        if key == names.CONFIG_KEY:
+        if key in _CONFIG_KEYS:
             self._apply_config(item)
         elif key.startswith(names.SERVERS_PREFIX):
             self._apply_server(item)
@@ -118,6 +122,8 @@
             self._store_session.holder_changed(name, None, 0)
         elif key == keys.SUSPECTS:
             self._suspects.removed()
+        elif key == keys.CONFIG_COPY:
+            self._config_copy.copy_removed()
 
     def returned(self, era: int) -> None:
         """Records that the store has come back from an older copy.
@@ -133,6 +139,7 @@
         self._catalogue.store_returned()
         self._store_session.store_returned(era)
         self._suspects.store_returned()
+        self._config_copy.store_returned()
 
     def away(self) -> None:
         """Records that the store does not answer."""
@@ -164,7 +171,7 @@
         known = [names.SERVERS_PREFIX + s.server_id for s in self._catalogue]
         known += [keys.NODES + name for name in self._peers.nodes]
         known += [keys.HOLDERS + name for name in self._peers.holders]
-        return [*known, keys.SUSPECTS]
+        return [*known, keys.SUSPECTS, keys.CONFIG_COPY]
 
     def _apply_config(self, item: store_lib.Item) -> None:
         config = site_config.decode(item.value)
@@ -178,14 +185,22 @@
                 version=self._table.version,
             )
             return
-        if self._table.put_in_force(config):
+        is_copy = item.key == keys.CONFIG_COPY
+        # A copy never replaces the operators' own write of the same version.
+        if self._table.put_in_force(config, 0 if is_copy else item.revision):
+            self._config_copy.put_in_force(config.version, item.value)
             self._counters.count("config.in_force")
             self._log.info(
                 "config_in_force",
                 version=config.version,
                 revision=item.revision,
                 routes=len(config.routes),
+                key=item.key,
             )
+        if is_copy:
+            self._config_copy.copy_changed(config.version, item.revision)
+        else:
+            self._config_copy.operators_changed(config.version)
 
     def _apply_server(self, item: store_lib.Item) -> None:
         entry = entries.decode(item.key, item.value)
--- a/azureline/ui/relay.py
+++ b/azureline/ui/relay.py
@@ -25,9 +25,9 @@
     checked = settings_lib.read(settings)
     if isinstance(checked, problems.Invalid):
         command.fail(exits.Exit.REFUSED, checked)
-    from azureline.relay import node  # The import installs the reactor.
+    from azureline.relay import process  # The import installs the reactor.
 
-    node.run(checked)
+    process.run(checked)
 
 
 COMMAND = command.Command("relay", run)
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -7,6 +7,7 @@
 import pytest
 
 from azureline.core import errors
+from azureline.platform import eras
 from azureline.relay import claims
 from azureline.relay import health
 from azureline.relay import keys
@@ -339,6 +340,18 @@
         assert not table.put_in_force(builders.config(6))
         assert table.version == 6 and table.match("ficu95.example", "/a/")
 
+    def test_a_version_given_out_again_after_a_return_is_put_in_force(self):
+        table = routes.RouteTable(random.Random(1))
+        lost = builders.config(9, builders.route(prefix="/lost/"))
+        written = builders.config(9, builders.route(prefix="/a/"))
+        assert table.put_in_force(lost, 70)
+        assert not table.put_in_force(written, 80)
+        assert not table.put_in_force(builders.config(8), eras.position(2, 50))
+        assert table.put_in_force(written, eras.position(2, 60))
+        assert not table.put_in_force(written, eras.position(3, 60))
+        assert not table.put_in_force(lost)
+        assert table.match("ficu95.example", "/a/")
+
     def test_services_are_chosen_by_weight(self):
         shares = (routes.Share("llm", 90.0), routes.Share("none", 10.0))
         table = self._table(builders.route(shares=shares))
