Continue terms over a return of the store without dropping them

A term now stays while its record is claimed again, and sends no orders until then. It goes on with its token where no other node can have acted.

--- a/azureline/relay/claims.py
+++ b/azureline/relay/claims.py
@@ -79,10 +79,13 @@
       wait_s: seconds until its first order.
       overlap_s: seconds until no earlier lease holder takes its own lease for
         valid; negative infinity if there was none.
+      continues: whether a term that this process held before the store's
+        return goes on, since no other node can have acted meanwhile.
     """
 
     wait_s: float = 0.0
     overlap_s: float = float("-inf")
+    continues: bool = False
 
 
 class LostTerm(NamedTuple):
@@ -164,7 +167,9 @@
         lost = self._lost.get(name)
         if lost is not None and lost.era + 1 == era and now < lost.until_s:
             return Start(
-                max(0.0, lost.term.from_s - now), lost.term.alone_from_s - now
+                max(0.0, lost.term.from_s - now),
+                lost.term.alone_from_s - now,
+                continues=True,
             )
         known_for_s = now - self._era_known_at
         return Start(
@@ -211,11 +216,19 @@
       from_s: earliest monotonic time, in seconds, of the first order.
       alone_from_s: monotonic time in seconds from which no earlier lease holder
         takes its own lease for valid.
+      revision: position of the holder's record, if the term has been claimed
+        again since its token was given out; else 0.
     """
 
     token: int
     from_s: float
     alone_from_s: float = 0.0
+    revision: int = 0
+
+    @property
+    def record_revision(self) -> int:
+        """Position of the holder's record in the store."""
+        return self.revision or self.token
 
 
 class ClaimSchedule:
--- a/azureline/relay/store_session.py
+++ b/azureline/relay/store_session.py
@@ -68,7 +68,7 @@
         # Earliest monotonic time, in seconds, of an order after each claim of
         # this process; kept when the term is lost.
         self._orders_from: dict[str, float] = {}
-        # Resources held when the store returned, until a claim was answered.
+        # Resources held when the store returned, until they are claimed again.
         self._to_reclaim: set[str] = set()
         # Timers that record the end of a wait for the first order.
         self._wait_ends: dict[str, Any] = {}
@@ -104,7 +104,7 @@
         return (
             turn is not None
             and now >= turn.from_s
-            and self._validity.covers(now)
+            and self._is_valid(name, now)
         )
 
     def is_alone(self, name: str) -> bool:
@@ -117,9 +117,12 @@
         return (
             term is not None
             and now >= term.alone_from_s
-            and self._validity.covers(now)
+            and self._is_valid(name, now)
         )
 
+    def _is_valid(self, name: str, now: float) -> bool:
+        return name not in self._to_reclaim and self._validity.covers(now)
+
     def claim(self, name: str, urgent: bool = False) -> None:
         """Tries to become the lease holder of a resource that has none.
 
@@ -128,7 +131,8 @@
           urgent: whether the claim need not wait until the orders of the
             previous holder have expired.
         """
-        if name in self._claiming or name in self._held_terms or self._stopping:
+        is_held = name in self._held_terms and name not in self._to_reclaim
+        if name in self._claiming or is_held or self._stopping:
             return
         if self._clock.now() < self._next_claim_at:
             return
@@ -160,6 +164,8 @@
             self._hold_found_claim(name)
             return
         self._own_records.pop(name, None)
+        if record is None and name in self._to_reclaim:
+            return  # The store has forgotten it.
         if name in self._held_terms:
             self._remove_term(name, "taken" if record else "removed")
 
@@ -178,7 +184,9 @@
         self._log.info("claim_found", held=name, token=token)
 
     def store_returned(self, era: int) -> None:
-        """Gives up what the store may have forgotten, and claims it again.
+        """Claims again what the store may have forgotten.
+
+        No orders are sent until then.
 
         Args:
           era: the store's era, which began with its return from a copy.
@@ -187,7 +195,7 @@
             era, self._held_terms, self._validity.renewed_at, self._clock.now()
         )
         self._next_claim_at = float("-inf")
-        self._to_reclaim |= self._held_terms.keys()
+        self._to_reclaim = set(self._held_terms)
         self._record_lease.replace()
         self._claim_lease.replace()
 
@@ -228,7 +236,8 @@
         if not held:
             return
         expected = {
-            keys.HOLDERS + name: self._held_terms[name].token for name in held
+            keys.HOLDERS + name: self._held_terms[name].record_revision
+            for name in held
         }
         puts = tuple(
             store_lib.Put(
@@ -263,7 +272,7 @@
         self._validity.end()
         self._own_records.clear()
         self._claimed_with.clear()
-        for name in list(self._held_terms):
+        for name in self._held_terms.keys() - self._to_reclaim:
             self._remove_term(name, "lease ended")
 
     def _claim_failed(self, failure: Any) -> None:
@@ -289,8 +298,6 @@
             {holder_key: 0, turn_key: 0},
             self._claim_puts(name, lease, start.wait_s),
         )
-        if not isinstance(result, store_lib.Unavailable):
-            self._to_reclaim.discard(name)
         if isinstance(result, store_lib.Conflict):
             found = {item.key: item for item in result.items}
             current, last_turn = found.get(holder_key), found.get(turn_key)
@@ -332,6 +339,9 @@
             self._own_records[name] = current.revision
         else:
             self._own_records.pop(name, None)
+        self._to_reclaim.discard(name)
+        if name in self._held_terms:
+            self._remove_term(name, "taken")
 
     def _wait_after(self, name: str, previous: keys.TermRecord | None) -> float:
         """Returns the seconds from a claim now to the first order.
@@ -398,12 +408,21 @@
             return
         if self._claim_lease.lease is not lease:
             return
-        self._begin_term(name, result.revision, start)
-        self._counters.count("claims.won")
+        self._to_reclaim.discard(name)
+        term = self._held_terms.get(name)
+        if term is not None and start.continues:
+            self._held_terms[name] = term._replace(revision=result.revision)
+            self._counters.count("claims.continued")
+        else:
+            if term is not None:
+                self._remove_term(name, "store returned")
+            self._begin_term(name, result.revision, start)
+            self._counters.count("claims.won")
         self._log.info(
             "claimed",
             held=name,
-            token=result.revision,
+            token=self._held_terms[name].token,
+            revision=result.revision,
             wait_s=round(start.wait_s, 3),
         )
 
@@ -423,7 +442,7 @@
         record = keys.TermRecord(self._record.name, era=self._store.era)
         recording = defer.ensureDeferred(
             self._store.transact(
-                {keys.HOLDERS + name: self._held_terms[name].token},
+                {keys.HOLDERS + name: self._held_terms[name].record_revision},
                 (store_lib.Put(keys.TERMS + name, keys.pack(record)),),
             )
         )
@@ -438,6 +457,7 @@
 
     def _remove_term(self, name: str, reason: str) -> None:
         turn = self._held_terms.pop(name)
+        self._to_reclaim.discard(name)
         wait_end = self._wait_ends.pop(name, None)
         if wait_end is not None:
             wait_end.cancel()
