--- a/tools/soak.py
+++ b/tools/soak.py
@@ -258,12 +258,14 @@
         rng = self._rng
         server, engine = rng.choice(SERVERS), rng.choice(SERVERS[:2])
         lost_replies = rng.randint(1, 4)
+        restore = {"age_s": rng.uniform(0.5, 9.0), "down_s": lasts_s / 2}
         return {
             "lose": lambda: self._post_faults(
                 "store", lose_answers=lost_replies
             ),
             "down": lambda: self._post_faults("store", down_s=lasts_s),
             "forget": lambda: self._post_faults("store", forget=True),
+            "restore": lambda: self._post_faults("store", restore=restore),
             "reset": self._proxy.reset,
             "silence": self._proxy.freeze_connections,
             "server_reset": lambda: self._post_faults(server, reset=2),
