Play streams at engines of two software versions, which join them

Engines of the stand-in name their software version in each event and break off streams on the fault "cut"; callers take streams up with Resumes.

--- a/standins/options.py
+++ b/standins/options.py
@@ -135,6 +135,7 @@
       resident: models loaded at start-up.
       born: Unix time of the server's start in milliseconds.
       beat_s: interval in seconds at which the server rewrites its entry.
+      version: version of the server's software.
     """
 
     name: str = "server-1"
@@ -153,6 +154,7 @@
     resident: list[str] = []
     born: int = 1
     beat_s: float = 0.5
+    version: str = "v1"
 
 
 def run(main: Callable[[Any], None], kind: type) -> None:
--- a/standins/site_server.py
+++ b/standins/site_server.py
@@ -141,6 +141,7 @@
         self._pending_order: _PendingOrder | None = None
         self._running = 0
         self._resets_left = 0
+        self._cuts_left = 0
         self._mutes_left = 0
         self._late_orders_left = 0
         self.route("GET", "/report", self._report)
@@ -158,7 +159,8 @@
         """Injects one kind of failure.
 
         `reset` aborts the connections of the next N requests after they
-        start; `mute` leaves the next N requests without a reply;
+        start; `cut` aborts those of the next N streams after two events; `mute`
+        leaves the next N requests without a reply;
         `late_orders` executes the next N orders 1 s late and without a reply;
         `drain` publishes the state "draining"; `deadly` (`mark`,
         `parts`, `after_s`, `back_s`) crashes the server `after_s` seconds
@@ -184,6 +186,8 @@
                 self._crash_fault = _CrashFault(**value)
             case "reset":
                 self._resets_left = value
+            case "cut":
+                self._cuts_left = value
             case "mute":
                 self._mutes_left = value
             case "late_orders":
@@ -200,7 +204,7 @@
             "service": self._options.service,
             "address": self._options.address,
             "zone": self._options.domain,
-            "version": "v1",
+            "version": self._options.version,
             "slots": self._options.slots,
             "state": self.state,
             "cold_left_ms": 0,
@@ -409,12 +413,17 @@
         for name, value in (*_headers(request_id), *self._notices()):
             request.setHeader(name, value)
         request.setHeader("Content-Type", "text/event-stream")
-        for number in range(int(last) + 1 if last else 0, count):
+        first = int(last) + 1 if last else 0
+        for number in range(first, count):
+            if number == first + 2 and self._cuts_left > 0:
+                self._cuts_left -= 1
+                common.close_without_answer(request)
+                return
             await task.deferLater(self.reactor, self._options.work_s / 10)
             if not common.is_open(request):
                 return
-            event = f"id: {number}\ndata: {request_id} {number}/{count}\n\n"
-            request.write(event.encode())
+            text = f"{request_id} {number}/{count} {self._options.version}"
+            request.write(f"id: {number}\ndata: {text}\n\n".encode())
         request.finish()
 
     def _expects_other_server(self, request: server.Request) -> bool:
--- a/tests/builders_site.py
+++ b/tests/builders_site.py
@@ -97,6 +97,7 @@
     engines: tuple[tuple[str, ...], ...] = (("m0", "m1"), ("m0",)),
     load_s: float = 0.3,
     domains: int = 0,
+    versions: tuple[str, ...] = ("v1",),
 ) -> Iterator[Site]:
     """Runs a site until the block ends.
 
@@ -106,6 +107,7 @@
       engines: for each engine, the models that it holds at first.
       load_s: seconds that an engine takes to load a model.
       domains: number of failure domains; by default each node has its own.
+      versions: software versions of the engines, in turn.
     """
     domains = domains or len(nodes)
     with deployment.Deployment() as processes:
@@ -118,6 +120,7 @@
                 resident=list(models),
                 domain=f"d{(number - 1) % domains + 1}",
                 load_s=load_s,
+                version=versions[(number - 1) % len(versions)],
             )
         for number in range(1, ledgers + 1):
             processes.start_site_server(f"ledger-{number}", service="ledger")
--- a/tools/site_caller.py
+++ b/tools/site_caller.py
@@ -38,6 +38,16 @@
         lines = self.body.decode().splitlines()
         return [line[4:] for line in lines if line.startswith("id: ")]
 
+    @property
+    def versions(self) -> set[str]:
+        """The software versions of the engines that wrote a stream's events."""
+        lines = self.body.decode().splitlines()
+        return {
+            line.split()[-1]
+            for line, following in zip(lines, [*lines[1:], "?"], strict=True)
+            if line.startswith("data: ") and not following
+        }
+
 
 class Caller:
     """Sends requests to one node, on new or persistent connections."""
