Let a stream go on only at the software version that began it

Cause: the version was read from no entry, a resumption and a take-up chose among all engines that hold the model, and Resumes was read by nobody.

Change: entries name the version. A request that goes on after an event is restricted to servers of the stream's version. A node remembers at which version its streams began; while several versions may have begun streams, it tells two nodes that the stream's id selects on a hash ring, which any node asks. A record in the store holds the versions that may have begun streams, so that a node that starts knows of a version that has just left. With one version every stream goes on and nothing is sent. What is unknown, named for two streams, or has no server is declined at once with 503, not run.

Store calls: one write for each change of a service's versions, none for a stream.

--- a/azureline/core/errors.py
+++ b/azureline/core/errors.py
@@ -38,6 +38,7 @@
     NO_REPLICA = "no_replica"
     BACKEND_FAILED = "backend_failed"
     STREAM_LOST = "stream_lost"
+    RESUMPTION_DECLINED = "resumption_declined"
     CRASH_SUSPECT = "crash_suspect"
     ENDED_SERVERS = "ended_servers"
     CRASHING_PART = "crashing_part"
@@ -120,6 +121,9 @@
     ErrorKind.STREAM_LOST: ErrorAnswer(
         502, Ran.UNKNOWN, 0.5, "The stream broke before its end"
     ),
+    ErrorKind.RESUMPTION_DECLINED: ErrorAnswer(
+        503, Ran.NO, None, "The stream cannot go on"
+    ),
     ErrorKind.CRASH_SUSPECT: ErrorAnswer(
         503, Ran.UNKNOWN, 30.0, "The request may crash backend servers"
     ),
--- a/azureline/platform/entries.py
+++ b/azureline/platform/entries.py
@@ -46,7 +46,7 @@
             f"{key}.state",
             f"expected one of {known}; got {reprlib.repr(state)}",
         )
-    for name in ("service", "zone"):
+    for name in ("service", "zone", "version"):
         if not isinstance(entry.get(name), str):
             found = reprlib.repr(entry.get(name))
             return site_config.InvalidDocument(
@@ -85,6 +85,7 @@
         models=models,
         in_memory=_name_list(at_hand, "in_memory"),
         on_disk=_name_list(at_hand, "on_disk"),
+        software_version=entry["version"],
     )
 
 
--- a/azureline/platform/names.py
+++ b/azureline/platform/names.py
@@ -15,6 +15,9 @@
 EXPECT_INSTANCE = b"azureline-expect-instance"
 PRIORITY = b"azureline-request-priority"
 LAST_EVENT_ID = b"last-event-id"
+# Id of the caller's attempt that brought the first event of the stream that
+# this request takes up.
+RESUMES = b"resumes"
 RETRY_AFTER = b"retry-after"
 # "1" in every answer of a backend server that will stop soon.
 LEAVING = b"server-leaving"
--- a/azureline/platform/requests.py
+++ b/azureline/platform/requests.py
@@ -132,6 +132,7 @@
         output_tokens=output,
         parts=_parse_parts(_text(first, names.PREFIX)),
         last_event=_text(first, names.LAST_EVENT_ID),
+        resumes=_text(first, names.RESUMES),
         caller=caller,
         # Several keys are joined, so that they match no workspace's key.
         key=b",".join(v for n, v in lowered if n == names.API_KEY).decode(
--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -63,6 +63,7 @@
         on_first: Callable[[float], None],
         on_head: Callable[[http1.Head], None],
         on_begun: Callable[[], None],
+        on_stream: Callable[[], None],
     ):
         """Creates an attempt; `begin` sends it.
 
@@ -76,6 +77,7 @@
           on_head: called with the head of the server's answer.
           on_begun: called once the server has begun to write the answer
             without a crash.
+          on_stream: called before the first events of a stream are passed on.
         """
         self._received = received
         self._request_id = request_id
@@ -85,6 +87,8 @@
         self._on_first = on_first
         self._on_head = on_head
         self._on_begun = on_begun
+        self._on_stream = on_stream
+        self._stream_passed = False
         self._events_before = reader.passed
         self._started_at = now()
         self._last_part_at: float | None = None
@@ -149,6 +153,9 @@
             return
         read = self._reader.feed(data)
         if read.pieces:
+            if not self._stream_passed:
+                self._stream_passed = True
+                self._on_stream()
             self._send_head()
             self._received.write_body(read.pieces)
             if self._reader.passed >= self._events_before + _BEGUN_EVENTS:
--- a/azureline/relay/attempt_log.py
+++ b/azureline/relay/attempt_log.py
@@ -53,6 +53,8 @@
         server=server.server_id,
         born_ms=server.born_ms,
         beat=server.beat,
+        version=server.software_version,
+        resumes=request.resumes[:_MAX_NAME],
         model=request.model,
         adapter=request.adapter,
         prompt=request.prompt_tokens,
@@ -71,6 +73,33 @@
     )
 
 
+def write_caller_left(
+    log: events.Log,
+    request: requests.CallerRequest,
+    route: routes.Route | None,
+    waited_s: float,
+    **progress: int,
+) -> None:
+    """Writes the line of a request whose caller has disconnected.
+
+    Args:
+      log: the event log.
+      request: the request.
+      route: its route, if it is known.
+      waited_s: seconds since its receipt.
+      **progress: whether it was sent, and how much of its answer was passed on.
+    """
+    log.info(
+        "caller_left",
+        request=request.request_id,
+        route=route.name if route else "",
+        model=request.model,
+        adapter=request.adapter,
+        waited_s=round(waited_s, 3),
+        **progress,
+    )
+
+
 def _shared_part_names(request: requests.CallerRequest) -> str:
     names = [part.name for part in request.shared_parts[:_MAX_PARTS]]
     return ",".join(name[:_MAX_NAME] for name in names)
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -11,6 +11,7 @@
 from azureline.relay import assignment as assignments
 from azureline.relay import attempt as attempts
 from azureline.relay import attempt_log
+from azureline.relay import continuation
 from azureline.relay import crash_suspects
 from azureline.relay import exchange_context
 from azureline.relay import exchange_refusals
@@ -25,10 +26,6 @@
 # Delay before a server that is still loading the adapter is tried again.
 _ADAPTER_RETRY_S = 0.03
 _MAX_NOT_RUN = 4
-# If the store answers, a process has its first configuration 0.05 s after it
-# begins to listen.  A refusal with Retry-After would cost the caller more time.
-_FIRST_CONFIG_WAIT_S = 0.25
-_CONFIG_POLL_INTERVAL_S = 0.02
 # Delay before a request is scheduled again because its server became
 # ineligible while the request waited.
 _RESCHEDULE_DELAY_S = 0.05
@@ -56,6 +53,9 @@
         self._started_at = context.clock.now()
         self._attempt: attempts.Attempt | None = None
         self._reader = stream_events.EventReader(request.last_event)
+        self._continuation = continuation.Continuation(
+            request, context.streams, context.counters, context.log
+        )
         self._route: routes.Route | None = None
         self._deadline = self._started_at
         self._sends = 0
@@ -77,7 +77,7 @@
 
     async def _run(self) -> None:
         context, request = self._context, self._request
-        await self._wait_for_configuration()
+        await context.wait_for_configuration(self._started_at)
         if context.route_table.config is None:
             self._refuse(
                 errors.Refusal(errors.ErrorKind.NOT_READY, "No configuration.")
@@ -113,15 +113,22 @@
                 )
             )
             return
-        while not await self._attempt_once(admitted.route, service):
-            pass
+        while await self._may_go_on(admitted.route, service):
+            if await self._attempt_once(admitted.route, service):
+                return
 
-    async def _wait_for_configuration(self) -> None:
-        """Waits up to `_FIRST_CONFIG_WAIT_S` for the first configuration."""
-        give_up_at = self._started_at + _FIRST_CONFIG_WAIT_S
-        table, clock = self._context.route_table, self._context.clock
-        while table.config is None and clock.now() < give_up_at:
-            await self._sleep(_CONFIG_POLL_INTERVAL_S)
+    async def _may_go_on(
+        self, route: routes.Route, service: routes.Service
+    ) -> bool:
+        """Restricts a begun stream to its software version, or refuses it."""
+        required = await self._continuation.require_version(
+            self._request, route, service, self._reader.last_event
+        )
+        if isinstance(required, errors.Refusal):
+            self._refuse(self._adjust_refusal(required))
+            return False
+        self._request = required
+        return True
 
     async def _attempt_once(
         self, route: routes.Route, service: routes.Service
@@ -247,6 +254,7 @@
             lambda: context.crash_suspects.answer_begun(
                 self._request, assignment.server.service
             ),
+            lambda: self._continuation.events_begun(assignment.server),
         )
         self._attempt = attempt
         before = self._reader.passed
@@ -385,17 +393,10 @@
         await task.deferLater(self._context.reactor, seconds, lambda: None)
 
     def _adjust_refusal(self, refusal: errors.Refusal) -> errors.Refusal:
-        """Returns the refusal, unless the request may have run already.
-
-        A refusal states that the request did not run, which is unknown after
-        a broken attempt.
-        """
+        """Returns the refusal, unless the request may have run already."""
         if not self._may_have_run:
             return refusal
-        return errors.Refusal(
-            errors.ErrorKind.BACKEND_FAILED,
-            "A server failed; the request may have run.",
-        )
+        return exchange_refusals.may_have_run()
 
     def expire(self) -> None:
         """Ends the request when its deadline passes."""
@@ -430,16 +431,14 @@
         if self._finished:
             return
         self._context.counters.count("callers.gone")
-        self._context.log.info(
-            "caller_left",
-            request=self._request.request_id,
-            route=self._route.name if self._route else "",
-            model=self._request.model,
-            adapter=self._request.adapter,
+        attempt_log.write_caller_left(
+            self._context.log,
+            self._request,
+            self._route,
+            self._context.clock.now() - self._started_at,
             sent=self._attempt is not None,
             begun=self._received.response_started,
             events=self._reader.passed,
-            waited_s=round(self._context.clock.now() - self._started_at, 3),
         )
         self._stop()
 
--- a/azureline/relay/exchange_context.py
+++ b/azureline/relay/exchange_context.py
@@ -3,6 +3,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from twisted.internet import task
+
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
 from azureline.metrics import exposition
@@ -13,9 +15,15 @@
 from azureline.relay import scheduler
 from azureline.relay import send_counts
 from azureline.relay import server_notices
+from azureline.relay import stream_versions
 from azureline.util import events
 from azureline.util import http1
 
+# If the store answers, a process has its first configuration 0.05 s after it
+# begins to listen.  A refusal with Retry-After would cost the caller more time.
+_FIRST_CONFIG_WAIT_S = 0.25
+_CONFIG_POLL_INTERVAL_S = 0.02
+
 
 class ExchangeContext(NamedTuple):
     """Services that exchanges share.
@@ -30,6 +38,7 @@
       crash_detector: detects servers that crash or stop during requests.
       notices: processes server notices in the headers of answers.
       sends: counts the calls to backend servers.
+      streams: finds the software version at which a stream began.
       crash_suspects: isolates requests that are suspected of crashing servers.
       counters: counts refusals and retries by reason.
       exposition: records latencies.
@@ -45,7 +54,20 @@
     crash_detector: crash_detection.CrashDetector
     notices: server_notices.ServerNotices
     sends: send_counts.SendCounts
+    streams: stream_versions.StreamVersions
     crash_suspects: crash_suspects.CrashSuspects
     counters: metrics.Counters
     exposition: exposition.Exposition
     log: events.Log
+
+    async def wait_for_configuration(self, started_at: float) -> None:
+        """Waits up to `_FIRST_CONFIG_WAIT_S` for the first configuration.
+
+        Args:
+          started_at: monotonic time in seconds of the request's receipt.
+        """
+        give_up_at = started_at + _FIRST_CONFIG_WAIT_S
+        while self.route_table.config is None and self.clock.now() < give_up_at:
+            await task.deferLater(
+                self.reactor, _CONFIG_POLL_INTERVAL_S, lambda: None
+            )
--- a/azureline/relay/exchange_refusals.py
+++ b/azureline/relay/exchange_refusals.py
@@ -44,6 +44,41 @@
     )
 
 
+def version_gone(version: str) -> errors.Refusal:
+    """Returns the refusal of a stream at whose version no server serves it.
+
+    Args:
+      version: the software version that began the stream.
+    """
+    return errors.Refusal(
+        errors.ErrorKind.RESUMPTION_DECLINED,
+        f"No backend server of software version {version} serves the stream.",
+    )
+
+
+def version_unknown(reason: str) -> errors.Refusal:
+    """Returns the refusal of a stream whose software version is unknown.
+
+    Args:
+      reason: why it is unknown.
+    """
+    return errors.Refusal(
+        errors.ErrorKind.RESUMPTION_DECLINED,
+        f"The software version that began the stream is unknown: {reason}.",
+    )
+
+
+def may_have_run() -> errors.Refusal:
+    """Returns the refusal of a request after a broken attempt.
+
+    Other refusals state that the request did not run.
+    """
+    return errors.Refusal(
+        errors.ErrorKind.BACKEND_FAILED,
+        "A server failed; the request may have run.",
+    )
+
+
 def unreachable(now: float, deadline: float) -> errors.Refusal:
     """Returns the refusal of a request that no server could be sent.
 
--- a/azureline/relay/keys.py
+++ b/azureline/relay/keys.py
@@ -16,6 +16,8 @@
 SUSPECTS = ROOT + "crash_suspects"
 # Not bound to a lease: a configuration that the operators' key has lost.
 CONFIG_COPY = ROOT + "config_copy"
+# Not bound to a lease: software versions that may have begun open streams.
+SOFTWARE_VERSIONS = ROOT + "software_versions"
 # Prefix of a planner's resource name, followed by its service.
 PLANNER = "plan:"
 
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -356,6 +356,48 @@
     after: int
 
 
+class StreamBegan(NamedTuple):
+    """Tells a keeper of a stream at which software version it began.
+
+    Attributes:
+      stream: id of the caller's attempt that brought the first event.
+      service: the stream's service.
+      version: software version of the server.
+    """
+
+    stream: str
+    service: str
+    version: str
+
+
+class StreamQuestion(NamedTuple):
+    """Asks a keeper at which software version a stream began.
+
+    Attributes:
+      number: number of the question, repeated in the answer.
+      stream: id of the caller's attempt that brought the first event.
+      service: the stream's service.
+    """
+
+    number: int
+    stream: str
+    service: str
+
+
+class StreamAnswer(NamedTuple):
+    """Answers a `StreamQuestion`.
+
+    Attributes:
+      number: number of the question.
+      node: name of the node that answers.
+      version: the software version, or "" if it is unknown.
+    """
+
+    number: int
+    node: str
+    version: str
+
+
 _MESSAGES: dict[int, type] = {
     1: EngineState,
     2: ReservationRequest,
@@ -378,6 +420,9 @@
     20: LimitsRequest,
     21: GrantRequest,
     22: GrantReply,
+    23: StreamBegan,
+    24: StreamQuestion,
+    25: StreamAnswer,
 }
 
 
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -43,9 +43,11 @@
 from azureline.relay import server_choice
 from azureline.relay import server_notices
 from azureline.relay import servers
+from azureline.relay import service_versions
 from azureline.relay import settings as settings_lib
 from azureline.relay import store_session
 from azureline.relay import store_view
+from azureline.relay import stream_versions
 from azureline.util import events
 from azureline.util import http1
 from azureline.util import probes
@@ -174,6 +176,18 @@
             self._counters,
             log,
         )
+        self._versions = service_versions.ServiceVersions(
+            reactor,
+            self._clock,
+            self._store,
+            self._peers,
+            self._catalogue,
+            self._counters,
+            log,
+        )
+        self._streams = stream_versions.StreamVersions(
+            reactor, self._clock, self._peers, self._versions, self._counters
+        )
         self._exchange_context = exchange_context.ExchangeContext(
             reactor,
             self._clock,
@@ -184,6 +198,7 @@
             self._crash_detector,
             self._server_notices,
             self._sends,
+            self._streams,
             self._crash_suspects,
             self._counters,
             self._exposition,
@@ -241,6 +256,8 @@
             self._crash_detector,
             self._crash_suspects.record,
             self._config_copy,
+            self._versions,
+            self._streams,
             log,
             self._counters,
         )
@@ -291,6 +308,7 @@
         self._crash_suspects.start()
         self._stack.callback(self._crash_suspects.close)
         self._stack.callback(self._config_copy.close)
+        self._stack.callback(self._versions.close)
         self._demand.start()
         self._stack.callback(self._demand.close)
         self._sweep.start(_SWEEP_S, now=False)
--- a/azureline/relay/requests.py
+++ b/azureline/relay/requests.py
@@ -34,6 +34,9 @@
       output_tokens: upper limit of the answer in tokens.
       parts: parts of the prompt in order; only the last is never shared.
       last_event: id of the last event that the caller received, or "".
+      resumes: id of the caller's attempt that brought the first event of the
+        stream that this request takes up, or "".
+      software_version: version of the servers that may serve it; None for any.
       caller: address of the caller, or "".
       key: the caller's key, or "".
     """
@@ -51,6 +54,8 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event: str = ""
+    resumes: str = ""
+    software_version: str | None = None
     caller: str = ""
     key: str = ""
 
--- a/azureline/relay/scheduler.py
+++ b/azureline/relay/scheduler.py
@@ -13,6 +13,7 @@
 from azureline.relay import assignment as assignments
 from azureline.relay import attempt as attempts
 from azureline.relay import eligibility as eligibilities
+from azureline.relay import exchange_refusals
 from azureline.relay import health as healths
 from azureline.relay import prefill
 from azureline.relay import ranking
@@ -119,6 +120,7 @@
         """
         if service.engine is None or not request.model:
             return await self._assign_plain(
+                request,
                 route,
                 service,
                 first_event_deadline,
@@ -154,7 +156,9 @@
     ) -> assignments.UsableServers:
         """Returns the servers that could serve a request now."""
         now = self._clock.now()
-        all_servers = self._catalogue.of_service(service.name)
+        all_servers = self._of_version(
+            request, self._catalogue.of_service(service.name)
+        )
         running = [s for s in all_servers if not self._ended_recently(s, now)]
         capable = running
         if service.engine is not None and request.model:
@@ -274,6 +278,7 @@
 
     async def _assign_plain(
         self,
+        request: requests.CallerRequest,
         route: routes.Route,
         service: routes.Service,
         first_event_deadline: float,
@@ -283,7 +288,11 @@
     ) -> assignments.Assignment | errors.Refusal:
         latest = wait_policy.latest_send(first_event_deadline)
         while True:
-            all_servers = self._catalogue.of_service(service.name)
+            all_servers = self._of_version(
+                request, self._catalogue.of_service(service.name)
+            )
+            if not all_servers and request.software_version is not None:
+                return exchange_refusals.version_gone(request.software_version)
             if not all_servers:
                 return errors.Refusal(
                     errors.ErrorKind.NO_REPLICA, "The service has no server."
@@ -424,7 +433,14 @@
         try:
             while True:
                 now = self._clock.now()
-                holders = self._residency.holders_of(service.name, model, now)
+                holders = self._of_version(
+                    request,
+                    self._residency.holders_of(service.name, model, now),
+                )
+                if not holders and request.software_version is not None:
+                    return exchange_refusals.version_gone(
+                        request.software_version
+                    )
                 usable = self._choice.usable(holders)
                 if usable.servers:
                     return usable.servers
@@ -455,6 +471,26 @@
             if is_waiting:
                 self._demand.add_waiting(service.name, model, route.rank, -1)
 
+    def _of_version(
+        self,
+        request: requests.CallerRequest,
+        all_servers: list[servers.BackendServer],
+    ) -> list[servers.BackendServer]:
+        """Returns the servers whose software version may serve a request.
+
+        A server that has just ended may start again at another version.
+        """
+        version = request.software_version
+        if version is None:
+            return all_servers
+        now = self._clock.now()
+        return [
+            server
+            for server in all_servers
+            if server.software_version == version
+            and not self._ended_recently(server, now)
+        ]
+
     async def _sleep(self, seconds: float) -> None:
         await task.deferLater(self._reactor, seconds, lambda: None)
 
--- a/azureline/relay/servers.py
+++ b/azureline/relay/servers.py
@@ -42,6 +42,7 @@
       leaving: whether it must get no new requests.
       born_ms: Unix time of its start in ms, or 0 if unknown.
       beat: sequence number of this entry since its start.
+      software_version: version of its software, of which there is no order.
       models: the models that it holds.
       in_memory: models of which its host memory has copies.
       on_disk: models of which its disk has copies.
@@ -58,6 +59,7 @@
     models: tuple[Resident, ...] = ()
     in_memory: tuple[str, ...] = ()
     on_disk: tuple[str, ...] = ()
+    software_version: str = ""
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/azureline/relay/store_view.py
+++ b/azureline/relay/store_view.py
@@ -16,7 +16,9 @@
 from azureline.relay import routes
 from azureline.relay import scheduler as scheduler_lib
 from azureline.relay import servers
+from azureline.relay import service_versions
 from azureline.relay import store_session
+from azureline.relay import stream_versions
 from azureline.relay import suspect_store
 from azureline.util import events
 
@@ -46,6 +48,8 @@
         crash_detector: crash_detection.CrashDetector,
         suspects: suspect_store.SuspectStore,
         config_copy: config_copies.ConfigCopy,
+        versions: service_versions.ServiceVersions,
+        streams: stream_versions.StreamVersions,
         log: events.Log,
         counters: metrics.Counters,
     ):
@@ -62,6 +66,8 @@
         self._crash_detector = crash_detector
         self._suspects = suspects
         self._config_copy = config_copy
+        self._versions = versions
+        self._streams = streams
         self._log = log
         self._counters = counters
         self.servers_known = False
@@ -101,6 +107,8 @@
                 self._peers.set_last_turn(name, turn)
         elif key == keys.SUSPECTS:
             self._suspects.changed(item)
+        elif key == keys.SOFTWARE_VERSIONS:
+            self._versions.changed(item)
 
     def removed(self, key: str) -> None:
         """Applies the removal of a key."""
@@ -124,6 +132,8 @@
             self._suspects.removed()
         elif key == keys.CONFIG_COPY:
             self._config_copy.copy_removed()
+        elif key == keys.SOFTWARE_VERSIONS:
+            self._versions.removed()
 
     def returned(self, era: int) -> None:
         """Records that the store has come back from an older copy.
@@ -140,6 +150,7 @@
         self._store_session.store_returned(era)
         self._suspects.store_returned()
         self._config_copy.store_returned()
+        self._versions.removed()
 
     def away(self) -> None:
         """Records that the store does not answer."""
@@ -152,6 +163,8 @@
     def expire(self) -> None:
         """Removes servers whose entries expired without a renewal."""
         now = self._clock.now()
+        self._versions.expire()
+        self._streams.expire()
         for server in self._catalogue.accept_doubtful(now):
             self._log.info(
                 "server_confirmed",
@@ -171,7 +184,12 @@
         known = [names.SERVERS_PREFIX + s.server_id for s in self._catalogue]
         known += [keys.NODES + name for name in self._peers.nodes]
         known += [keys.HOLDERS + name for name in self._peers.holders]
-        return [*known, keys.SUSPECTS, keys.CONFIG_COPY]
+        return [
+            *known,
+            keys.SUSPECTS,
+            keys.CONFIG_COPY,
+            keys.SOFTWARE_VERSIONS,
+        ]
 
     def _apply_config(self, item: store_lib.Item) -> None:
         config = site_config.decode(item.value)
@@ -210,7 +228,13 @@
                 "server_unreadable", where=entry.where, reason=entry.reason
             )
             return
+        self._versions.server_seen(entry)
         known = self._catalogue.get(entry.server_id)
+        if (
+            known is not None
+            and known.software_version != entry.software_version
+        ):
+            self._streams.server_replaced(entry)
         if not self._catalogue.update(entry):
             self._counters.count("servers.older_entry")
             return
--- a/tests/test_relay_attempt.py
+++ b/tests/test_relay_attempt.py
@@ -74,6 +74,7 @@
             lambda first_s: None,
             lambda head: None,
             lambda: None,
+            lambda: None,
         )
         caller = builders_relay.request(headers=((b"host", b"x"),))
         request = wire.build_request(caller, 5.0, "e1", None, None)
@@ -151,6 +152,7 @@
             lambda first_s: None,
             lambda head: None,
             lambda: None,
+            lambda: None,
         )
         caller = builders_relay.request(headers=((b"host", b"x"),))
         request = wire.build_request(caller, 5.0, "e1", None, None)
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -40,6 +40,7 @@
         crash_detector=None,
         notices=None,
         sends=None,
+        streams=None,
         crash_suspects=None,
         counters=metrics.Counters(),
         exposition=None,
