Let nothing that is read from outside end a task

What was seen: an odd entry among those of the engines (a weights version of 401 digits, the port of 5,000 digits, a superscript digit) ended the follower of every node for good; it served on and heard of no change any more. Others were taken for engines: a host with a line break, a name, other digits.

Cause: one item was decoded inside the task that all depends on; int() of what isdigit() admits, isfinite() of a large int, str() of nested lists and encoding half a character raise; a task that ended was not started again.

Change: numbers, text and addresses are checked where they are decoded, in entries, reports, the configuration, headers of callers and servers, and datagrams.

Not changed: the loops of azureline node (links, neighbours).

--- a/azureline/core/wire.py
+++ b/azureline/core/wire.py
@@ -15,6 +15,14 @@
 MAX_FRAME_BYTES = 1 << 20
 _LENGTH = struct.Struct(">I")
 _EXT_MESSAGE = 1
+# Types of fields that are checked when a message is unpacked.
+_CHECKED: dict[Any, Any] = {
+    int: int,
+    float: (int, float),
+    str: str,
+    bytes: bytes,
+    bool: bool,
+}
 
 
 class MalformedError(ValueError):
@@ -86,7 +94,8 @@
         if not isinstance(fields, tuple) or not fields:
             found = type(fields).__name__
             raise MalformedError(f"expected a non-empty array, got {found}")
-        cls = self._by_number.get(fields[0])
+        is_number = isinstance(fields[0], int)
+        cls = self._by_number.get(fields[0]) if is_number else None
         if cls is None:
             raise MalformedError(f"unknown message number {fields[0]!r}")
         if len(fields) - 1 != len(cls._fields):
@@ -94,6 +103,12 @@
                 f"{cls.__name__}: expected {len(cls._fields)} fields, "
                 f"got {len(fields) - 1}"
             )
+        for name, value in zip(cls._fields, fields[1:], strict=True):
+            expected = _CHECKED.get(cls.__annotations__.get(name))
+            if expected is not None and not isinstance(value, expected):
+                raise MalformedError(
+                    f"{cls.__name__}.{name}: got {type(value).__name__}"
+                )
         return cls(*fields[1:])
 
 
--- a/azureline/nodes/datagrams.py
+++ b/azureline/nodes/datagrams.py
@@ -47,7 +47,13 @@
         self._counters.count("datagrams.bytes_sent", len(data))
         try:
             self.transport.write(data, (host, port))
-        except OSError as e:
+        # A record in the store may name an address that cannot be used.
+        except (
+            OSError,
+            ValueError,
+            OverflowError,
+            error.InvalidAddressError,
+        ) as e:
             logging.info("event=datagram_not_sent reason=%r", str(e))
 
     def datagramReceived(self, datagram, addr):  # noqa: D102, N802
--- a/azureline/platform/entries.py
+++ b/azureline/platform/entries.py
@@ -1,5 +1,6 @@
 """Parses backend servers' entries in the store and engines' reports."""
 
+import ipaddress
 import json
 import math
 import reprlib
@@ -9,9 +10,13 @@
 from azureline.platform import site_config
 from azureline.relay import orders
 from azureline.relay import servers
+from azureline.util import digits
 from azureline.util import http1
 
 _STATES = {"ready": False, "draining": True}
+# Bounds of what a usable entry holds; numbers up to 2^53 are exact in JSON.
+_MAX_COUNT = 1 << 53
+_MAX_TEXT = 256
 
 
 def server_id(key: str) -> str:
@@ -47,10 +52,10 @@
             f"expected one of {known}; got {reprlib.repr(state)}",
         )
     for name in ("service", "zone", "version"):
-        if not isinstance(entry.get(name), str):
-            found = reprlib.repr(entry.get(name))
+        if not _is_text(entry.get(name)):
+            found = ascii(reprlib.repr(entry.get(name)))
             return site_config.InvalidDocument(
-                f"{key}.{name}", f"expected a string, got {found}"
+                f"{key}.{name}", f"expected a short string, got {found}"
             )
     for name in ("slots", "sequence"):
         if not _is_count(entry.get(name)):
@@ -130,22 +135,42 @@
 
 
 def _is_count(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+    return (
+        isinstance(value, int)
+        and not isinstance(value, bool)
+        and 0 <= value <= _MAX_COUNT
+    )
+
+
+def _is_text(value: Any) -> bool:
+    if not isinstance(value, str) or len(value) > _MAX_TEXT:
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
 
 
 def _integer(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int | float):
         return 0
-    return int(value) if math.isfinite(value) else 0
+    is_usable = -_MAX_COUNT <= value <= _MAX_COUNT and not math.isnan(value)
+    return int(value) if is_usable else 0
 
 
 def _address(value: Any) -> http1.Address | None:
     if not isinstance(value, str):
         return None
-    host, _, port = value.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    host, _, number = value.rpartition(":")
+    port = digits.parse(number)
+    if port is None or not 0 < port < 65536:
         return None
-    return http1.Address(host, int(port))
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return None
+    return http1.Address(host, port)
 
 
 def _resident_models(value: Any) -> tuple[servers.Resident, ...] | None:
@@ -153,7 +178,7 @@
         return None
     residents = []
     for row in value:
-        if not isinstance(row, dict) or not isinstance(row.get("name"), str):
+        if not isinstance(row, dict) or not _is_text(row.get("name")):
             return None
         adapters = row.get("adapters", [])
         if not isinstance(adapters, list):
@@ -170,9 +195,14 @@
 
 def _adapter(value: Any) -> str:
     """Returns an adapter's name from [MODEL/]NAME[@VERSION] or an object."""
+    return _named(value).rpartition("/")[2]
+
+
+def _named(value: Any) -> str:
+    """Returns the text before "@" of a name or an object's name, or ""."""
     if isinstance(value, dict):
-        value = value.get("name", "")
-    return str(value).partition("@")[0].rpartition("/")[2]
+        value = value.get("name")
+    return value.partition("@")[0] if _is_text(value) else ""
 
 
 def _loading(value: Any) -> tuple[tuple[str, str], ...]:
@@ -181,7 +211,7 @@
         return ()
     pairs = []
     for item in value:
-        model, _, adapter = str(item).partition("@")[0].partition("/")
+        model, _, adapter = _named(item).partition("/")
         pairs.append((model, adapter))
     return tuple(pairs)
 
@@ -190,7 +220,4 @@
     rows = value.get(name) if isinstance(value, dict) else None
     if not isinstance(rows, list):
         return ()
-    return tuple(
-        str(v.get("name", "") if isinstance(v, dict) else v).partition("@")[0]
-        for v in rows
-    )
+    return tuple(name for name in map(_named, rows) if name)
--- a/azureline/platform/requests.py
+++ b/azureline/platform/requests.py
@@ -7,6 +7,7 @@
 
 from azureline.platform import names
 from azureline.relay import requests
+from azureline.util import digits
 from azureline.util import http1
 
 # Hop-by-hop headers (RFC 9110, 7.6.1).
@@ -257,14 +258,12 @@
 
 
 def _parse_count(value: bytes) -> int:
-    value = value.strip()
-    return int(value) if value.isdigit() else 0
+    return digits.parse(value.strip()) or 0
 
 
 def _parse_milliseconds(value: bytes | None) -> float | None:
-    if value is None or not value.isdigit():
-        return None
-    return int(value) / 1000
+    milliseconds = None if value is None else digits.parse(value)
+    return None if milliseconds is None else milliseconds / 1000
 
 
 def _parse_seconds(value: bytes) -> float | None:
@@ -294,6 +293,7 @@
     parts = []
     for item in value.split(","):
         name, _, tokens = item.strip().partition(":")
-        if name and tokens.isdigit():
-            parts.append(requests.PromptPart(name, int(tokens)))
+        count = digits.parse(tokens)
+        if name and count is not None:
+            parts.append(requests.PromptPart(name, count))
     return tuple(parts)
--- a/azureline/platform/site_config.py
+++ b/azureline/platform/site_config.py
@@ -8,6 +8,8 @@
 from azureline.relay import routes
 from azureline.relay import workspaces
 
+# Larger numbers are not exact in JSON.
+_MAX_NUMBER = 1 << 53
 _KINDS = {
     "idempotent": routes.Kind.IDEMPOTENT,
     "non_idempotent": routes.Kind.NON_IDEMPOTENT,
@@ -44,7 +46,7 @@
     """
     try:
         document = json.loads(data)
-    except ValueError as e:
+    except (ValueError, RecursionError) as e:
         return InvalidDocument("", f"not JSON: {e}")
     try:
         top = _Fields(document, "")
@@ -79,13 +81,18 @@
         return self._get(name, str, default)
 
     def integer(self, name: str, default: int | None = None) -> int:
-        return self._get(name, int, default)
+        value = self._get(name, int, default)
+        if abs(value) > _MAX_NUMBER:
+            raise _FieldError(self._at(name), "is too large")
+        return value
 
     def flag(self, name: str) -> bool:
         return self._get(name, bool, False)
 
     def number(self, name: str, default: float | None = None) -> float:
         value = self._get(name, (int, float), default)
+        if isinstance(value, int) and abs(value) > _MAX_NUMBER:
+            raise _FieldError(self._at(name), "is too large")
         if not math.isfinite(value):
             raise _FieldError(
                 self._at(name), f"expected a finite number, got {value}"
--- a/azureline/relay/controllers.py
+++ b/azureline/relay/controllers.py
@@ -19,6 +19,7 @@
 from azureline.relay import routes
 from azureline.relay import servers
 from azureline.relay import store_session
+from azureline.util import supervision
 
 # Interval between two checks of claims, orders and plans.
 _CHECK_INTERVAL_S = 0.2
@@ -65,7 +66,12 @@
             dependencies.log,
             dependencies.counters,
         )
-        self._loop = task.LoopingCall(self.step)
+        supervisor = supervision.Supervisor(
+            dependencies.counters, dependencies.log
+        )
+        self._loop = task.LoopingCall(
+            supervisor.guarded("controllers", self.step)
+        )
         self._loop.clock = dependencies.reactor
         session.on_lost(self._resource_lost)
         peers.on(messages.PlannedModels, self._target_received)
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -122,7 +122,10 @@
     ) -> bool:
         """Restricts a begun stream to its software version, or refuses it."""
         required = await self._continuation.require_version(
-            self._request, route, service, self._reader.last_event
+            self._request,
+            route,
+            service,
+            self._reader.last_event or self._request.last_event,
         )
         if isinstance(required, errors.Refusal):
             self._refuse(self._adjust_refusal(required))
--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -17,6 +17,7 @@
 from azureline.relay import peers as peers_lib
 from azureline.util import backoff
 from azureline.util import events
+from azureline.util import supervision
 
 # Bounds of the exponential backoff, with jitter, after a failed call. The
 # backoff keeps retries from adding load to a store that is overloaded or
@@ -122,7 +123,10 @@
         self._unfetched: set[str] = set()
         self._fetching = False
         self._wakeup: defer.Deferred[None] | None = None
-        self._heartbeat_loop = task.LoopingCall(self._heartbeat)
+        self._supervisor = supervision.Supervisor(counters, log)
+        self._heartbeat_loop = task.LoopingCall(
+            self._supervisor.guarded("follower heartbeat", self._heartbeat)
+        )
         self._heartbeat_loop.clock = reactor
         peers.on(messages.Feed, self._on_feed)
         peers.on(messages.FeedRequest, self._on_feed_request)
@@ -134,7 +138,9 @@
 
     def start(self) -> None:
         """Starts to follow the store."""
-        self._running = defer.ensureDeferred(self._run())
+        self._running = defer.ensureDeferred(
+            self._supervisor.keep_running(self._reactor, "follower", self._run)
+        )
         self._running.addErrback(self._log_failure)
         self._heartbeat_loop.start(change_feed.HEARTBEAT_INTERVAL_S, now=False)
 
--- a/azureline/relay/leases.py
+++ b/azureline/relay/leases.py
@@ -12,6 +12,7 @@
 from azureline.platform import store as store_lib
 from azureline.util import backoff
 from azureline.util import events
+from azureline.util import supervision
 
 # Delay after a failed call, growing to the maximum.  Every node renews leases,
 # so simultaneous retries would prolong an overload of the store.
@@ -90,7 +91,10 @@
         self._on_begun = on_begun
         self._on_renewed = on_renewed
         self._on_ended = on_ended
-        self._loop = defer.ensureDeferred(self._keep_lease())
+        supervisor = supervision.Supervisor(self._counters, self._log)
+        self._loop = defer.ensureDeferred(
+            supervisor.keep_running(self._reactor, "lease", self._keep_lease)
+        )
         self._loop.addErrback(self._failed)
 
     def give_up(self) -> None:
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -51,6 +51,7 @@
 from azureline.util import events
 from azureline.util import http1
 from azureline.util import probes
+from azureline.util import supervision
 
 # Interval of the removal of expired entries and idle connections.
 _SWEEP_S = 0.5
@@ -111,7 +112,10 @@
             self._counters,
             log,
         )
-        self._demand = demand_reports.DemandReporter(reactor, self._send_demand)
+        supervisor = supervision.Supervisor(self._counters, log)
+        self._demand = demand_reports.DemandReporter(
+            reactor, supervisor.guarded("demand", self._send_demand)
+        )
         self._retry_budget = retry_budget.RetryBudget(
             retry_budget.BudgetTerms(*settings.repeats)
         )
@@ -274,7 +278,9 @@
             log,
         )
         self._store.on_return(self._follower.store_returned)
-        self._sweep = task.LoopingCall(self._run_sweep)
+        self._sweep = task.LoopingCall(
+            supervisor.guarded("sweep", self._run_sweep)
+        )
         self._sweep.clock = reactor
         self._factory = caller_side.make_factory(self, routes.Limits().idle_s)
         self._active: set[exchange.Exchange] = set()
--- a/azureline/relay/store_view.py
+++ b/azureline/relay/store_view.py
@@ -21,6 +21,7 @@
 from azureline.relay import stream_versions
 from azureline.relay import suspect_store
 from azureline.util import events
+from azureline.util import supervision
 
 # Nodes whose records the store has forgotten write them again within this time.
 _NODE_RENEWAL_S = 4.0
@@ -70,6 +71,8 @@
         self._streams = streams
         self._log = log
         self._counters = counters
+        # One item that cannot be applied must not keep others from being.
+        self._supervisor = supervision.Supervisor(counters, log)
         self.servers_known = False
         self._returned_at = float("-inf")
         # Nodes whose records are missing since the store's return.
@@ -88,6 +91,13 @@
 
     def changed(self, item: store_lib.Item) -> None:
         """Applies an item that was written."""
+        self._supervisor.guarded("store item", self._apply)(item)
+
+    def removed(self, key: str) -> None:
+        """Applies the removal of a key."""
+        self._supervisor.guarded("store item", self._apply_removal)(key)
+
+    def _apply(self, item: store_lib.Item) -> None:
         key = item.key
         if key in _CONFIG_KEYS:
             self._apply_config(item)
@@ -110,8 +120,7 @@
         elif key == keys.SOFTWARE_VERSIONS:
             self._versions.changed(item)
 
-    def removed(self, key: str) -> None:
-        """Applies the removal of a key."""
+    def _apply_removal(self, key: str) -> None:
         if key.startswith(names.SERVERS_PREFIX):
             server = self._catalogue.remove(
                 entries.server_id(key), self._clock.now()
--- a/azureline/relay/stream_events.py
+++ b/azureline/relay/stream_events.py
@@ -2,8 +2,11 @@
 
 from typing import NamedTuple
 
+from azureline.util import digits
+
 _EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 1 << 20
+_MAX_ID_DIGITS = 100
 
 
 class Read(NamedTuple):
@@ -33,7 +36,7 @@
         Args:
           last_event: id of the last event that the caller received, or "".
         """
-        self._last_id = int(last_event) if last_event.isdigit() else None
+        self._last_id = digits.parse(last_event, _MAX_ID_DIGITS)
         self._buffer = b""
         self.passed = 0
 
@@ -78,6 +81,5 @@
 def _event_id(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
-            value = line[3:].strip()
-            return int(value) if value.isdigit() else None
+            return digits.parse(line[3:].strip(), _MAX_ID_DIGITS)
     return None
--- a/azureline/util/http1.py
+++ b/azureline/util/http1.py
@@ -18,6 +18,7 @@
 from twisted.internet import protocol
 
 from azureline.core import clock as clocks
+from azureline.util import digits
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -474,13 +475,21 @@
         self._client._add_idle(self, self._idle_limit_s)
 
     def _read_keep_alive(self, head: Head) -> None:
-        for part in head.get(b"keep-alive").split(b","):
-            name, _, value = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit():
-                self._idle_limit_s = min(MAX_IDLE_S, int(value) - IDLE_MARGIN_S)
+        limit_s = idle_limit_s(head.get(b"keep-alive"))
+        if limit_s is not None:
+            self._idle_limit_s = min(MAX_IDLE_S, limit_s - IDLE_MARGIN_S)
 
     def _fail(self, reason: str, sent: bool = True) -> None:
         call = self._call
         self.abort()
         if call is not None:
             call.fail(Failure(reason, sent, reused=self._calls > 1))
+
+
+def idle_limit_s(keep_alive: bytes) -> int | None:
+    """Returns the timeout in a Keep-Alive header in seconds, or None."""
+    for part in keep_alive.split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout":
+            return digits.parse(value)
+    return None
--- a/standins/kv_service.py
+++ b/standins/kv_service.py
@@ -108,7 +108,8 @@
         `restore` (`age_s`, `down_s`) stops answering for `down_s` seconds and
         comes back from a copy that is `age_s` seconds old; `rewrite_s` is the
         time after which the operator then writes a lost configuration again;
-        `operator` writes a configuration.
+        `operator` writes a configuration; `write` (`key`, `text`) writes an
+        item, as another program would.
         """
         match name:
             case "restore":
@@ -126,6 +127,8 @@
                 self._refused_hosts = frozenset(value)
             case "rewrite_s":
                 self._rewrite_s = value
+            case "write":
+                self.put(value["key"], value["text"].encode())
             case "operator":
                 self.put("op/config", json.dumps(value).encode())
             case "forget":
