--- a/azureline/nodes/datagrams.py
+++ b/azureline/nodes/datagrams.py
@@ -48,12 +48,7 @@
         try:
             self.transport.write(data, (host, port))
         # A record in the store may name an address that cannot be used.
-        except (
-            OSError,
-            ValueError,
-            OverflowError,
-            error.InvalidAddressError,
-        ) as e:
+        except (OSError, ValueError, OverflowError) as e:
             logging.info("event=datagram_not_sent reason=%r", str(e))
 
     def datagramReceived(self, datagram, addr):  # noqa: D102, N802
