Take no request in a planned stop that cannot end in time

What was seen: with a grace period of 2.4 s and requests of 0.8 s, 8 requests that had been read and passed on were cut off with 504 at the end of the grace, among them some that may not be repeated.

Cause: until the load balancer has noticed the stop, every request was taken, however long it would run.

Change: a request is taken if its caller or its route's timeout ends it before the process does, or, where it may be repeated, if twice the route's average running time fits. Others are refused at once as not run.

--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -33,6 +33,8 @@
 from azureline.relay import load_rate_limit
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
+from azureline.relay import planned_stop
+from azureline.relay import requests
 from azureline.relay import reservations
 from azureline.relay import residency as residencies
 from azureline.relay import retry_budget
@@ -128,6 +130,7 @@
             self._counters,
             log,
         )
+        self._times = run_times.RunTimes(settings.engines.read_tokens_per_s)
         self._scheduler = scheduler_lib.Scheduler(
             reactor,
             self._clock,
@@ -148,7 +151,7 @@
                 self._counters,
             ),
             self._demand,
-            run_times.RunTimes(settings.engines.read_tokens_per_s),
+            self._times,
             self._counters,
         )
         self._server_notices = server_notices.ServerNotices(
@@ -285,6 +288,8 @@
         self._factory = caller_side.make_factory(self, routes.Limits().idle_s)
         self._active: set[exchange.Exchange] = set()
         self._leaving = False
+        # Monotonic time in seconds at which a stop cuts off what still runs.
+        self._abort_at = float("inf")
         self._closing = False
         self._ports: list[Any] = []
 
@@ -336,7 +341,14 @@
 
     def handle(self, received: caller_side.ReceivedRequest) -> None:
         """Serves a request whose body has been read completely."""
-        if self._closing:
+        request = wire.parse_request(
+            received.method,
+            received.uri,
+            received.header_list(),
+            received.content.read(),
+            received.getClientAddress().host,
+        )
+        if self._closing or not self._ends_before_stop(request):
             # It might not complete before this process exits.
             self._counters.count("refused.shutting_down")
             received.refuse(
@@ -345,18 +357,23 @@
                 )
             )
             return
-        request = wire.parse_request(
-            received.method,
-            received.uri,
-            received.header_list(),
-            received.content.read(),
-            received.getClientAddress().host,
-        )
         started = exchange.Exchange(self._exchange_context, received, request)
         self._active.add(started)
         self._counters.count("requests.received")
         started.start().addBoth(lambda _: self._active.discard(started))
 
+    def _ends_before_stop(self, request: requests.CallerRequest) -> bool:
+        """Returns whether a request will end before this process stops."""
+        route = self._table.match(request.host, request.path)
+        if route is None or not self._leaving:
+            return True
+        return planned_stop.ends_in_time(
+            route,
+            request.patience_s,
+            self._times.average_s(route.name),
+            self._abort_at - self._clock.now(),
+        )
+
     def body_bound(self) -> int:
         """Returns the size limit of a request body, in bytes."""
         config = self._table.config
@@ -378,13 +395,13 @@
             return
         self._leaving = True
         stop_began = self._clock.now()
+        stop = self._settings.stop
+        self._abort_at = abort_at = stop_began + stop.grace_s - _ABORT_MARGIN_S
         self._log.info("stopping", active=self.active)
         idle_ms = self._controllers.idle_ms()
         self._controllers.close()
         releasing = defer.ensureDeferred(self._store_session.release(idle_ms))
         releasing.addErrback(lambda _: None)
-        stop = self._settings.stop
-        abort_at = stop_began + stop.grace_s - _ABORT_MARGIN_S
         notice_until = min(stop_began + stop.notice_s, abort_at)
         while self._clock.now() < notice_until:
             await self._sleep(_DRAIN_POLL_S)
--- a/azureline/relay/run_times.py
+++ b/azureline/relay/run_times.py
@@ -78,6 +78,11 @@
         if len(self._averages) > _MAX_ROUTES:
             self._averages.popitem(last=False)
 
+    def average_s(self, route: str) -> float | None:
+        """Returns a route's average running time in seconds, if it is known."""
+        average = self._averages.get(route)
+        return average.run_s if average else None
+
     def expected_load(
         self, route: routes.Route, request: requests.CallerRequest
     ) -> capacity.RequestLoad:
--- a/tests/builders_site.py
+++ b/tests/builders_site.py
@@ -98,6 +98,8 @@
     load_s: float = 0.3,
     domains: int = 0,
     versions: tuple[str, ...] = ("v1",),
+    work_s: float = 0.05,
+    settings: dict[str, Any] | None = None,
 ) -> Iterator[Site]:
     """Runs a site until the block ends.
 
@@ -108,6 +110,8 @@
       load_s: seconds that an engine takes to load a model.
       domains: number of failure domains; by default each node has its own.
       versions: software versions of the engines, in turn.
+      work_s: seconds that a plain server takes for a request.
+      settings: settings of the nodes that differ from the defaults.
     """
     domains = domains or len(nodes)
     with deployment.Deployment() as processes:
@@ -123,9 +127,13 @@
                 version=versions[(number - 1) % len(versions)],
             )
         for number in range(1, ledgers + 1):
-            processes.start_site_server(f"ledger-{number}", service="ledger")
+            processes.start_site_server(
+                f"ledger-{number}", service="ledger", work_s=work_s
+            )
         for number, name in enumerate(nodes, 1):
-            processes.start_relay(name, f"d{(number - 1) % domains + 1}")
+            processes.start_relay(
+                name, f"d{(number - 1) % domains + 1}", **(settings or {})
+            )
         site = Site(processes)
         for name in nodes:
             site.until(f"{name} is ready", lambda name=name: site.ready(name))
