--- a/tests/test_processes_software_versions.py
+++ b/tests/test_processes_software_versions.py
@@ -39,7 +39,7 @@
         self.statuses.append(answer.status)
         if answer.status != 200:
             return
-        ids = [name for name in answer.events if name]
+        ids = answer.whole_events
         if ids and self.first_id is None:
             self.first_id = answer.request_id
         if ids:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -164,3 +164,12 @@
     result = soak.run_seed(2, 4.0)
     assert result.violations == [], result.faults
     assert result.served_count > 0
+
+
+def test_streams_that_join_versions_or_skip_events_are_found():
+    good = soak_checks.TakenStream(("0", "1"), frozenset({"v1"}))
+    joined = soak_checks.TakenStream(("0", "1"), frozenset({"v1", "v2"}))
+    skipped = soak_checks.TakenStream(("0", "2"), frozenset({"v1"}))
+    assert soak_checks.check_streams([good, joined, joined]) == []
+    assert len(soak_checks.check_streams([joined] * 3)) == 1
+    assert len(soak_checks.check_streams([good, skipped])) == 1
--- a/tools/site_caller.py
+++ b/tools/site_caller.py
@@ -38,15 +38,18 @@
         lines = self.body.decode().splitlines()
         return [line[4:] for line in lines if line.startswith("id: ")]
 
+    @property
+    def whole_events(self) -> list[str]:
+        """The ids of the events that were received to their end."""
+        return [event.split()[1] for event in self._whole_events()]
+
     @property
     def versions(self) -> set[str]:
         """The software versions of the engines that wrote a stream's events."""
-        lines = self.body.decode().splitlines()
-        return {
-            line.split()[-1]
-            for line, following in zip(lines, [*lines[1:], "?"], strict=True)
-            if line.startswith("data: ") and not following
-        }
+        return {event.split()[-1] for event in self._whole_events()}
+
+    def _whole_events(self) -> list[str]:
+        return self.body.decode(errors="replace").split("\n\n")[:-1]
 
 
 class Caller:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -46,6 +46,8 @@
 CRASHING_FRACTION = 0.03
 # Name of a part of prompts that crashes engines, once that fault is active.
 DEADLY_PART = "deadly"
+# Tries of a caller whose stream breaks off.
+MAX_TAKE_UPS = 3
 
 
 class Result(NamedTuple):
@@ -87,6 +89,7 @@
         self._processes = processes
         self._seconds = seconds
         self._sent: list[soak_checks.SentRequest] = []
+        self._streams: list[soak_checks.TakenStream] = []
         self._faults: list[str] = []
         self._stopping = threading.Event()
         self._down: set[str] = set()
@@ -116,6 +119,7 @@
             threads.shutdown()
             seen = {name: self._recorded(name) for name in SERVERS}
         found = soak_checks.find_violations(self._sent, seen, self._disturbed)
+        found += soak_checks.check_streams(self._streams)
         deadly = [one for one in self._sent if one.kind == "deadly"]
         ledgers = {name: seen[name] for name in SERVERS[2:]}
         found += soak_checks.find_late_crashing_runs(
@@ -135,7 +139,11 @@
         stack.callback(self._proxy.close)
         for number, models in ((1, ["m0", "m1"]), (2, ["m0"])):
             processes.start_site_server(
-                f"engine-{number}", service="llm", models=True, resident=models
+                f"engine-{number}",
+                service="llm",
+                models=True,
+                resident=models,
+                version=f"v{number}",
             )
             processes.start_site_server(f"ledger-{number}", service="ledger")
         for name in NODES:
@@ -164,6 +172,37 @@
             self._call(rng, rng.choice(NODES))
             time.sleep(rng.uniform(0.0, 0.15))
 
+    def _take_up(
+        self,
+        rng: random.Random,
+        first: site_caller.Answer,
+        model: str,
+        tokens: int,
+    ) -> None:
+        """Takes a stream that broke off up again, at any node."""
+        events, versions = first.whole_events, set(first.versions)
+        for _ in range(MAX_TAKE_UPS):
+            if not events or (first.complete and first.status == 200):
+                break
+            time.sleep(rng.uniform(0.0, 0.3))
+            url = self._processes.urls[rng.choice(NODES)]
+            answer = site_caller.Caller(url).send(
+                "/again/x",
+                model,
+                tokens=tokens,
+                headers={
+                    "Last-Event-Id": events[-1],
+                    "Resumes": first.request_id,
+                },
+            )
+            if answer.status == 200:
+                events += answer.whole_events
+                versions |= answer.versions
+                if answer.complete:
+                    break
+        taken = soak_checks.TakenStream(tuple(events), frozenset(versions))
+        self._streams.append(taken)
+
     def _call(self, rng: random.Random, node: str) -> site_caller.Answer:
         caller, at = site_caller.Caller(self._processes.urls[node]), time.time()
         if self._send_deadly and rng.random() < CRASHING_FRACTION:
@@ -200,6 +239,8 @@
             )
         sent = soak_checks.SentRequest(kind, tokens, answer, node, at)
         self._sent.append(sent)
+        if kind == "again" and answer.status == 200:
+            self._take_up(rng, answer, model, tokens)
         return answer
 
     def _inject(self) -> None:
@@ -269,6 +310,7 @@
             "reset": self._proxy.reset,
             "silence": self._proxy.freeze_connections,
             "server_reset": lambda: self._post_faults(server, reset=2),
+            "cut": lambda: self._post_faults(engine, cut=3),
             "server_mute": lambda: self._post_faults(server, mute=1),
             "leave": lambda: self._post_faults(
                 server, leave=lasts_s + MIN_LEAVING_NOTICE_S
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -36,6 +36,34 @@
 NODE_RECOVERY_S = 6.0
 
 
+# Streams that may hold events of engines of two software versions (ORDER).
+MAX_JOINED_STREAMS = 2
+
+
+class TakenStream(NamedTuple):
+    """A stream over a caller's tries.
+
+    Attributes:
+      events: ids of its events, in the order of their receipt.
+      versions: software versions of the engines that wrote them.
+    """
+
+    events: tuple[str, ...]
+    versions: frozenset[str]
+
+
+def check_streams(streams: list[TakenStream]) -> list[str]:
+    """Returns the violations by streams that callers took up again."""
+    violations = []
+    joined = [s for s in streams if len(s.versions) > 1]
+    if len(joined) > MAX_JOINED_STREAMS:
+        violations.append(f"ORDER: {len(joined)} streams join two versions")
+    for stream in streams:
+        if list(stream.events) != [str(n) for n in range(len(stream.events))]:
+            violations.append(f"ORDER: events {stream.events}")
+    return violations
+
+
 class SentRequest(NamedTuple):
     """A request and its answer.
 
