Send no order from a controller that has been closed

Cause: a planned stop notes the age of each engine's last order and closes the controllers, then releases the leases.

Change: a closed controller takes no step. The test fails before and passes. No return of the store and no software version takes part in it.

--- a/azureline/relay/engine_controller.py
+++ b/azureline/relay/engine_controller.py
@@ -130,6 +130,7 @@
         )
         self._pending: list[_PendingReservation] = []
         self._adapter_references = adapter_references.AdapterReferences()
+        self._closed = False
         self._order_in_flight = False
         self._report_in_flight = False
         self._reported_at = float("-inf")
@@ -253,6 +254,8 @@
 
         Only one order is in flight at a time.
         """
+        if self._closed:
+            return
         now = self._dependencies.clock.now()
         self._answer_pending(now)
         self._publish_state(now)
@@ -286,7 +289,8 @@
             )
 
     def close(self) -> None:
-        """Denies all pending reservation requests."""
+        """Sends no more orders, and denies all pending reservation requests."""
+        self._closed = True
         for pending in self._pending:
             pending.reply.callback(
                 reservations.ReservationResult(False, reason="holder ended")
--- a/tests/test_relay_engine_controller.py
+++ b/tests/test_relay_engine_controller.py
@@ -3,6 +3,7 @@
 import json
 import logging
 
+import pytest
 from twisted.internet import defer
 
 from azureline.metrics import counters as metrics
@@ -78,7 +79,8 @@
         status = 409
         if order["expected"] == self.sequence:
             self.sequence += 1
-            self.adapters.append(order["adapter"])
+            if "adapter" in order:
+                self.adapters.append(order["adapter"])
             status = 202
         answer = self._answer(status, {})
         if self.orders == 1:
@@ -101,7 +103,7 @@
         }
 
 
-def _controller(clock, engine=None, published=None, pauses=None):
+def _controller(clock, engine=None, published=None, pauses=None, models=("a",)):
     dependencies = engine_controller.ControllerDependencies(
         reactor=clock,
         clock=clock,
@@ -118,7 +120,7 @@
     return engine_controller.EngineController(
         dependencies,
         builders_relay.server("e1", "a"),
-        builders_relay.kind("a"),
+        builders_relay.kind(*models),
         claims.Term(7, 0.0),
         lambda: True,
     )
@@ -180,6 +182,22 @@
     assert engine.calls > 0
 
 
+@pytest.mark.parametrize("closed", [False, True])
+def test_a_closed_controller_sends_no_order_when_a_report_arrives(closed):
+    """Its node has told the next lease holder when it sent its last order."""
+    clock, engine = builders_serving.Clock(), _LossyEngine()
+    controller = _controller(clock, engine, models=("a", "b"))
+    controller.step()
+    target = messages.PlannedModels("e1", 1, 5, ("a", "b"))
+    if closed:
+        controller.close()
+    controller.set_target(target)
+    for _ in range(20):
+        clock.advance(STEP_S)
+        controller.step()
+    assert (engine.orders == 0) is closed
+
+
 def test_orders_go_on_after_a_lost_answer_though_requests_come_all_the_time():
     clock = builders_serving.Clock()
     engine = _LossyEngine()
