--- a/azureline/relay/ranking.py
+++ b/azureline/relay/ranking.py
@@ -10,6 +10,7 @@
 import hashlib
 from typing import NamedTuple
 
+from azureline.relay import requests
 from azureline.relay import servers
 
 # An engine counts as overloaded above this many times the mean load ...
@@ -115,3 +116,22 @@
         f"{affinity}\n{name}".encode(), digest_size=8
     ).digest()
     return int.from_bytes(digest, "big") / 2**64
+
+
+def preferred(
+    usable: Sequence[servers.BackendServer],
+    tried_servers: tuple[str, ...],
+    only_server: str,
+) -> Sequence[servers.BackendServer]:
+    """Returns the server to use only, else those not tried, else all."""
+    only = [s for s in usable if s.server_id == only_server]
+    untried = [s for s in usable if s.server_id not in tried_servers]
+    return only or untried or usable
+
+
+def affinity_key(request: requests.CallerRequest) -> str:
+    """Returns the key that requests for the same engine share."""
+    if request.adapter:
+        return f"{request.model}/{request.adapter}"
+    shared = ",".join(part.name for part in request.shared_parts)
+    return f"{request.model} {shared}"
--- a/azureline/relay/scheduler.py
+++ b/azureline/relay/scheduler.py
@@ -15,6 +15,7 @@
 from azureline.relay import eligibility as eligibilities
 from azureline.relay import exchange_refusals
 from azureline.relay import health as healths
+from azureline.relay import in_flight
 from azureline.relay import prefill
 from azureline.relay import ranking
 from azureline.relay import requests
@@ -72,7 +73,6 @@
         self._reactor = reactor
         self._clock = clock
         self._rng = rng
-        self._domain = domain
         self._catalogue = catalogue
         self._residency = residency
         self._eligibility = eligibility
@@ -82,18 +82,18 @@
         self._times = times
         self._counters = counters
         self._health = healths.ServerHealth()
+        self._in_flight = in_flight.InFlight(
+            clock, domain, residency, self._health, demand
+        )
         self._read_time_ratios = prefill.ReadTimeRatios()
         self._reserved = reserved_assignment.ReservedAssignment(
             reactor,
             clock,
             reservations,
             self._read_time_ratios,
-            self._count_in,
+            self._in_flight.add,
             self.release,
         )
-        self._in_flight: dict[str, int] = {}
-        # Requests in flight when a server's load was last reported.
-        self._in_flight_at_report: dict[str, int] = {}
         self._waiters = waiters.Waiters(reactor)
 
     async def assign(
@@ -144,7 +144,7 @@
             assigned = await self._assign_engine(
                 request,
                 route,
-                _preferred(candidates, tried_servers, only_server),
+                ranking.preferred(candidates, tried_servers, only_server),
                 wait_policy.latest_send(first_event_deadline),
                 deadline,
             )
@@ -210,13 +210,7 @@
             self._reservations.release(
                 server.server_id, assignment.adapter_reservation
             )
-        remaining = self._in_flight.get(server.server_id, 1) - 1
-        if remaining > 0:
-            self._in_flight[server.server_id] = remaining
-        else:
-            self._in_flight.pop(server.server_id, None)
-        if assignment.model:
-            self._demand.add_in_flight(server.service, assignment.model, -1)
+        self._in_flight.remove(assignment)
         if result is None:
             self._give_back(assignment)
         if result is None or result.end is attempts.End.CANCELLED:
@@ -270,7 +264,7 @@
 
     def record_load_report(self, server_id: str) -> None:
         """Records that a server's load was reported just now."""
-        self._in_flight_at_report[server_id] = self._in_flight.get(server_id, 0)
+        self._in_flight.record_load_report(server_id)
 
     def wake_waiting(self) -> None:
         """Wakes waiting requests to check the state again."""
@@ -305,15 +299,18 @@
                 if refusal is not None:
                     return refusal
                 continue
-            preferred = _preferred(usable.servers, tried_servers, only_server)
+            preferred = ranking.preferred(
+                usable.servers, tried_servers, only_server
+            )
             ranked = ranking.rank_by_load(
-                [self._candidate(s) for s in preferred], self._rng.random
+                [self._in_flight.candidate(s) for s in preferred],
+                self._rng.random,
             )
             chosen = await self._choose(ranked, route, latest, deadline)
             if isinstance(chosen, errors.Refusal):
                 return chosen
             if chosen is not None:
-                return self._count_in(
+                return self._in_flight.add(
                     assignments.Assignment(chosen.server, grant=chosen.grant)
                 )
 
@@ -363,12 +360,14 @@
         deadline: float,
     ) -> assignments.Assignment | errors.Refusal | None:
         """Returns an assignment; None if the engines have to be ranked anew."""
-        candidates = [self._engine_candidate(s, request) for s in holders]
+        candidates = [
+            self._in_flight.engine_candidate(s, request) for s in holders
+        ]
         # An engine elsewhere may have the prompt cached.  Reading a long prompt
         # again takes longer than an answer from another failure domain.
         is_long = request.prompt_tokens >= _LONG_PROMPT_TOKENS
-        ordered = ranking.rank_by_affinity(
-            candidates, _affinity(request), near_first=not is_long
+        ordered = ranking.rank_byranking.affinity_key(
+            candidates, ranking.affinity_key(request), near_first=not is_long
         )
         chosen = await self._choose(ordered, route, latest, deadline)
         if not isinstance(chosen, server_choice.Chosen):
@@ -381,7 +380,7 @@
             grant=chosen.grant,
         )
         if not request.adapter and not is_long:
-            return self._count_in(assignment)
+            return self._in_flight.add(assignment)
         tried = [chosen.server]
         if chosen.grant is None:
             tried = self._open_servers(ordered)[:_MAX_ENGINES_ASKED]
@@ -493,55 +492,3 @@
 
     async def _sleep(self, seconds: float) -> None:
         await task.deferLater(self._reactor, seconds, lambda: None)
-
-    def _candidate(self, server: servers.BackendServer) -> ranking.Candidate:
-        in_flight = self._in_flight.get(server.server_id, 0)
-        started = in_flight - self._in_flight_at_report.get(server.server_id, 0)
-        return ranking.Candidate(
-            server,
-            load=max(in_flight, self._residency.load_of(server) + started),
-            penalty=self._health.penalty(server.incarnation, self._clock.now()),
-            other_domain=server.domain != self._domain,
-        )
-
-    def _engine_candidate(
-        self, server: servers.BackendServer, request: requests.CallerRequest
-    ) -> ranking.Candidate:
-        ready = not request.adapter or self._residency.has_adapter(
-            server, request.model, request.adapter
-        )
-        return self._candidate(server)._replace(
-            ready=ready,
-            busy=self._residency.busy(server),
-            reading_ratio=self._residency.reading_of(server),
-        )
-
-    def _count_in(
-        self, assignment: assignments.Assignment
-    ) -> assignments.Assignment:
-        name = assignment.server.server_id
-        self._in_flight[name] = self._in_flight.get(name, 0) + 1
-        if assignment.model:
-            self._demand.add_in_flight(
-                assignment.server.service, assignment.model, 1
-            )
-        return assignment
-
-
-def _preferred(
-    usable: Sequence[servers.BackendServer],
-    tried_servers: tuple[str, ...],
-    only_server: str,
-) -> Sequence[servers.BackendServer]:
-    """Returns the server to use only, else those not tried, else all."""
-    only = [s for s in usable if s.server_id == only_server]
-    untried = [s for s in usable if s.server_id not in tried_servers]
-    return only or untried or usable
-
-
-def _affinity(request: requests.CallerRequest) -> str:
-    """Returns the key that requests for the same engine share."""
-    if request.adapter:
-        return f"{request.model}/{request.adapter}"
-    shared = ",".join(part.name for part in request.shared_parts)
-    return f"{request.model} {shared}"
