--- a/azureline/relay/scheduler.py
+++ b/azureline/relay/scheduler.py
@@ -366,7 +366,7 @@
         # An engine elsewhere may have the prompt cached.  Reading a long prompt
         # again takes longer than an answer from another failure domain.
         is_long = request.prompt_tokens >= _LONG_PROMPT_TOKENS
-        ordered = ranking.rank_byranking.affinity_key(
+        ordered = ranking.rank_by_affinity(
             candidates, ranking.affinity_key(request), near_first=not is_long
         )
         chosen = await self._choose(ordered, route, latest, deadline)
