Write records of all nodes by one ranked writer

The copy of the configuration and the record of software versions had the same order, delays and retries in two places.

--- a/azureline/relay/config_copy.py
+++ b/azureline/relay/config_copy.py
@@ -7,24 +7,16 @@
 
 from typing import Any
 
-from twisted.internet import defer
-
 from azureline.metrics import counters as metrics
 from azureline.platform import store as store_lib
 from azureline.relay import keys
 from azureline.relay import peers as peers_lib
-from azureline.routing import rendezvous
+from azureline.relay import ranked_writer
 from azureline.util import events
 
-# All nodes would write the same, so each waits for those before it in an order
-# that all nodes agree on.
-_RANK_DELAY_S = 0.4
-_MAX_RANK = 10
 _WRITE_DELAY_S = 0.05
 # The copy stays for a while after the operators' write, for nodes that start.
 _REMOVAL_DELAY_S = 2.0
-# Delay of a retry, in which the follower tells what is stored.
-_RETRY_S = 0.5
 
 
 class ConfigCopy:
@@ -47,9 +39,7 @@
           counters: counts writes and removals.
           log: receives a line for each write and removal.
         """
-        self._reactor = reactor
         self._store = store
-        self._peers = peers
         self._counters = counters
         self._log = log
         self._version = 0
@@ -59,15 +49,13 @@
         # Version and revision of the copy in the store; 0 without one.
         self._copied_version = 0
         self._revision = 0
-        self._timer: Any = None
-        self._writing = False
-        self._closed = False
+        self._writer = ranked_writer.RankedWriter(
+            reactor, peers, keys.CONFIG_COPY, self._write, self._schedule, log
+        )
 
     def close(self) -> None:
         """Stops writing."""
-        self._closed = True
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        self._writer.close()
 
     def store_returned(self) -> None:
         """Forgets the copy's revision, as the store may have forgotten it."""
@@ -102,40 +90,10 @@
         return 0 < self._copied_version <= self._operators_version
 
     def _schedule(self, delay_s: float = 0.0) -> None:
-        if self._closed or self._writing:
-            return
-        if self._timer is not None and self._timer.active():
-            return
         if self._is_forgotten() and self._operators_version:
-            delay_s += _WRITE_DELAY_S
+            self._writer.schedule(delay_s + _WRITE_DELAY_S)
         elif self._is_needless():
-            delay_s += _REMOVAL_DELAY_S
-        else:
-            return
-        delay_s += self._rank() * _RANK_DELAY_S
-        self._timer = self._reactor.callLater(delay_s, self._start_write)
-
-    def _rank(self) -> int:
-        """Returns this node's place in the order of nodes."""
-        names = rendezvous.ordered_servers(
-            keys.CONFIG_COPY.encode(), self._peers.nodes
-        )
-        return min(_MAX_RANK, names.index(self._peers.name))
-
-    def _start_write(self) -> None:
-        self._timer = None
-        self._writing = True
-        writing = defer.ensureDeferred(self._write())
-        writing.addErrback(
-            lambda f: self._log.error(
-                "config_copy_failed", reason=f.getTraceback()
-            )
-        )
-        writing.addCallback(self._finish_write)
-
-    def _finish_write(self, done: bool | None) -> None:
-        self._writing = False
-        self._schedule(0.0 if done else _RETRY_S)
+            self._writer.schedule(delay_s + _REMOVAL_DELAY_S)
 
     async def _write(self) -> bool:
         """Writes or removes the copy; returns whether nothing is left to do."""
--- a/azureline/relay/service_versions.py
+++ b/azureline/relay/service_versions.py
@@ -11,15 +11,14 @@
 from typing import Any
 
 import msgpack
-from twisted.internet import defer
 
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
 from azureline.platform import store as store_lib
 from azureline.relay import keys
 from azureline.relay import peers as peers_lib
+from azureline.relay import ranked_writer
 from azureline.relay import servers
-from azureline.routing import rendezvous
 from azureline.util import events
 
 # Time for which a stream can be taken up: longer than a caller's patience over
@@ -28,12 +27,7 @@
 # Bounds of the record.
 _MAX_SERVICES = 1000
 _MAX_VERSIONS = 32
-# All nodes would write the same, so each waits for those before it in an order
-# that all nodes agree on.
 _WRITE_DELAY_S = 0.05
-_RANK_DELAY_S = 0.4
-_MAX_RANK = 10
-_RETRY_S = 0.5
 
 
 class ServiceVersions:
@@ -60,10 +54,8 @@
           counters: counts writes of the record.
           log: receives a line for each write and each new version.
         """
-        self._reactor = reactor
         self._clock = clock
         self._store = store
-        self._peers = peers
         self._catalogue = catalogue
         self._counters = counters
         self._log = log
@@ -71,15 +63,18 @@
         self._seen_at: dict[str, dict[str, float]] = {}
         self._recorded: dict[str, frozenset[str]] = {}
         self._revision = 0
-        self._timer: Any = None
-        self._writing = False
-        self._closed = False
+        self._writer = ranked_writer.RankedWriter(
+            reactor,
+            peers,
+            keys.SOFTWARE_VERSIONS,
+            self._write,
+            self._schedule,
+            log,
+        )
 
     def close(self) -> None:
         """Stops writing."""
-        self._closed = True
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        self._writer.close()
 
     def possible(self, service: str) -> frozenset[str] | None:
         """Returns the versions that may have begun a stream of a service.
@@ -148,39 +143,13 @@
         return {s: versions for s, versions in current.items() if versions}
 
     def _schedule(self, delay_s: float = 0.0) -> None:
-        if self._closed or self._writing:
-            return
-        if self._timer is not None and self._timer.active():
-            return
-        if self._wanted() == self._recorded:
-            return
-        names = rendezvous.ordered_servers(
-            keys.SOFTWARE_VERSIONS.encode(), self._peers.nodes
-        )
-        rank = min(_MAX_RANK, names.index(self._peers.name))
-        self._timer = self._reactor.callLater(
-            delay_s + _WRITE_DELAY_S + rank * _RANK_DELAY_S, self._start_write
-        )
-
-    def _start_write(self) -> None:
-        self._timer = None
-        if self._closed or self._wanted() == self._recorded:
-            return
-        self._writing = True
-        writing = defer.ensureDeferred(self._write())
-        writing.addErrback(
-            lambda f: self._log.error(
-                "software_versions_failed", reason=f.getTraceback()
-            )
-        )
-        writing.addCallback(self._finish_write)
-
-    def _finish_write(self, done: bool | None) -> None:
-        self._writing = False
-        self._schedule(0.0 if done else _RETRY_S)
+        if self._wanted() != self._recorded:
+            self._writer.schedule(delay_s + _WRITE_DELAY_S)
 
     async def _write(self) -> bool:
         wanted = self._wanted()
+        if wanted == self._recorded:
+            return True
         result = await self._store.transact(
             {keys.SOFTWARE_VERSIONS: self._revision},
             (store_lib.Put(keys.SOFTWARE_VERSIONS, _encode(wanted)),),
