Continue no term that was not claimed again before the next return

Two returns in a row: a term that the process has not claimed again since the first may have been claimed by another node in the era between, of which nothing is left. An entry in doubt is not put off again by a second listing.

--- a/azureline/relay/servers.py
+++ b/azureline/relay/servers.py
@@ -171,7 +171,7 @@
             and current is None
             and (_is_older(server, gone) or _is_same(server, gone))
         ):
-            self._doubtful[server_id] = _Doubtful(server)
+            self._doubtful.setdefault(server_id, _Doubtful(server))
             return False
         self._add(server)
         return True
--- a/azureline/relay/store_session.py
+++ b/azureline/relay/store_session.py
@@ -196,8 +196,14 @@
           era: the store's era, which began with its return from a copy.
           nodes: number of nodes, which all do the same.
         """
+        # A term that was not claimed again since the last return may be lost.
+        held = {
+            name: term
+            for name, term in self._held_terms.items()
+            if name not in self._to_reclaim
+        }
         self._history.era_began(
-            era, self._held_terms, self._validity.renewed_at, self._clock.now()
+            era, held, self._validity.renewed_at, self._clock.now()
         )
         self._next_claim_at = float("-inf")
         self._to_reclaim = set(self._held_terms)
