--- a/azureline/core/errors.py
+++ b/azureline/core/errors.py
@@ -122,7 +122,7 @@
         502, Ran.UNKNOWN, 0.5, "The stream broke before its end"
     ),
     ErrorKind.RESUMPTION_DECLINED: ErrorAnswer(
-        503, Ran.NO, None, "The stream cannot go on"
+        503, Ran.NO, 0.1, "The stream cannot go on"
     ),
     ErrorKind.CRASH_SUSPECT: ErrorAnswer(
         503, Ran.UNKNOWN, 30.0, "The request may crash backend servers"
