Exit with 2 when a case of the review can't run

Seen: without the build of the deploy file, or after an unexpected error of a script, Python exited with 1, which says that a rule was broken.

--- a/review/support.py
+++ b/review/support.py
@@ -166,6 +166,6 @@
     record.write(f"disruption: {'yes' if has_trouble() else 'no'}")
     try:
         return run(record)
-    except (deployment.StartError, OSError) as e:
+    except Exception as e:  # Only `run` itself finds that a rule was broken.
         record.result(f"the case could not run: {e!r}")
         return NOT_RUN
