Record that a request may have run before its server is probed

Cause: after a broken attempt `_handle_broken` waits until the server has been probed, and only then noted that the request may have run. Meanwhile there was no current attempt either, so `expire`, called by the deadline or by a planned stop, took the request as never sent. Ruled out: the client's `sent` flag (it is set with the first write), the answers of the engine (it sends none).

Change: the note is made as soon as an attempt ends, before anything is awaited, unless its result excludes a run. Whether an earlier attempt broke follows from the number of sends.

--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -21,6 +21,8 @@
 from azureline.relay import server_runs
 from azureline.relay import stream_events
 
+_RunOutcome = server_runs.RunOutcome
+
 # Attempts whose connection failed before the request is refused.
 _MAX_CONNECT_FAILURES = 4
 # Delay before a server that is still loading the adapter is tried again.
@@ -298,6 +300,9 @@
         finally:
             content = run.end(result)
         self._attempt = None
+        if server_runs.run_outcome(result) is not _RunOutcome.NOT_RUN:
+            # Before anything is awaited: the deadline may pass meanwhile.
+            self._may_have_run = True
         took_s = context.clock.now() - now
         if attempt.first_s is not None:
             waited_s = now - self._started_at + attempt.first_s
@@ -358,11 +363,10 @@
         permit: crash_suspects.SendPermit,
         result: attempts.Result,
     ) -> bool:
-        if self._may_have_run or permit.content or self._request.shared_parts:
+        if self._sends > 1 or permit.content or self._request.shared_parts:
             # If the request crashes servers, another attempt could crash one
             # more.  So wait until it is known whether this server crashed.
             await self._context.crash_detector.probes_done(assignment.server)
-        self._may_have_run = True
         now = self._context.clock.now()
         retry = (
             route.repeatable
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -1,6 +1,7 @@
 """Builders for tests of the relay and of the platform's documents."""
 
 import json
+import random
 from typing import Any
 
 from azureline.relay import engines
@@ -87,6 +88,11 @@
     return routes.SiteConfig(version, found, {"llm": service}, routes.Limits())
 
 
+def route_table() -> routes.RouteTable:
+    """Returns a table without a configuration."""
+    return routes.RouteTable(random.Random(1))
+
+
 def request(**fields: Any) -> requests.CallerRequest:
     """Returns a caller's request."""
     values = {
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -1,80 +1,70 @@
 """Tests of the handling of one request, without a network."""
 
-import logging
-import random
+import pytest
 
 from azureline.core import errors
-from azureline.metrics import counters as metrics
-from azureline.relay import exchange
-from azureline.relay import exchange_context
 from azureline.relay import routes
-from azureline.util import events
+from tests import builders_exchange
 from tests import builders_relay
-from tests import builders_serving
 
+_TIMEOUT_S = 3.0
 
-class _ReceivedRequest:
-    """A fake caller connection that records the refusal."""
 
-    response_started = False
-
-    def __init__(self):
-        self.refusal = None
-
-    def on_disconnect(self, callback):
-        self.disconnect = callback
-
-    def refuse(self, refusal):
-        self.refusal = refusal
-
-
-def _exchange():
-    clock = builders_serving.Clock()
-    context = exchange_context.ExchangeContext(
-        reactor=clock,
-        clock=clock,
-        client=None,
-        route_table=routes.RouteTable(random.Random(1)),
-        scheduler=None,
-        retry_budget=None,
-        crash_detector=None,
-        notices=None,
-        sends=None,
-        streams=None,
-        crash_suspects=None,
-        counters=metrics.Counters(),
-        exposition=None,
-        log=events.Log(logging.getLogger("exchange"), None),
-    )
-    received = _ReceivedRequest()
-    return (
-        context,
-        received,
-        exchange.Exchange(context, received, builders_relay.request()),
+def _stream_scene() -> builders_exchange.Scene:
+    """Returns a node that has sent a stream's request, 0.1 s before timeout."""
+    route = builders_relay.route(
+        kind=routes.Kind.STREAMING, timeout_s=_TIMEOUT_S, attempts=1
     )
+    scene = builders_exchange.Scene(route, parts=builders_exchange.PARTS)
+    scene.exchange.start()
+    scene.clock.advance(_TIMEOUT_S - 0.1)
+    return scene
 
 
 def test_a_new_process_holds_requests_until_its_first_configuration():
-    context, received, one_exchange = _exchange()
-    one_exchange.start()
-    context.reactor.advance(0.02)
-    assert received.refusal is None
-    context.route_table.put_in_force(builders_relay.config(1))
-    context.reactor.advance(0.02)
-    assert received.refusal.kind is errors.ErrorKind.NOT_FOUND
+    scene = builders_exchange.Scene()
+    scene.exchange.start()
+    scene.clock.advance(0.02)
+    assert scene.received.refusal is None
+    scene.context.route_table.put_in_force(builders_relay.config(1))
+    scene.clock.advance(0.02)
+    assert scene.received.refusal.kind is errors.ErrorKind.NOT_FOUND
 
 
 def test_a_process_without_a_configuration_refuses_within_300_ms():
-    context, received, one_exchange = _exchange()
-    one_exchange.start()
-    context.reactor.pump([0.02] * 14)
-    assert received.refusal.kind is errors.ErrorKind.NOT_READY
-    assert context.reactor.seconds() < 0.3
+    scene = builders_exchange.Scene()
+    scene.exchange.start()
+    scene.clock.pump([0.02] * 14)
+    assert scene.received.refusal.kind is errors.ErrorKind.NOT_READY
+    assert scene.clock.seconds() < 0.3
 
 
 def test_a_disconnect_before_the_first_configuration_ends_the_request():
-    context, received, one_exchange = _exchange()
-    done = one_exchange.start()
-    received.disconnect()
+    scene = builders_exchange.Scene()
+    done = scene.exchange.start()
+    scene.received.disconnect()
     assert done.called
-    assert not context.reactor.getDelayedCalls()
+    assert not scene.clock.getDelayedCalls()
+
+
+@pytest.mark.parametrize("end", ["deadline", "planned stop"])
+def test_a_request_that_ran_is_not_refused_as_not_run_while_a_probe_waits(end):
+    # Its connection breaks, and it ends before the server is known to live.
+    scene = _stream_scene()
+    scene.break_connection()
+    scene.clock.advance(0.05)
+    assert scene.received.refusal is None
+    if end == "deadline":
+        scene.clock.advance(0.1)
+    else:
+        scene.exchange.expire()
+    assert scene.received.refusal.answer.ran is not errors.Ran.NO
+    assert scene.received.refusal.kind is errors.ErrorKind.DEADLINE_EXCEEDED
+
+
+def test_a_request_that_was_never_sent_is_refused_as_not_run():
+    scene = _stream_scene()
+    for _ in range(4):
+        scene.break_connection(sent=False)
+    assert len(scene.client.calls) == 4
+    assert scene.received.refusal.answer.ran is errors.Ran.NO
