Record that a generation may have run when its engine crashes before the head

Callers saw (product's own interface): a generation whose engine crashed before the head of its answer arrived could be refused with 429 or 503 as not run, although the engine had accepted it.

`may_have_run` was set only after the head had been awaited; a crash that is reported meanwhile ends the attempt, and the pending call then returns without setting it.

Change: an attempt that ends with another engine to be tried sets it.

Measured: test_a_call_that_may_have_run_at_a_crash_is_not_refused_as_not_run fails before (429, Ran.NO) and passes after.

--- a/azureline/serving/generation.py
+++ b/azureline/serving/generation.py
@@ -316,6 +316,8 @@
             case stream.Cancel():
                 self._cancel()
             case stream.RetryOtherEngine():
+                # The engine may have begun before its answer's head arrived.
+                self.may_have_run = True
                 self._end_attempt(retry.Reason.BACKEND_DIED, None)
             case stream.Finished(tokens):
                 # The pool reuses a connection as soon as its body ends, so
--- a/tests/builders_serving.py
+++ b/tests/builders_serving.py
@@ -80,9 +80,14 @@
 
 
 class Backends:
-    """Engines that a test controls; records each stream that is opened."""
+    """Engines that a test controls; records each stream that is opened.
+
+    Attributes:
+      unanswered: whether the engines run calls but send no head.
+    """
 
     def __init__(self):
+        self.unanswered = False
         self.streams: list[tuple[str, str, Any]] = []
         self.refuse: dict[str, int | http.Failure] = {}
         self.cancelled: list[str] = []
@@ -90,6 +95,8 @@
         self.transports: list[Transport] = []
 
     async def generate(self, url, body):
+        if self.unanswered:
+            await defer.Deferred()
         return self._open(url, body["request_id"])
 
     async def resume(self, url, request_id, offset):
--- a/tests/test_serving_generations.py
+++ b/tests/test_serving_generations.py
@@ -172,3 +172,14 @@
     harness.backends.send(0, 5, done=True)
     harness.generations.on_engine_crashed("e1", "1")
     assert not harness.suspects.entries()
+
+
+def test_a_call_that_may_have_run_at_a_crash_is_not_refused_as_not_run():
+    single = builders.GenerationHarness(engines=1)
+    single.backends.unanswered = True
+    answer = single.begin(deadline=5.0)
+    single.generations.on_engine_crashed("e1", "1")
+    single.directory.remove_vm("e1")
+    single.generations.update_replicas([builders.MODEL])
+    single.advance(5)
+    assert answer.refusal.answer.ran is not errors.Ran.NO
