Confirm a stream's single software version by the store if nodes have failed

A killed node's record stays in the store for 4 s, so it was asked and its silence counted as doubt. Ruled out: the record of versions (the log names "single version" until the kill), the engines (new streams begin at the same nodes).

Change: with too few answers the node reads the store's current revision and goes on once it has followed the store there (read index). A node that is cut off or behind still declines, so ORDER's protection is not narrowed: a node that knows no other node now checks, too, where it had gone on without an answer. The two copies of the parser of addresses are one.

--- a/azureline/node.py
+++ b/azureline/node.py
@@ -39,6 +39,7 @@
 from azureline.serving import services as services_lib
 from azureline.serving import slot_manager
 from azureline.serving import suspect_gossip
+from azureline.util import addresses
 
 DRAIN_POLL_S = 0.1
 DRAIN_LINGER_S = 0.5
@@ -133,7 +134,7 @@
             self._rng,
             self._neighbours,
             self._key_value,
-            tuple(_address(seed) for seed in settings.seeds),
+            tuple(addresses.parse(seed) for seed in settings.seeds),
             self._apply_configuration,
             self._counters,
             settings.timeouts.watch_s,
@@ -226,7 +227,7 @@
             self._reactor,
             settings.name,
             info,
-            tuple(_address(seed) for seed in settings.seeds),
+            tuple(addresses.parse(seed) for seed in settings.seeds),
             self._clock,
             self._rng,
             self._counters,
@@ -414,8 +415,3 @@
     default_reactor.run(installSignalHandlers=False)
     if failures:
         sys.exit(1)
-
-
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -15,6 +15,7 @@
 from azureline.relay import change_feed
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
+from azureline.relay import view_check
 from azureline.util import backoff
 from azureline.util import events
 from azureline.util import supervision
@@ -123,6 +124,9 @@
         self._unfetched: set[str] = set()
         self._fetching = False
         self._wakeup: defer.Deferred[None] | None = None
+        self._view_check = view_check.ViewCheck(
+            reactor, clock, store, lambda: self._revision, counters
+        )
         self._supervisor = supervision.Supervisor(counters, log)
         self._heartbeat_loop = task.LoopingCall(
             self._supervisor.guarded("follower heartbeat", self._heartbeat)
@@ -136,6 +140,10 @@
         """The current role of this node in the change feed."""
         return self._role
 
+    def is_current(self) -> defer.Deferred[bool]:
+        """Returns whether this node has all changes made before this call."""
+        return self._view_check.is_current()
+
     def start(self) -> None:
         """Starts to follow the store."""
         self._running = defer.ensureDeferred(
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -50,6 +50,7 @@
 from azureline.relay import store_session
 from azureline.relay import store_view
 from azureline.relay import stream_versions
+from azureline.util import addresses
 from azureline.util import events
 from azureline.util import http1
 from azureline.util import probes
@@ -86,7 +87,7 @@
         self._client = http1.Client(reactor, self._clock, settings.connect_s)
         self._store = store_lib.StoreClient(
             self._client,
-            address(settings.store.address),
+            addresses.parse(settings.store.address),
             settings.store.timeout_s,
         )
         self._table = routes.RouteTable(self._rng)
@@ -194,7 +195,12 @@
             log,
         )
         self._streams = stream_versions.StreamVersions(
-            reactor, self._clock, self._peers, self._versions, self._counters
+            reactor,
+            self._clock,
+            self._peers,
+            self._versions,
+            lambda: self._follower.is_current(),
+            self._counters,
         )
         self._exchange_context = exchange_context.ExchangeContext(
             reactor,
@@ -432,7 +438,7 @@
         self._log.info("reloaded")
 
     def _listen(self, where: str, factory: Any) -> None:
-        host, port = address(where)
+        host, port = addresses.parse(where)
         self._ports.append(
             self._reactor.listenTCP(
                 port, factory, backlog=_BACKLOG, interface=host
@@ -489,11 +495,5 @@
         await task.deferLater(self._reactor, seconds, lambda: None)
 
 
-def address(text: str) -> http1.Address:
-    """Parses an address of the form IP:PORT."""
-    host, _, port = text.rpartition(":")
-    return http1.Address(host.strip("[]"), int(port))
-
-
 def _claim_terms(orders: settings_lib.Orders) -> claims.LeaseTimes:
     return claims.LeaseTimes(*orders)
--- a/azureline/relay/stream_versions.py
+++ b/azureline/relay/stream_versions.py
@@ -4,10 +4,12 @@
 a service may have begun streams, it tells two other nodes, which are found by
 the stream's id, so that a caller can take the stream up at any node.  A node
 that knows of a single version may have missed that another one has joined, so
-it asks them, too.
+it asks them, too.  If they have failed, it compares its view with the store.
 """
 
 import bisect
+from collections.abc import Awaitable
+from collections.abc import Callable
 import hashlib
 import itertools
 from typing import Any
@@ -81,6 +83,7 @@
         clock: clocks.Clock,
         peers: peers_lib.Peers,
         versions: service_versions.ServiceVersions,
+        is_view_current: Callable[[], Awaitable[bool]],
         counters: metrics.Counters,
     ):
         """Creates an instance that knows no stream.
@@ -90,12 +93,15 @@
           clock: source of time.
           peers: the other nodes.
           versions: the versions that may have begun streams.
+          is_view_current: returns whether this node has all changes that the
+            store made before the call.
           counters: counts the questions to other nodes.
         """
         self._reactor = reactor
         self._clock = clock
         self._peers = peers
         self._versions = versions
+        self._is_view_current = is_view_current
         self._counters = counters
         self._own: dict[str, _Stream] = {}
         self._kept: dict[str, _Stream] = {}
@@ -164,25 +170,37 @@
           service: the stream's service.
         """
         stream = stream if len(stream) <= _MAX_ID else ""
-        for memory in (self._own, self._kept):
-            known = memory.get(stream)
-            if known is not None and known.service == service:
-                if known.version is _AMBIGUOUS:
-                    return Unknown("the id names two streams")
-                return Known(known.version, "memory")
-        single = self._single_version(service)
-        if not stream and not single:
+        if remembered := self._remembered(stream, service):
+            return _known(remembered)
+        if not stream and not self._single_version(service):
             return Unknown("the caller names no stream")
         answers = await self._ask(stream, service)
         if stream and any(answers.versions):
             return Known(next(filter(None, answers.versions)), "other node")
+        if not self._single_version(service):
+            return Unknown("no node knows the stream")
+        if answers.suffice:
+            source = "single version"
+        elif await self._is_view_current():
+            source = "store"
+        else:
+            return Unknown("neither other nodes nor the store answer")
+        # Another version may have joined during the check.
+        if remembered := self._remembered(stream, service):
+            return _known(remembered)
+        single = self._single_version(service)
         if not single:
             return Unknown("no node knows the stream")
-        if len(answers.versions) < min(_MIN_ANSWERS, answers.asked):
-            return Unknown("other nodes do not answer")
         if not stream and set(answers.versions) - {single}:
             return Unknown("another node knows of another version")
-        return Known(single, "single version")
+        return Known(single, source)
+
+    def _remembered(self, stream: str, service: str) -> "_Stream | None":
+        for memory in (self._own, self._kept):
+            known = memory.get(stream)
+            if known is not None and known.service == service:
+                return known
+        return None
 
     def _single_version(self, service: str) -> str:
         """Returns the version of all streams of a service, or ""."""
@@ -290,6 +308,14 @@
     asked: int
     versions: tuple[str, ...]
 
+    @property
+    def suffice(self) -> bool:
+        """Whether they show that this node is in touch with others.
+
+        Nodes that have failed do not answer, so too few answers mean little.
+        """
+        return len(self.versions) >= max(1, min(_MIN_ANSWERS, self.asked))
+
 
 class _Question(NamedTuple):
     """A question that waits for answers.
@@ -311,6 +337,12 @@
             self.done.callback(None)
 
 
+def _known(stream: _Stream) -> Known | Unknown:
+    if stream.version is _AMBIGUOUS:
+        return Unknown("the id names two streams")
+    return Known(stream.version, "memory")
+
+
 def _remember(memory: dict[str, _Stream], stream: str, began: _Stream) -> None:
     known = memory.pop(stream, None)
     if known is not None and (known.service, known.version) != (
--- a/tests/builders_versions.py
+++ b/tests/builders_versions.py
@@ -57,9 +57,21 @@
         )
         self.client.on_return(lambda era: self.versions.removed())
         self.streams = stream_versions.StreamVersions(
-            fleet.reactor, clock, self.peers, self.versions, counters
+            fleet.reactor,
+            clock,
+            self.peers,
+            self.versions,
+            self._is_view_current,
+            counters,
         )
 
+    async def _is_view_current(self) -> bool:
+        """Follows the store; False if the node does not reach it."""
+        if self.name in self._fleet.cut:
+            return False
+        self.follow()
+        return True
+
     def _send(self, host: str, port: int, message: Any) -> None:
         if self._fleet.rng.random() >= self._fleet.loss:
             self._fleet.reactor.callLater(
@@ -103,6 +115,8 @@
         self.loss = 0.0
         # Nodes that reach neither the store nor other nodes.
         self.cut: set[str] = set()
+        # Nodes that have failed, and whose records have not lapsed yet.
+        self.down: set[str] = set()
         self.store = builders_store.FakeStore(self.reactor.seconds)
         self.servers: dict[str, servers.BackendServer] = {}
         self.nodes = {name: Node(self, name) for name in NODES}
@@ -125,7 +139,7 @@
 
     def deliver(self, source: str, host: str, message: Any) -> None:
         """Delivers a datagram to the current process of a node."""
-        if self.cut & {source, host}:
+        if (self.cut | self.down) & {source, host}:
             return
         self.nodes[host].peers.datagram(source, 1, message)
 
--- a/tests/test_processes_software_versions.py
+++ b/tests/test_processes_software_versions.py
@@ -14,6 +14,7 @@
 ENGINES = tuple(f"engine-{n}" for n in range(1, 9))
 CALLERS = 12
 TOKENS = 60
+LONG_TOKENS = 200
 # Streams that may join two versions (ORDER).
 MAX_JOINED = 2
 
@@ -148,6 +149,34 @@
             site.processes.start_relay(node, f"d{number}")
         time.sleep(3.0)
 
-    streams = _play(site, disturb, 14.0, tries=30, pause_s=0.2, tokens=200)
+    streams = _play(
+        site, disturb, 14.0, tries=30, pause_s=0.2, tokens=LONG_TOKENS
+    )
     assert len(_joined(streams)) <= MAX_JOINED
     assert any(s.complete for s in streams)
+
+
+def test_streams_of_one_version_go_on_after_one_of_three_nodes_is_killed():
+    # The killed node's record stays for seconds, and it answers no question.
+    with (
+        builders.running(engines=(("m0",),) * 3, versions=("v1",)) as site,
+        concurrent.futures.ThreadPoolExecutor(CALLERS) as threads,
+    ):
+        streams = [_Stream() for _ in range(CALLERS)]
+
+        def call(stream):
+            first = site.caller().send("/again/x", "m0", tokens=LONG_TOKENS)
+            stream.add(first)
+            time.sleep(0.3)
+            headers = stream.headers()
+            answer = site.caller(builders.NODES[1]).send(
+                "/again/x", "m0", tokens=LONG_TOKENS, headers=headers
+            )
+            stream.add(answer)
+
+        calls = [threads.submit(call, stream) for stream in streams]
+        time.sleep(0.5)
+        site.processes.kill(builders.NODES[0])
+        for one in calls:
+            one.result()
+    _assert_goes_on(streams)
--- a/tests/test_relay_stream_versions.py
+++ b/tests/test_relay_stream_versions.py
@@ -187,6 +187,14 @@
     def datagrams_are_lost(self, loss):
         self.fleet.loss = loss
 
+    @stateful.rule(names=st.sets(st.sampled_from(NODES), max_size=4))
+    def nodes_fail(self, names):
+        self.fleet.down = names
+
+    @stateful.rule(names=st.sets(st.sampled_from(NODES), max_size=2))
+    def nodes_are_cut_off(self, names):
+        self.fleet.cut = names
+
     @stateful.rule(node=st.sampled_from(NODES), index=st.integers(1, 40))
     def a_stream_is_taken_up(self, node, index):
         stream = f"s{index}"
@@ -240,3 +248,34 @@
     fleet.cut.add("n4")
     for stream in ("s", "unknown", ""):
         assert fleet.find("n0", stream).version == "v1"
+
+
+@pytest.mark.parametrize("failed", [1, 2, 4])
+@pytest.mark.parametrize("stream", ["s", "unknown", ""])
+def test_streams_of_a_single_version_go_on_after_nodes_have_failed(
+    fleet, failed, stream
+):
+    # The records of failed nodes stay for seconds, and they do not answer.
+    _began(fleet, "n4", "s", "e1")
+    fleet.down = set(NODES[-failed:])
+    assert _version(fleet.find("n0", stream)) == "v1"
+
+
+@pytest.mark.parametrize("failed", [1, 2, 4])
+def test_a_node_that_missed_a_version_joins_none_after_nodes_have_failed(
+    failed,
+):
+    fleet = _fleet_with_an_unseen_version(cut_store_only=True)
+    fleet.down = set(NODES[-failed:])
+    for number in range(20):
+        assert _version(fleet.find("n0", f"s{number}")) in (None, "v2")
+    assert not fleet.find("n0", "")
+
+
+def test_a_node_alone_that_is_cut_off_from_the_store_continues_no_stream(
+    fleet,
+):
+    _began(fleet, "n4", "s", "e1")
+    fleet.down = set(NODES[1:])
+    fleet.cut = {"n0"}
+    assert not fleet.find("n0", "s")
