Tell the age of a confirmation in the change feed

Cause: a watcher's heartbeat says that nothing has changed, but not since when the watcher knows. A watch that waits proves nothing, so watchers that are cut off silently went on confirming for 3 s, and the node waited 1.3 to 2.3 s more. Ruled out: the store (the other domains have the change at once), the node's own path (its first watch brings the change).

Reads of items too large for the feed are in a module of their own, unchanged.

--- a/azureline/core/wire.py
+++ b/azureline/core/wire.py
@@ -3,7 +3,8 @@
 Each message is a `NamedTuple` class that is registered with a `Codec` under a
 small number.  A frame is a 4-byte big-endian length followed by a msgpack array
 of this number and the fields.  A field is of a msgpack type, an enum, a nested
-registered tuple or a sequence of these.
+registered tuple or a sequence of these.  Fields with defaults are those that
+were added later; processes of an earlier version don't send them.
 """
 
 import enum
@@ -98,12 +99,13 @@
         cls = self._by_number.get(fields[0]) if is_number else None
         if cls is None:
             raise MalformedError(f"unknown message number {fields[0]!r}")
-        if len(fields) - 1 != len(cls._fields):
+        missing = len(cls._fields) - (len(fields) - 1)
+        if not 0 <= missing <= len(cls._field_defaults):
             raise MalformedError(
                 f"{cls.__name__}: expected {len(cls._fields)} fields, "
                 f"got {len(fields) - 1}"
             )
-        for name, value in zip(cls._fields, fields[1:], strict=True):
+        for name, value in zip(cls._fields, fields[1:], strict=False):
             expected = _CHECKED.get(cls.__annotations__.get(name))
             if expected is not None and not isinstance(value, expected):
                 raise MalformedError(
--- a/azureline/relay/change_feed.py
+++ b/azureline/relay/change_feed.py
@@ -2,8 +2,9 @@
 
 Calls to the store are expensive, and its rate limits grow more slowly than the
 fleet.  Most nodes therefore receive changes from a watcher of their own failure
-domain, within which traffic is free.  A node that receives no heartbeat of a
-watcher follows the store itself.
+domain, within which traffic is free.  Each message says how long ago the store
+confirmed it, as a watcher that is cut off from the store does not notice at
+once.  A node whose last confirmation is too old follows the store itself.
 """
 
 from collections.abc import Iterable
@@ -24,12 +25,13 @@
 # Minimum interval between requests for missing changes. A reply takes a few
 # milliseconds, so more frequent requests would only load the links.
 MIN_REQUEST_INTERVAL_S = 0.2
-# Time without a heartbeat after which a watcher counts as unresponsive: three
-# heartbeats, as datagrams can be lost.
-HEARTBEAT_TIMEOUT_S = 1.3
+# Age of the last confirmation at which a node follows the store itself. With
+# the spread and a call to the store it stays below 2 s, the time within which a
+# change must be in force. It covers a watch, a pause and a lost heartbeat.
+CONFIRMATION_TIMEOUT_S = 1.1
 # Spread over which the nodes of a domain turn to the store themselves, so that
 # they do not do so all at once.
-_ALONE_SPREAD_S = 0.6
+_ALONE_SPREAD_S = 0.3
 # Maximum number of changes that a node keeps to resend them.
 _MAX_LOG_ROWS = 500
 # Maximum number of datagrams in reply to one request. The requester asks again
@@ -48,7 +50,7 @@
     WATCHER = "watcher"  # Watches the store and sends changes to its domain.
     SECOND = "second"  # Backup: watches the store, sends changes on request.
     FED = "fed"  # Receives changes from a watcher.
-    ALONE = "alone"  # Watches the store, as no watcher sends heartbeats.
+    ALONE = "alone"  # Watches the store, as no watcher confirms its view.
 
 
 class Roles:
@@ -57,11 +59,22 @@
     def __init__(self, node: str):
         """Creates the roles of a node that has received no heartbeat."""
         self._node = node
-        self._heartbeat_at = float("-inf")
+        self._confirmed_at = float("-inf")
+        spread = ranking.rendezvous_hash("alone", node)
+        self._timeout_s = CONFIRMATION_TIMEOUT_S + _ALONE_SPREAD_S * spread
 
-    def heartbeat_received(self, now: float) -> None:
-        """Records a heartbeat of a watcher that the store answers."""
-        self._heartbeat_at = now
+    @property
+    def alone_at(self) -> float:
+        """Monotonic time in seconds at which a node that is fed turns alone."""
+        return self._confirmed_at + self._timeout_s
+
+    def confirmed(self, at: float) -> None:
+        """Records what a watcher's message confirms.
+
+        Args:
+          at: monotonic time in seconds at which the store confirmed it.
+        """
+        self._confirmed_at = max(self._confirmed_at, at)
 
     def role(self, nodes: Iterable[keys.NodeRecord], now: float) -> Role:
         """Returns the role among the nodes of this failure domain.
@@ -85,12 +98,7 @@
             return Role.WATCHER
         if self._node in names[:WATCHERS]:
             return Role.SECOND
-        spread_s = _ALONE_SPREAD_S * ranking.rendezvous_hash(
-            "alone", self._node
-        )
-        if now - self._heartbeat_at > HEARTBEAT_TIMEOUT_S + spread_s:
-            return Role.ALONE
-        return Role.FED
+        return Role.FED if now < self.alone_at else Role.ALONE
 
 
 class FeedRequestLimiter:
--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -13,6 +13,7 @@
 from azureline.platform import eras
 from azureline.platform import store as store_lib
 from azureline.relay import change_feed
+from azureline.relay import item_fetcher
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
 from azureline.relay import view_check
@@ -37,8 +38,6 @@
 # was unreachable may leave calls unanswered, and a long watch would delay the
 # detection of its return.
 _PROBE_WAIT_S = 0.3
-# Minimum interval between reads of items that were too large for the feed.
-_FETCH_INTERVAL_S = 0.4
 # Failed calls in a row after which the node asks other failure domains. A
 # single call may fail by chance; after several, the store may be rejecting this
 # node or its whole failure domain while it serves others.
@@ -46,6 +45,10 @@
 # A working watch delivers changes well within this time.
 _MAX_LAG_S = 1.0
 _ALL_KEYS = ""
+# Age of a view that the store has not confirmed, for other nodes.
+_MAX_AGE_S = 3600.0
+# A timer for a point in time fires after it, despite rounding.
+_TIMER_MARGIN_S = 0.001
 
 
 class Pace(NamedTuple):
@@ -113,6 +116,9 @@
         self._items: dict[str, store_lib.Item] = {}
         self._watching: defer.Deferred[Any] | None = None
         self._failures = 0
+        # Time at which the store confirmed that the items are complete.
+        self._confirmed_at = float("-inf")
+        self._role_check: Any = None
         # Time of the first answer of the store after the last failure.
         self._answering_since: float | None = None
         self._running: defer.Deferred[Any] | None = None
@@ -121,8 +127,9 @@
         self._feed_log = change_feed.FeedLog()
         self._request_pacer = change_feed.FeedRequestLimiter()
         self._lagging_since: float | None = None
-        self._unfetched: set[str] = set()
-        self._fetching = False
+        self._fetcher = item_fetcher.ItemFetcher(
+            reactor, store, self._item_changed, log
+        )
         self._wakeup: defer.Deferred[None] | None = None
         self._view_check = view_check.ViewCheck(
             reactor, clock, store, lambda: self._revision, counters
@@ -156,6 +163,8 @@
         """Stops following."""
         if self._heartbeat_loop.running:
             self._heartbeat_loop.stop()
+        if self._role_check is not None and self._role_check.active():
+            self._role_check.cancel()
         if self._running is not None:
             self._running.cancel()
 
@@ -265,12 +274,16 @@
     def _stamped(self, feed: messages.Feed) -> messages.Feed:
         now = self._clock.now()
         since = now if self._answering_since is None else self._answering_since
+        # Only the last of several datagrams reaches the confirmed revision.
+        is_last = self._revision is not None and feed.upto >= self._revision
+        age_s = now - self._confirmed_at if is_last else _MAX_AGE_S
         return feed._replace(
-            steady_ms=int((now - since) * 1000), store_lost=self._failures > 0
+            steady_ms=int((now - since) * 1000),
+            store_lost=self._failures > 0,
+            age_ms=int(min(age_s, _MAX_AGE_S) * 1000),
         )
 
-    def _heartbeat(self) -> None:
-        """Updates the role; watchers also send a heartbeat."""
+    def _update_role(self) -> None:
         now = self._clock.now()
         nodes = [self._peers.own, *self._neighbours()]
         role = self._roles.role(nodes, now)
@@ -284,7 +297,21 @@
             )
             self._role = role
             self._wake_runner()
-        is_watching = role in (
+
+    def _check_role_when_alone(self) -> None:
+        """Updates the role at once when the last confirmation is too old."""
+        wait_s = max(0.0, self._roles.alone_at - self._clock.now())
+        wait_s += _TIMER_MARGIN_S
+        if self._role_check is not None and self._role_check.active():
+            self._role_check.reset(wait_s)
+            return
+        check = self._supervisor.guarded("follower role", self._update_role)
+        self._role_check = self._reactor.callLater(wait_s, check)
+
+    def _heartbeat(self) -> None:
+        """Updates the role; watchers also send a heartbeat."""
+        self._update_role()
+        is_watching = self._role in (
             change_feed.Role.WATCHER,
             change_feed.Role.SECOND,
         )
@@ -295,7 +322,7 @@
             )
             for record in self._neighbours():
                 self._peers.send(record, heartbeat)
-        self._fetch_next()
+        self._fetcher.fetch_next()
 
     def _on_feed(self, feed: messages.Feed, host: str, port: int) -> None:
         """Handles a change feed message from a watcher."""
@@ -303,15 +330,13 @@
             return
         self._store.learn_era(eras.era_of(feed.upto))
         now = self._clock.now()
-        self._roles.heartbeat_received(now)
-        is_fed = self._role is change_feed.Role.FED
-        if self._revision is None:
-            return
-        follows_feed = is_fed or self._role is change_feed.Role.SECOND
-        if not (follows_feed or self._failures or self._is_lagging(feed, now)):
+        confirmed_at = now - feed.age_ms / 1000
+        if self._role is not change_feed.Role.FED:
+            self._roles.confirmed(confirmed_at)
+        if self._revision is None or not self._uses_feed(feed, now):
             return
         # A store that rejects this VM may serve others of its failure domain.
-        if is_fed:
+        if self._role is change_feed.Role.FED:
             self._failures = 0
         self._answering_since = now - feed.steady_ms / 1000
         self._receiver.back(self._answering_since)
@@ -332,6 +357,23 @@
             self._apply_row(row)
         self._revision = max(self._revision, feed.upto)
         self._feed_log.add_rows(rows, self._revision)
+        self._view_confirmed(confirmed_at)
+
+    def _uses_feed(self, feed: messages.Feed, now: float) -> bool:
+        """Returns whether this node applies a feed beside its own watch."""
+        follows_feed = self._role in (
+            change_feed.Role.FED,
+            change_feed.Role.SECOND,
+        )
+        is_lagging = self._is_lagging(feed, now)
+        return follows_feed or self._failures > 0 or is_lagging
+
+    def _view_confirmed(self, at: float) -> None:
+        """Records when the store confirmed the view, as a feed says."""
+        self._confirmed_at = max(self._confirmed_at, at)
+        if self._role is change_feed.Role.FED:
+            self._roles.confirmed(at)
+            self._check_role_when_alone()
 
     def _ask_other_domain(self) -> None:
         """Asks a node of another failure domain for missing changes.
@@ -368,8 +410,7 @@
             return
         value = change_feed.decompressed_value(row)
         if value is None:
-            self._unfetched.add(row.key)
-            self._fetch_next()
+            self._fetcher.add(row.key)
         else:
             self._item_changed(store_lib.Item(row.key, value, row.revision))
 
@@ -392,25 +433,6 @@
         for feed in feeds_to_send:
             self._peers.reply(host, port, self._stamped(feed))
 
-    def _fetch_next(self) -> None:
-        if not self._unfetched or self._fetching:
-            return
-        self._fetching = True
-        fetching = defer.ensureDeferred(self._fetch(self._unfetched.pop()))
-        fetching.addErrback(self._log_failure)
-
-    async def _fetch(self, key: str) -> None:
-        """Reads an item that was too large for the feed."""
-        try:
-            item = await self._store.get(key)
-            if isinstance(item, store_lib.Unavailable):
-                self._unfetched.add(key)
-            elif item is not None:
-                self._item_changed(item)
-            await self._sleep(_FETCH_INTERVAL_S)
-        finally:
-            self._fetching = False
-
     def _neighbours(self) -> list[Any]:
         """Returns the other nodes of this failure domain."""
         return [
@@ -430,6 +452,7 @@
         self._failures += 1
 
     def _call_answered(self) -> None:
+        self._confirmed_at = self._clock.now()
         if self._failures or self._answering_since is None:
             self._answering_since = self._clock.now()
         if self._failures:
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -341,6 +341,8 @@
       rows: the changes in order of revision; empty in a heartbeat.
       steady_ms: milliseconds for which the store has answered the watcher.
       store_lost: whether the store is unreachable for the watcher.
+      age_ms: milliseconds since the store confirmed that `upto` was its latest
+        revision; over any number of nodes in between.
     """
 
     after: int
@@ -348,6 +350,7 @@
     rows: tuple[FeedRow, ...]
     steady_ms: int
     store_lost: bool
+    age_ms: int = 0
 
 
 class FeedRequest(NamedTuple):
--- a/tests/test_relay_change_feed.py
+++ b/tests/test_relay_change_feed.py
@@ -33,11 +33,22 @@
 
 
 def test_a_node_without_heartbeats_follows_the_store():
-    fed = [n for n in NODES if _is_fed(n)]
-    roles = change_feed.Roles(fed[0].name)
-    roles.heartbeat_received(10.0)
-    assert roles.role(NODES, 10.5) is change_feed.Role.FED
-    assert roles.role(NODES, 13.0) is change_feed.Role.ALONE
+    for node in NODES:
+        if not _is_fed(node):
+            continue
+        roles = change_feed.Roles(node.name)
+        roles.confirmed(10.0)
+        assert roles.role(NODES, 10.9) is change_feed.Role.FED
+        assert roles.role(NODES, 11.5) is change_feed.Role.ALONE
+        assert roles.alone_at <= 11.5
+
+
+def test_an_older_confirmation_does_not_replace_a_newer_one():
+    roles = change_feed.Roles("n1")
+    roles.confirmed(10.0)
+    before = roles.alone_at
+    roles.confirmed(9.0)
+    assert roles.alone_at == before
 
 
 def _is_fed(node):
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from twisted.internet import defer
 from twisted.internet import task
 from twisted.trial import unittest
@@ -23,13 +24,18 @@
 
 
 class _Store:
-    """A store with one listing whose watches fail."""
+    """A store with one listing whose watches fail.
+
+    If it is quiet they end without a change; if it is silent they never end.
+    """
 
     async def list(self, prefix):
         return store_lib.Listing(self.items, self.revision)
 
-    def __init__(self):
+    def __init__(self, reactor):
+        self.reactor = reactor
         self.silent = False
+        self.quiet = False
         self.waits = []
         self.era = eras.FIRST_ERA
         self.items = ()
@@ -47,6 +53,9 @@
             return store_lib.HistoryGone()
         if self.silent:
             await defer.Deferred()
+        if self.quiet:
+            await task.deferLater(self.reactor, 0.1, lambda: None)
+            return store_lib.Changes((), after)
         return store_lib.Unavailable("status 429", may_have_applied=False)
 
 
@@ -79,7 +88,7 @@
         clock = _Clock(self.reactor)
         self.peers = peers_lib.Peers(record, clock, counters)
         self.receiver = _Receiver()
-        self.store = _Store()
+        self.store = _Store(self.reactor)
         self.follower = follower.Follower(
             self.reactor,
             clock,
@@ -95,8 +104,8 @@
         self.follower.start()
         self.addCleanup(self.follower.close)
 
-    def _feed(self, after, upto, *rows, store_lost=False):
-        message = messages.Feed(after, upto, rows, 5000, store_lost)
+    def _feed(self, after, upto, *rows, store_lost=False, age_ms=0):
+        message = messages.Feed(after, upto, rows, 5000, store_lost, age_ms)
         self.peers.datagram("127.0.0.2", 7380, message)
 
     def _row(self, revision):
@@ -204,6 +213,79 @@
         self._feed(12, first + 1, self._row(first + 1))
         assert self.receiver.keys[-1] == f"servers/i-{first + 1}"
 
+    def _become_fed(self):
+        """Adds two watchers of the node's domain, and plays their feed."""
+        for number in (2, 3):
+            record = keys.NodeRecord(f"n{number}", "127.0.0.9", 1, "d1", 1000)
+            self.peers.set_node(record)
+        self.store.quiet = True
+        self._feed(10, 10)
+        self.reactor.pump([0.1] * 8)
+        self.store.silent = True
+        self._feed(10, 10)
+        assert self.follower.role is change_feed.Role.FED
+
+    def test_a_node_whose_watchers_are_cut_off_turns_to_the_store_in_time(self):
+        # They go on sending heartbeats, and do not know of their loss yet.
+        self._become_fed()
+        watches = len(self.store.waits)
+        for age_ms in range(0, 2000, 100):
+            self._feed(10, 10, age_ms=age_ms)
+            if len(self.store.waits) > watches:
+                break
+            self.reactor.advance(0.1)
+        assert len(self.store.waits) == watches + 1
+        assert age_ms <= 1500
+
+    def test_a_node_whose_watchers_are_killed_turns_to_the_store_in_time(self):
+        self._become_fed()
+        watches = len(self.store.waits)
+        self.reactor.pump([0.05] * 30)
+        assert len(self.store.waits) == watches + 1
+
+    def test_a_node_that_misses_changes_turns_to_the_store(self):
+        # The heartbeats are fresh, but all replies with the changes are lost.
+        self._become_fed()
+        self.peers.reply = lambda host, port, message: None
+        watches = len(self.store.waits)
+        for _ in range(16):
+            self._feed(11, 11)
+            self.reactor.advance(0.1)
+        assert len(self.store.waits) > watches
+
+    def test_a_node_with_fresh_confirmations_makes_no_call(self):
+        self._become_fed()
+        watches = len(self.store.waits)
+        for _ in range(100):
+            self._feed(10, 10, age_ms=700)
+            self.reactor.advance(0.2)
+        assert len(self.store.waits) == watches
+
+    def test_the_age_of_a_view_passes_through_other_nodes(self):
+        self._become_fed()
+        self.reactor.advance(0.7)
+        self._feed(10, 11, self._row(11), age_ms=600)
+        self.reactor.advance(0.3)
+        replies = []
+        self.peers.reply = lambda host, port, message: replies.append(message)
+        self.peers.datagram("127.0.0.3", 7380, messages.FeedRequest(10))
+        (feed,) = replies
+        assert feed.upto == 11
+        assert feed.age_ms == pytest.approx(900, abs=2)
+
+    def test_an_incomplete_reply_confirms_nothing(self):
+        rows = [self._row(number) for number in range(11, 1000)]
+        self._become_fed()
+        self._feed(10, 999, *rows)
+        replies = []
+        self.peers.reply = lambda host, port, message: replies.append(message)
+        self.peers.datagram("127.0.0.3", 7380, messages.FeedRequest(990))
+        assert replies[-1].age_ms == 0
+        replies.clear()
+        self.peers.datagram("127.0.0.3", 7380, messages.FeedRequest(600))
+        assert replies[-1].upto < 999
+        assert all(feed.age_ms > 60_000 for feed in replies)
+
     def test_the_second_watcher_applies_the_feed_of_the_first(self):
         record = keys.NodeRecord("n0", "127.0.0.9", 1, "d1", 1000)
         self.peers.set_node(record)
