Bound the time that a server's small chunks take from other requests

Cause: each chunk was appended to a copy of the incomplete event, which was searched whole, up to 1 MiB; and all chunks of a read of 64 KiB were handled before another connection had its turn. The small parts of a collected body took several times their size in memory.

Change: a connection handles 64 parts a turn and doesn't read meanwhile; an event is searched once and may come in 4,096 chunks; a body is collected in one buffer.

--- a/azureline/platform/store.py
+++ b/azureline/platform/store.py
@@ -16,6 +16,7 @@
 from azureline.platform import eras
 from azureline.platform import names
 from azureline.util import http1
+from azureline.util import http1_client
 
 _EARLIER_ERA = "the store has returned from an older copy"
 # Seconds that the client waits for an answer after a watch's wait at the store
@@ -156,7 +157,10 @@
     """Client of the platform's store; no method raises."""
 
     def __init__(
-        self, client: http1.Client, address: http1.Address, timeout_s: float
+        self,
+        client: http1_client.Client,
+        address: http1.Address,
+        timeout_s: float,
     ):
         """Creates a client.
 
--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -10,7 +10,9 @@
 from azureline.platform import requests as wire
 from azureline.relay import routes
 from azureline.relay import stream_events
+from azureline.util import bodies
 from azureline.util import http1
+from azureline.util import http1_client
 
 # An engine that crashes as it begins to write may have written one event.
 _BEGUN_EVENTS = 2
@@ -95,7 +97,7 @@
         self._last_part_at: float | None = None
         self._head: http1.Head | None = None
         self._reply: wire.AnswerHead | None = None
-        self._body = http1.Body()
+        self._body = bodies.Body()
         self._call: http1.Call | None = None
         self.done: defer.Deferred[Result] = defer.Deferred()
         # Seconds to the first part of the answer, and the longest pause in
@@ -107,7 +109,7 @@
 
     def begin(
         self,
-        client: http1.Client,
+        client: http1_client.Client,
         address: http1.Address,
         request: http1.Request,
         fresh: bool,
@@ -156,7 +158,7 @@
         self._record_part()
         if not self._is_stream():
             if not self._body.add(data):
-                self._break_off(http1.TOO_LARGE)
+                self._break_off(bodies.TOO_LARGE)
             return
         read = self._reader.feed(data)
         if read.pieces:
--- a/azureline/relay/engine_controller.py
+++ b/azureline/relay/engine_controller.py
@@ -29,6 +29,7 @@
 from azureline.relay import servers
 from azureline.util import events
 from azureline.util import http1
+from azureline.util import http1_client
 
 # Engines answer orders within milliseconds; an unanswered order is sent again.
 _ORDER_TIMEOUT_S = 0.5
@@ -68,7 +69,7 @@
 
     reactor: Any
     clock: clocks.Clock
-    client: http1.Client
+    client: http1_client.Client
     read_tokens_per_s: float
     node: str
     counters: metrics.Counters
--- a/azureline/relay/exchange_context.py
+++ b/azureline/relay/exchange_context.py
@@ -17,7 +17,7 @@
 from azureline.relay import server_notices
 from azureline.relay import stream_versions
 from azureline.util import events
-from azureline.util import http1
+from azureline.util import http1_client
 
 # If the store answers, a process has its first configuration 0.05 s after it
 # begins to listen.  A refusal with Retry-After would cost the caller more time.
@@ -47,7 +47,7 @@
 
     reactor: Any
     clock: clocks.Clock
-    client: http1.Client
+    client: http1_client.Client
     route_table: routes.RouteTable
     scheduler: scheduler.Scheduler
     retry_budget: retry_budgets.RetryBudget
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -53,6 +53,7 @@
 from azureline.util import addresses
 from azureline.util import events
 from azureline.util import http1
+from azureline.util import http1_client
 from azureline.util import probes
 from azureline.util import supervision
 
@@ -84,7 +85,9 @@
         self._counters = metrics.Counters()
         self._exposition = expositions.Exposition(self._counters)
         self._stack = contextlib.ExitStack()
-        self._client = http1.Client(reactor, self._clock, settings.connect_s)
+        self._client = http1_client.Client(
+            reactor, self._clock, settings.connect_s
+        )
         self._store = store_lib.StoreClient(
             self._client,
             addresses.parse(settings.store.address),
@@ -111,7 +114,7 @@
             self._rng,
             self._store,
             self._record,
-            _claim_terms(settings.orders),
+            claims.LeaseTimes(*settings.orders),
             self._counters,
             log,
         )
@@ -493,7 +496,3 @@
 
     async def _sleep(self, seconds: float) -> None:
         await task.deferLater(self._reactor, seconds, lambda: None)
-
-
-def _claim_terms(orders: settings_lib.Orders) -> claims.LeaseTimes:
-    return claims.LeaseTimes(*orders)
--- a/azureline/relay/stream_events.py
+++ b/azureline/relay/stream_events.py
@@ -6,6 +6,8 @@
 
 _EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 1 << 20
+# Limit of the chunks that bring one event; each costs time, however small.
+MAX_EVENT_CHUNKS = 4096
 _MAX_ID_DIGITS = 100
 
 
@@ -37,7 +39,8 @@
           last_event: id of the last event that the caller received, or "".
         """
         self._last_id = digits.parse(last_event, _MAX_ID_DIGITS)
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._chunks = 0
         self.passed = 0
 
     @property
@@ -47,18 +50,22 @@
 
     def restart(self) -> None:
         """Starts to read the same stream from another connection."""
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._chunks = 0
 
     def feed(self, data: bytes) -> Read:
         """Adds bytes and returns the events that are now complete."""
+        # An end that was there before would have been found.
+        unsearched = max(0, len(self._buffer) + 1 - len(_EVENT_END))
         self._buffer += data
-        end = self._buffer.rfind(_EVENT_END)
+        end = self._buffer.rfind(_EVENT_END, unsearched)
         if end < 0:
-            if len(self._buffer) > MAX_EVENT_BYTES:
-                return Read(b"", f"event exceeds {MAX_EVENT_BYTES} bytes")
-            return Read(b"", "")
-        complete = self._buffer[: end + len(_EVENT_END)]
-        self._buffer = self._buffer[end + len(_EVENT_END) :]
+            self._chunks += 1
+            return Read(b"", self._excess())
+        end += len(_EVENT_END)
+        complete = bytes(self._buffer[:end])
+        del self._buffer[:end]
+        self._chunks = 0
         passed = []
         for event in complete.split(_EVENT_END)[:-1]:
             event_id = _event_id(event)
@@ -73,6 +80,14 @@
             self.passed += 1
         return Read(b"".join(passed), "")
 
+    def _excess(self) -> str:
+        """Returns which limit the incomplete event exceeds, or ""."""
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            return f"event exceeds {MAX_EVENT_BYTES} bytes"
+        if self._chunks > MAX_EVENT_CHUNKS:
+            return f"event exceeds {MAX_EVENT_CHUNKS} chunks"
+        return ""
+
     def end(self) -> str:
         """Handles the end of the stream; returns an error, or ""."""
         return "stream ended inside an event" if self._buffer.strip() else ""
--- a/azureline/util/http1.py
+++ b/azureline/util/http1.py
@@ -1,11 +1,11 @@
-"""HTTP/1.1 client that distinguishes complete from truncated answers.
+"""HTTP/1.1 connections that distinguish complete from truncated answers.
 
 Twisted's client takes a reset for the end of an answer without a length, and
 drops bytes that follow an answer.  `h11` detects both, so this module uses
 Twisted for connections and `h11` for the protocol.
 """
 
-import collections
+from collections.abc import Callable
 import socket
 from typing import Any
 from typing import NamedTuple
@@ -13,11 +13,9 @@
 
 import h11
 from twisted.internet import defer
-from twisted.internet import endpoints
 from twisted.internet import error
 from twisted.internet import protocol
 
-from azureline.core import clock as clocks
 from azureline.util import digits
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -25,15 +23,13 @@
 MAX_HEAD_BYTES = 65536
 # Maximum number of interim (1xx) answers before the final one.
 MAX_INTERIM = 16
-# Limit of an answer body that is collected as a whole.
-MAX_BODY_BYTES = 4 << 20
-# Failure reason for a body over `MAX_BODY_BYTES`.
-TOO_LARGE = "answer: too large"
 # Less than the shortest idle timeout that backend servers announce.
 MAX_IDLE_S = 4.0
 # A peer that announces an idle timeout may close this much earlier.
 IDLE_MARGIN_S = 0.7
-MAX_IDLE_PER_ADDRESS = 16
+# Parts of an answer that are handled before other connections get their turn. A
+# peer can put thousands of them into what is received at once.
+PARTS_PER_TURN = 64
 # A connection with unacknowledged bytes fails after this time, because a VM
 # that lost power sends no reset.
 TCP_USER_TIMEOUT_MS = 3000
@@ -131,7 +127,7 @@
     def __init__(self, request: Request, listener: Listener):
         self.request = request
         self.listener: Listener | None = listener
-        self.connection: _Connection | None = None
+        self.connection: Connection | None = None
         self.connecting: defer.Deferred[Any] | None = None
         # Whether its connection had carried another call before.
         self.reused = False
@@ -151,203 +147,30 @@
             listener.on_failure(failure)
 
 
-class Client:
-    """Owns the connections to peers and keeps idle ones for reuse."""
-
-    def __init__(self, reactor: Any, clock: clocks.Clock, connect_s: float):
-        """Creates a client without connections.
-
-        Args:
-          reactor: the Twisted reactor.
-          clock: source of time.
-          connect_s: timeout for opening a connection, in seconds.
-        """
-        self._reactor = reactor
-        self._clock = clock
-        self._connect_s = connect_s
-        self._idle: dict[Address, collections.deque[_Connection]] = {}
-        self._all: set[_Connection] = set()
-        self.opened = 0
-
-    def start(
-        self,
-        address: Address,
-        request: Request,
-        listener: Listener,
-        new_connection: bool = False,
-    ) -> Call:
-        """Sends a request.
-
-        Args:
-          address: the peer.
-          request: what to send.
-          listener: receives the answer.
-          new_connection: whether to open a connection even if one is idle.
-        """
-        call = Call(request, listener)
-        connection = None if new_connection else self._take_idle(address)
-        if connection is not None:
-            connection.send(call)
-            return call
-        endpoint = endpoints.TCP4ClientEndpoint(
-            self._reactor, address.host, address.port, timeout=self._connect_s
-        )
-        factory = protocol.Factory.forProtocol(
-            lambda: _Connection(self, address)
-        )
-        call.connecting = endpoint.connect(factory)
-        call.connecting.addCallbacks(
-            self._connected,
-            lambda failure: call.fail(
-                Failure(f"connect: {failure.type.__name__}", sent=False)
-            ),
-            callbackArgs=(call,),
-        )
-        return call
-
-    def fetch(
-        self,
-        address: Address,
-        request: Request,
-        timeout_s: float,
-        new_connection: bool = False,
-    ) -> defer.Deferred[Answer | Failure]:
-        """Sends a request and collects its whole answer.
-
-        Args:
-          address: the peer.
-          request: what to send.
-          timeout_s: seconds after which the request fails as unanswered.
-          new_connection: whether to open a connection even if one is idle.
-        """
-        fetching = _Fetch()
-        call = self.start(address, request, fetching, new_connection)
-        fetching.call = call
-
-        def expired() -> None:
-            sent = call.connection is not None
-            call.cancel()
-            fetching.on_failure(Failure("timeout", sent))
-
-        timer = self._reactor.callLater(timeout_s, expired)
-
-        def ended(result: Answer | Failure) -> Answer | Failure:
-            if timer.active():
-                timer.cancel()
-            return result
-
-        return fetching.result.addCallback(ended)
-
-    def close(self) -> None:
-        """Closes every connection."""
-        for connection in list(self._all):
-            connection.abort()
-
-    def close_expired(self) -> None:
-        """Closes connections whose idle time has expired."""
-        now = self._clock.now()
-        for address, waiting in list(self._idle.items()):
-            while waiting and waiting[0].idle_until <= now:
-                waiting.popleft().abort()
-            if not waiting:
-                del self._idle[address]
-
-    def close_idle(self, address: Address) -> None:
-        """Closes the idle connections to a peer."""
-        for connection in self._idle.pop(address, ()):
-            connection.abort()
-
-    def _connected(self, connection: "_Connection", call: Call) -> None:
-        self.opened += 1
-        if call.listener is None:
-            connection.abort()
-            return
-        connection.send(call)
-
-    def _take_idle(self, address: Address) -> "_Connection | None":
-        waiting = self._idle.get(address)
-        now = self._clock.now()
-        while waiting:
-            connection = waiting.pop()
-            if connection.idle_until > now:
-                return connection
-            connection.abort()
-        return None
-
-    def _on_connected(self, connection: "_Connection") -> None:
-        self._all.add(connection)
-
-    def _on_closed(self, connection: "_Connection") -> None:
-        self._all.discard(connection)
-        waiting = self._idle.get(connection.address)
-        if waiting is not None and connection in waiting:
-            waiting.remove(connection)
-
-    def _add_idle(self, connection: "_Connection", idle_limit_s: float) -> None:
-        waiting = self._idle.setdefault(connection.address, collections.deque())
-        connection.idle_until = self._clock.now() + idle_limit_s
-        waiting.append(connection)
-        if len(waiting) > MAX_IDLE_PER_ADDRESS:
-            waiting.popleft().abort()
-
-
-class Body:
-    """Collects the body of one answer, up to `MAX_BODY_BYTES`."""
-
-    def __init__(self):
-        self._parts: list[bytes] = []
-        self._size = 0
-
-    def add(self, data: bytes) -> bool:
-        """Adds a part; returns False if the body is too large."""
-        self._size += len(data)
-        if self._size > MAX_BODY_BYTES:
-            self._parts = []
-            return False
-        self._parts.append(data)
-        return True
-
-    def content(self) -> bytes:
-        """Returns the collected body."""
-        return b"".join(self._parts)
+class Owner(Protocol):
+    """Owns connections and keeps idle ones for reuse."""
 
+    def on_connected(self, connection: "Connection") -> None:
+        """Called when a connection is open."""
 
-class _Fetch:
-    """Collects one answer."""
-
-    def __init__(self):
-        self.result: defer.Deferred[Answer | Failure] = defer.Deferred()
-        self.call: Call | None = None
-        self._head: Head | None = None
-        self._body = Body()
-
-    def on_head(self, head: Head) -> None:
-        self._head = head
-
-    def on_data(self, data: bytes) -> None:
-        if not self._body.add(data) and self.call is not None:
-            self.call.cancel()
-            self.on_failure(Failure(TOO_LARGE, sent=True))
-
-    def on_complete(self) -> None:
-        assert self._head is not None
-        self._finish(Answer(self._head, self._body.content()))
+    def on_closed(self, connection: "Connection") -> None:
+        """Called when a connection has closed."""
 
-    def on_failure(self, failure: Failure) -> None:
-        self._finish(failure)
+    def add_idle(self, connection: "Connection", idle_limit_s: float) -> None:
+        """Takes a connection that may be reused for some seconds."""
 
-    def _finish(self, result: Answer | Failure) -> None:
-        if not self.result.called:
-            self.result.callback(result)
+    def call_next_turn(self, function: Callable[[], None]) -> Any:
+        """Calls a function after other connections had their turn."""
 
 
-class _Connection(protocol.Protocol):
+class Connection(protocol.Protocol):
     """One connection, which handles one call at a time."""
 
-    def __init__(self, client: Client, address: Address):
+    def __init__(self, owner: Owner, address: Address):
+        """Creates a connection that is not open yet."""
         self.address = address
         self.idle_until = 0.0
-        self._client = client
+        self._owner = owner
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -356,9 +179,11 @@
         self._interim_count = 0
         self._idle_limit_s = MAX_IDLE_S
         self._ended = False
+        # The next turn, while not all that was received has been handled.
+        self._next_turn: Any = None
 
     def connectionMade(self) -> None:  # noqa: D102, N802
-        self._client._on_connected(self)
+        self._owner.on_connected(self)
         self.transport.setTcpNoDelay(True)
         handle = self.transport.getHandle()
         handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -396,6 +221,7 @@
         """Closes the connection at once."""
         self._ended = True
         self._call = None
+        self._cancel_turn()
         if self.transport is not None:
             self.transport.abortConnection()
 
@@ -407,29 +233,53 @@
             self.abort()
             return
         self._http.receive_data(data)
-        self._read()
+        if self._next_turn is None:
+            self._read()
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: D102, N802
-        self._client._on_closed(self)
+        self._owner.on_closed(self)
         if self._ended or self._call is None:
             return
+        self._cancel_turn()
         if reason.check(error.ConnectionDone):
             # Only a regular close may end an answer without a length.
             self._http.receive_data(b"")
-            self._read()
+        while self._read_part():
+            pass
         if self._call is not None:
             self._fail(f"connection: {reason.type.__name__}")
 
+    def _cancel_turn(self) -> None:
+        turn, self._next_turn = self._next_turn, None
+        if turn is not None and turn.active():
+            turn.cancel()
+
     def _read(self) -> None:
-        while self._call is not None:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as e:
-                self._fail(f"answer: {e}")
-                return
-            if event in (h11.NEED_DATA, h11.PAUSED):
+        """Handles what was received, in several turns if it has many parts."""
+        was_paused = self._next_turn is not None
+        self._next_turn = None
+        for _ in range(PARTS_PER_TURN):
+            if not self._read_part():
+                if was_paused and not self._ended:
+                    self.transport.resumeProducing()
                 return
-            self._handle(event)
+        if not was_paused:
+            self.transport.pauseProducing()
+        self._next_turn = self._owner.call_next_turn(self._read)
+
+    def _read_part(self) -> bool:
+        """Handles a part of an answer; returns False if there is none."""
+        if self._call is None:
+            return False
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as e:
+            self._fail(f"answer: {e}")
+            return False
+        if event in (h11.NEED_DATA, h11.PAUSED):
+            return False
+        self._handle(event)
+        return True
 
     def _handle(self, event: Any) -> None:
         listener = self._call.listener if self._call else None
@@ -472,7 +322,7 @@
             self.abort()
             return
         self._http.start_next_cycle()
-        self._client._add_idle(self, self._idle_limit_s)
+        self._owner.add_idle(self, self._idle_limit_s)
 
     def _read_keep_alive(self, head: Head) -> None:
         limit_s = idle_limit_s(head.get(b"keep-alive"))
--- a/tests/builders_http1.py
+++ b/tests/builders_http1.py
@@ -8,6 +8,7 @@
 
 from azureline.core import clock as clocks
 from azureline.util import http1
+from azureline.util import http1_client
 
 SCRIPT_END = object()
 
@@ -56,9 +57,9 @@
     return http1.Address("127.0.0.1", port.getHost().port), factory
 
 
-def client(case: Any) -> http1.Client:
+def client(case: Any) -> http1_client.Client:
     """Returns a client that closes with the test."""
-    made = http1.Client(reactor, clocks.SystemClock(), 1.0)
+    made = http1_client.Client(reactor, clocks.SystemClock(), 1.0)
 
     def closed() -> defer.Deferred[None]:
         made.close()
@@ -120,3 +121,28 @@
     port = reactor.listenTCP(0, factory, interface="127.0.0.1")
     case.addCleanup(port.stopListening)
     return http1.Address("127.0.0.1", port.getHost().port), factory
+
+
+class IgnoringListener:
+    """Receives an answer and keeps none of it.
+
+    Attributes:
+      parts: number of parts of the body so far.
+    """
+
+    def __init__(self):
+        """Creates a listener that has received nothing."""
+        self.parts = 0
+
+    def on_head(self, head: http1.Head) -> None:
+        """Ignores the head."""
+
+    def on_data(self, data: bytes) -> None:
+        """Counts a part of the body."""
+        self.parts += 1
+
+    def on_complete(self) -> None:
+        """Ignores the end."""
+
+    def on_failure(self, failure: http1.Failure) -> None:
+        """Ignores the failure."""
--- a/tests/test_relay_attempt.py
+++ b/tests/test_relay_attempt.py
@@ -10,7 +10,7 @@
 from azureline.platform import requests as wire
 from azureline.relay import attempt
 from azureline.relay import stream_events
-from azureline.util import http1
+from azureline.util import bodies
 from tests import builders_http1
 from tests import builders_relay
 
@@ -165,8 +165,8 @@
     async def test_an_endless_plain_answer_is_aborted(self):
         result, received, sent = await self._attempt(b"200 OK")
         assert result.end is attempt.End.BROKEN
-        assert result.reason == http1.TOO_LARGE
-        assert received.got == 0 and sent < 4 * http1.MAX_BODY_BYTES
+        assert result.reason == bodies.TOO_LARGE
+        assert received.got == 0 and sent < 4 * bodies.MAX_BODY_BYTES
 
     async def test_an_endless_error_answer_on_a_streaming_route_is_aborted(
         self,
@@ -174,7 +174,7 @@
         kind = builders_relay.routes.Kind.STREAMING
         result, _, sent = await self._attempt(b"500 Oops", kind=kind)
         assert result.end is attempt.End.BROKEN
-        assert sent < 4 * http1.MAX_BODY_BYTES
+        assert sent < 4 * bodies.MAX_BODY_BYTES
 
     async def test_an_endless_event_of_a_stream_is_aborted(self):
         kind = builders_relay.routes.Kind.STREAMING
--- a/tests/test_relay_stream_events.py
+++ b/tests/test_relay_stream_events.py
@@ -1,5 +1,7 @@
 """Tests of the reader of stream events."""
 
+import time
+
 import hypothesis
 from hypothesis import strategies as st
 
@@ -47,3 +49,27 @@
     assert reader.feed(_event(6)).pieces == _event(6)
     reader.restart()
     assert reader.feed(_event(6)).fault
+
+
+def test_an_event_that_comes_in_too_many_chunks_is_an_error():
+    reader = stream_events.EventReader("")
+    limit = stream_events.MAX_EVENT_CHUNKS
+    faults = [reader.feed(b"x").fault for _ in range(limit + 1)]
+    assert not any(faults[:limit]) and faults[limit]
+
+
+def test_events_in_many_chunks_are_no_error():
+    reader = stream_events.EventReader("")
+    data = b"".join(_event(n) for n in range(2000))
+    for at in range(len(data)):
+        assert not reader.feed(data[at : at + 1]).fault
+    assert reader.passed == 2000
+
+
+def test_an_incomplete_event_is_searched_once():
+    # The work would grow with the square of the size otherwise.
+    reader = stream_events.EventReader("")
+    began = time.process_time()
+    for _ in range(stream_events.MAX_EVENT_CHUNKS - 1):
+        assert not reader.feed(b"x" * 250).fault
+    assert time.process_time() - began < 0.1
--- a/tests/test_util_http1.py
+++ b/tests/test_util_http1.py
@@ -5,6 +5,7 @@
 from twisted.internet import task
 from twisted.trial import unittest
 
+from azureline.util import bodies
 from azureline.util import http1
 from tests import builders_http1 as builders
 
@@ -136,17 +137,17 @@
     async def test_a_body_without_end(self):
         start = b"HTTP/1.1 200 OK\r\n\r\n"
         sent = await self._fetch_from(start, b"x" * 65536)
-        assert sent < 4 * http1.MAX_BODY_BYTES
+        assert sent < 4 * bodies.MAX_BODY_BYTES
 
     async def test_chunks_without_end(self):
         start = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
         sent = await self._fetch_from(start, b"8000\r\n%s\r\n" % (b"x" * 32768))
-        assert sent < 4 * http1.MAX_BODY_BYTES
+        assert sent < 4 * bodies.MAX_BODY_BYTES
 
     async def test_a_length_that_is_too_large(self):
         start = b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n"
         sent = await self._fetch_from(start, b"x" * 65536)
-        assert sent < 4 * http1.MAX_BODY_BYTES
+        assert sent < 4 * bodies.MAX_BODY_BYTES
 
     async def test_a_head_without_end(self):
         sent = await self._fetch_from(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n" * 999)
@@ -171,3 +172,64 @@
         again = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 99
         sent = await self._fetch_from(b"HTTP/1.1 100 Continue\r\n\r\n", again)
         assert sent < 64 * http1.MAX_HEAD_BYTES
+
+    async def test_small_chunks_without_end_leave_time_for_other_calls(self):
+        start = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        endless, _ = builders.serve_endless(self, start, b"1\r\nx\r\n" * 9999)
+        for _ in range(8):
+            self.client.start(
+                endless, builders.get(endless), builders.IgnoringListener()
+            )
+        await task.deferLater(reactor, 0.5)
+        address, _ = builders.serve(self, *[[builders.answer(b"1")]] * 20)
+        for _ in range(20):
+            answer = await self.client.fetch(
+                address, builders.get(address), 0.5, new_connection=True
+            )
+            assert answer and answer.body == b"1"
+
+
+class TurnsTest(unittest.TestCase):
+    """Answers of so many parts that they are handled in several turns."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+    SIZE = 20 * http1.PARTS_PER_TURN
+
+    def setUp(self):
+        self.client = builders.client(self)
+        self.chunks = self.HEAD + b"1\r\nx\r\n" * self.SIZE
+
+    async def _fetch(self, *script):
+        address, factory = builders.serve(self, *script)
+        request = builders.get(address)
+        self.requests = factory
+        return await self.client.fetch(address, request, 2.0), address
+
+    async def test_an_answer_is_whole(self):
+        script = [[self.chunks + b"0\r\n\r\n"], [builders.answer(b"2")]]
+        answer, address = await self._fetch(*script)
+        assert answer.body == b"x" * self.SIZE
+        # The connection goes on reading.
+        again = await self.client.fetch(address, builders.get(address), 2.0)
+        assert again.body == b"2"
+        assert len(self.requests.connections) == 1
+
+    async def test_an_answer_is_whole_though_the_connection_closes(self):
+        answer, _ = await self._fetch([self.chunks + b"0\r\n\r\n", "close"])
+        assert answer.body == b"x" * self.SIZE
+
+    async def test_an_answer_that_is_cut_off_is_broken(self):
+        failed, _ = await self._fetch([self.chunks, "close"])
+        assert isinstance(failed, http1.Failure)
+
+    async def test_a_cancelled_call_handles_no_further_part(self):
+        listener = builders.IgnoringListener()
+        address, _ = builders.serve(self, [self.chunks])
+        call = self.client.start(address, builders.get(address), listener)
+        while not listener.parts:
+            await task.deferLater(reactor, 0)
+        call.cancel()
+        parts = listener.parts
+        assert parts < self.SIZE
+        await task.deferLater(reactor, 0.05)
+        assert listener.parts == parts
