Count all bytes that wait for a caller that does not read

Cause: the limit of 1 MiB looked at the buffer from which the transport sends. While the caller doesn't read, further parts wait in a second buffer that was not counted.

Change: both buffers count, before a part is written; the connection is then dropped instead of being closed once all has been sent.

--- a/azureline/callers/relay.py
+++ b/azureline/callers/relay.py
@@ -12,8 +12,9 @@
 from azureline.core import errors
 from azureline.util import http1
 from azureline.util import http_service
+from azureline.util import transports
 
-# A connection is closed once more bytes than this wait for a slow caller.
+# A connection is dropped once more bytes than this wait for a slow caller.
 MAX_UNSENT_BYTES = 1 << 20
 
 
@@ -102,14 +103,17 @@
     def write_body(self, data: bytes) -> None:
         """Sends a part of the response body.
 
-        Closes the connection if more than `MAX_UNSENT_BYTES` are waiting.
+        Drops the connection and what waits there if the caller has not read
+        more than `MAX_UNSENT_BYTES` of earlier parts.
         """
         if self._ended:
             return
+        transport = self.channel.transport
+        if transports.unsent_bytes(transport) > MAX_UNSENT_BYTES:
+            self._ended = True
+            transport.abortConnection()
+            return
         self.write(data)
-        unsent = getattr(self.channel.transport, "dataBuffer", b"")
-        if len(unsent) > MAX_UNSENT_BYTES:
-            self.abort()
 
     def finish_response(self) -> None:
         """Ends the response as complete."""
--- a/azureline/util/http1.py
+++ b/azureline/util/http1.py
@@ -17,6 +17,7 @@
 from twisted.internet import protocol
 
 from azureline.util import digits
+from azureline.util import transports
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -313,7 +314,7 @@
 
     def _release(self) -> None:
         trailing, closed = self._http.trailing_data
-        unsent = getattr(self.transport, "dataBuffer", b"")
+        unsent = transports.unsent_bytes(self.transport)
         done = (
             self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
