Bound the memory that the bodies of all requests take

Cause: a body was copied up to five times on its way, ended requests kept theirs until a garbage collection of reference cycles, and nothing bounded what all bodies take together.

Change: a body is kept once and sent in parts of 64 KiB as the server reads it; an exchange drops it at its end. All bodies share a budget from the new setting memory_mb; what doesn't fit is discarded and refused with 429, not run, as soon as it has arrived. Taking requests is moved out of node.py.

--- a/azureline/callers/memory_body.py
+++ b/azureline/callers/memory_body.py
@@ -7,9 +7,15 @@
 import io
 from typing import Any
 
+from azureline.util import memory_budget
+
 
 class MemoryBody:
-    """Mixin for Twisted request classes that limits the size of the body."""
+    """Mixin for Twisted request classes that limits the size of the body.
+
+    A body that is too large, or for which there is no memory, is read and
+    discarded.
+    """
 
     content: Any
 
@@ -18,18 +24,49 @@
         super().__init__(*args, **kwargs)
         self._body_bytes = 0
         self._too_large = False
+        self._no_memory = False
+        self._reservation: memory_budget.Reservation | None = None
 
     def max_body_bytes(self) -> int:
         """Returns the maximum size of a request body in bytes."""
         raise NotImplementedError
 
+    def body_budget(self) -> memory_budget.MemoryBudget | None:
+        """Returns the budget that all bodies share; None if there is none."""
+        return None
+
     def gotLength(self, length):  # noqa: D102, N802
         self.content = io.BytesIO()
         self._too_large = (length or 0) > self.max_body_bytes()
+        budget = self.body_budget()
+        if budget is not None and not self._too_large:
+            self._reservation = budget.reserve()
+            self._no_memory = not budget.has_room(length or 0)
 
     def handleContentChunk(self, data):  # noqa: D102, N802
         self._body_bytes += len(data)
         if self._body_bytes > self.max_body_bytes():
             self._too_large = True
-        if not self._too_large:
+        if not self._too_large and not self._no_memory:
+            reservation = self._reservation
+            self._no_memory = reservation is not None and not reservation.grow(
+                len(data)
+            )
+        if self._too_large or self._no_memory:
+            self.release_body()
+        else:
             self.content.write(data)
+
+    def take_body(self) -> bytes:
+        """Returns the body, which the request does not keep.
+
+        Its memory counts as used until `release_body` is called.
+        """
+        content, self.content = self.content, io.BytesIO()
+        return content.getvalue()
+
+    def release_body(self) -> None:
+        """Drops the body and gives its memory back."""
+        self.content = io.BytesIO()
+        if self._reservation is not None:
+            self._reservation.release()
--- a/azureline/callers/relay.py
+++ b/azureline/callers/relay.py
@@ -12,21 +12,31 @@
 from azureline.core import errors
 from azureline.util import http1
 from azureline.util import http_service
+from azureline.util import memory_budget
 from azureline.util import transports
 
 # A connection is dropped once more bytes than this wait for a slow caller.
 MAX_UNSENT_BYTES = 1 << 20
+# Seconds after which a caller may come back whose body had no room in memory.
+_NO_MEMORY_RETURN_S = 0.5
 
 
 class Handler(Protocol):
     """Serves the requests that the connections receive."""
 
     def handle(self, received: "ReceivedRequest") -> None:
-        """Serves a request whose body has been received completely."""
+        """Serves a request whose body has been received completely.
+
+        The handler calls its `release_body` when it no longer needs the body.
+        """
 
     def body_bound(self) -> int:
         """Returns the maximum size of a request body in bytes."""
 
+    @property
+    def body_budget(self) -> memory_budget.MemoryBudget:
+        """The memory for the bodies of all requests."""
+
     def closing(self) -> bool:
         """Returns whether connections close after their current response."""
 
@@ -44,6 +54,7 @@
         self.disconnected = False
         self.response_started = False
         self._ended = False
+        self._is_handled = False
         self._on_disconnect: Callable[[], None] | None = None
 
     def requestReceived(self, command, path, version):  # noqa: D102, N802
@@ -63,12 +74,24 @@
                 )
             )
             return
+        if self._no_memory:
+            self.refuse(
+                errors.Refusal(
+                    errors.ErrorKind.OVERLOADED,
+                    "The bodies of other requests use the node's memory.",
+                    retry_after=_NO_MEMORY_RETURN_S,
+                )
+            )
+            return
+        self._is_handled = True
         self.handler.handle(self)
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: D102, N802
         super().connectionLost(reason)
         self.disconnected = True
         self._ended = True
+        if not self._is_handled:
+            self.release_body()
         if self._on_disconnect is not None:
             self._on_disconnect()
 
@@ -76,6 +99,10 @@
         """Returns the maximum size of a request body in bytes."""
         return self.handler.body_bound()
 
+    def body_budget(self) -> memory_budget.MemoryBudget:
+        """Returns the memory for the bodies of all requests."""
+        return self.handler.body_budget
+
     def header_list(self) -> list[tuple[bytes, bytes]]:
         """Returns the name and value of every header."""
         return [
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -21,8 +21,6 @@
 from azureline.relay import server_runs
 from azureline.relay import stream_events
 
-_RunOutcome = server_runs.RunOutcome
-
 # Attempts whose connection failed before the request is refused.
 _MAX_CONNECT_FAILURES = 4
 # Delay before a server that is still loading the adapter is tried again.
@@ -300,7 +298,7 @@
         finally:
             content = run.end(result)
         self._attempt = None
-        if server_runs.run_outcome(result) is not _RunOutcome.NOT_RUN:
+        if server_runs.may_have_run(result):
             # Before anything is awaited: the deadline may pass meanwhile.
             self._may_have_run = True
         took_s = context.clock.now() - now
@@ -488,6 +486,9 @@
 
     def _on_finished(self, result: Any) -> Any:
         self._finished = True
+        # Cycles of references keep an exchange until a garbage collection.
+        self._request = self._request._replace(body=b"")
+        self._attempt = None
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         if self._route is not None:
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -11,10 +11,8 @@
 
 from azureline.callers import relay as caller_side
 from azureline.core import clock as clocks
-from azureline.core import errors
 from azureline.metrics import counters as metrics
 from azureline.metrics import exposition as expositions
-from azureline.platform import requests as wire
 from azureline.platform import store as store_lib
 from azureline.relay import claims
 from azureline.relay import config_copy
@@ -24,17 +22,15 @@
 from azureline.relay import demand_reports
 from azureline.relay import eligibility as eligibilities
 from azureline.relay import engine_controller
-from azureline.relay import exchange
 from azureline.relay import exchange_context
 from azureline.relay import follower
 from azureline.relay import granter as granters
 from azureline.relay import grants
+from azureline.relay import intake
 from azureline.relay import keys
 from azureline.relay import load_rate_limit
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
-from azureline.relay import planned_stop
-from azureline.relay import requests
 from azureline.relay import reservations
 from azureline.relay import residency as residencies
 from azureline.relay import retry_budget
@@ -54,6 +50,7 @@
 from azureline.util import events
 from azureline.util import http1
 from azureline.util import http1_client
+from azureline.util import memory_budget
 from azureline.util import probes
 from azureline.util import supervision
 
@@ -65,6 +62,9 @@
 # Open requests are aborted this long before the platform kills the process.
 _ABORT_MARGIN_S = 0.6
 _BACKLOG = 512
+_MB = 1 << 20
+# Part of the process's memory for the bodies of requests.
+_BODIES_SHARE = 0.2
 
 
 class Node:
@@ -296,19 +296,18 @@
             supervisor.guarded("sweep", self._run_sweep)
         )
         self._sweep.clock = reactor
-        self._factory = caller_side.make_factory(self, routes.Limits().idle_s)
-        self._active: set[exchange.Exchange] = set()
-        self._leaving = False
-        # Monotonic time in seconds at which a stop cuts off what still runs.
-        self._abort_at = float("inf")
-        self._closing = False
+        self._intake = intake.Intake(
+            self._exchange_context,
+            self._times,
+            memory_budget.MemoryBudget(
+                int(settings.memory_mb * _MB * _BODIES_SHARE)
+            ),
+        )
+        self._factory = caller_side.make_factory(
+            self._intake, routes.Limits().idle_s
+        )
         self._ports: list[Any] = []
 
-    @property
-    def active(self) -> int:
-        """Number of requests in progress."""
-        return len(self._active)
-
     def start(self) -> None:
         """Opens the sockets and starts to follow the store."""
         settings = self._settings
@@ -345,55 +344,11 @@
     def ready(self) -> bool:
         """Returns whether the load balancer should send new connections."""
         return (
-            not self._leaving
+            not self._intake.leaving
             and self._table.config is not None
             and self._store_view.servers_known
         )
 
-    def handle(self, received: caller_side.ReceivedRequest) -> None:
-        """Serves a request whose body has been read completely."""
-        request = wire.parse_request(
-            received.method,
-            received.uri,
-            received.header_list(),
-            received.content.read(),
-            received.getClientAddress().host,
-        )
-        if self._closing or not self._ends_before_stop(request):
-            # It might not complete before this process exits.
-            self._counters.count("refused.shutting_down")
-            received.refuse(
-                errors.Refusal(
-                    errors.ErrorKind.SHUTTING_DOWN, "The node is stopping."
-                )
-            )
-            return
-        started = exchange.Exchange(self._exchange_context, received, request)
-        self._active.add(started)
-        self._counters.count("requests.received")
-        started.start().addBoth(lambda _: self._active.discard(started))
-
-    def _ends_before_stop(self, request: requests.CallerRequest) -> bool:
-        """Returns whether a request will end before this process stops."""
-        route = self._table.match(request.host, request.path)
-        if route is None or not self._leaving:
-            return True
-        return planned_stop.ends_in_time(
-            route,
-            request.patience_s,
-            self._times.average_s(route.name),
-            self._abort_at - self._clock.now(),
-        )
-
-    def body_bound(self) -> int:
-        """Returns the size limit of a request body, in bytes."""
-        config = self._table.config
-        return (config.limits if config else routes.Limits()).body_bytes
-
-    def closing(self) -> bool:
-        """Returns whether connections close after the current response."""
-        return self._leaving
-
     async def stop(self) -> None:
         """Drains the node and closes it.
 
@@ -402,13 +357,13 @@
         for open requests and aborts those that are left shortly before the
         end of the grace period.
         """
-        if self._leaving:
+        if self._intake.leaving:
             return
-        self._leaving = True
         stop_began = self._clock.now()
         stop = self._settings.stop
-        self._abort_at = abort_at = stop_began + stop.grace_s - _ABORT_MARGIN_S
-        self._log.info("stopping", active=self.active)
+        abort_at = stop_began + stop.grace_s - _ABORT_MARGIN_S
+        self._intake.leave(abort_at)
+        self._log.info("stopping", active=self._intake.active)
         idle_ms = self._controllers.idle_ms()
         self._controllers.close()
         releasing = defer.ensureDeferred(self._store_session.release(idle_ms))
@@ -416,20 +371,19 @@
         notice_until = min(stop_began + stop.notice_s, abort_at)
         while self._clock.now() < notice_until:
             await self._sleep(_DRAIN_POLL_S)
-        self._closing = True
+        self._intake.close()
         for port in self._ports:
             port.stopListening()
         while self._clock.now() < abort_at:
             self._factory.close_idle()
-            if not self.active and not self._factory.channels:
+            if not self._intake.active and not self._factory.channels:
                 break
             await self._sleep(_DRAIN_POLL_S)
-        for active in list(self._active):
-            active.expire()
+        self._intake.expire_all()
         self._factory.close_idle()
         self._log.info(
             "stopped",
-            active=self.active,
+            active=self._intake.active,
             took_s=round(self._clock.now() - stop_began, 3),
         )
         await self._sleep(_FLUSH_S)
--- a/azureline/relay/server_runs.py
+++ b/azureline/relay/server_runs.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import functools
 
 from azureline.relay import attempt as attempts
 from azureline.relay import crash_detection
@@ -41,6 +42,11 @@
     return RunOutcome.UNKNOWN
 
 
+def may_have_run(result: attempts.Result) -> bool:
+    """Returns whether the server may have run the request, or still does."""
+    return run_outcome(result) is not RunOutcome.NOT_RUN
+
+
 class ServerRun:
     """One run of a request on a server, as far as this node knows."""
 
@@ -104,15 +110,12 @@
                 self._suspects.request_completed(
                     self._request, self._server.service
                 )
+        # The watch outlasts the request and must not hold its body.
+        watch = functools.partial(self._detector.watch, self._server)
         may_run = outcome in (RunOutcome.LOST, RunOutcome.UNKNOWN)
-        self._suspects.send_ended(
-            self._permit, self._watch if may_run else None
-        )
+        self._suspects.send_ended(self._permit, watch if may_run else None)
         return content
 
-    async def _watch(self) -> None:
-        await self._detector.watch(self._server)
-
     def _signatures(self) -> tuple[bytes, ...]:
         """Returns what a crash of the server accuses.
 
--- a/azureline/relay/settings.py
+++ b/azureline/relay/settings.py
@@ -116,6 +116,7 @@
       callers: address that callers connect to.
       readiness: address of the readiness check of the load balancer.
       link_mbps: speed of the VM's link in Mbit/s; 0 if unknown.
+      memory_mb: limit on the memory of the process, in MB.
       node_port: UDP port for messages of other nodes.
       metrics_port: TCP port of the metrics in text format; 0 for none.
       connect_s: seconds to open a connection to a backend server.
@@ -134,6 +135,7 @@
     callers: bounds.Address
     readiness: bounds.Address
     link_mbps: bounds.Weight
+    memory_mb: bounds.Positive
     node_port: bounds.Port
     metrics_port: bounds.Count
     connect_s: bounds.Seconds
--- a/azureline/util/http1.py
+++ b/azureline/util/http1.py
@@ -22,6 +22,9 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 MAX_HEAD_BYTES = 65536
+# A larger body is sent in parts of this size, as the peer reads it: the
+# transport would copy it as a whole several times.
+_BODY_PART_BYTES = 65536
 # Maximum number of interim (1xx) answers before the final one.
 MAX_INTERIM = 16
 # Less than the shortest idle timeout that backend servers announce.
@@ -180,6 +183,7 @@
         self._interim_count = 0
         self._idle_limit_s = MAX_IDLE_S
         self._ended = False
+        self._unsent_body = memoryview(b"")
         # The next turn, while not all that was received has been handled.
         self._next_turn: Any = None
 
@@ -210,13 +214,39 @@
                     headers=headers,
                 )
             )
-            if request.body:
-                data += self._http.send(h11.Data(data=request.body))
-            data += self._http.send(h11.EndOfMessage())
         except h11.LocalProtocolError as e:
             self._fail(f"request: {e}", sent=False)
             return
+        # The body is not kept here for as long as the answer takes.
+        call.request = request._replace(body=b"")
+        if len(request.body) <= _BODY_PART_BYTES:
+            self.transport.write(data + self._encode_body(request.body))
+            return
         self.transport.write(data)
+        self._unsent_body = memoryview(request.body)
+        self.transport.registerProducer(self, streaming=False)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Sends the next part of a large body; the transport calls it."""
+        part = bytes(self._unsent_body[:_BODY_PART_BYTES])
+        self._unsent_body = self._unsent_body[_BODY_PART_BYTES:]
+        if self._unsent_body:
+            self.transport.write(self._http.send(h11.Data(data=part)))
+            return
+        self._unsent_body = memoryview(b"")
+        self.transport.unregisterProducer()
+        self.transport.write(self._encode_body(part))
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Drops the body; the transport calls it when it is lost."""
+        self._unsent_body = memoryview(b"")
+
+    def _encode_body(self, last_part: bytes) -> bytes:
+        """Returns the last part of a body and its end."""
+        data = b""
+        if last_part:
+            data = self._http.send(h11.Data(data=last_part))
+        return data + self._http.send(h11.EndOfMessage())
 
     def abort(self) -> None:
         """Closes the connection at once."""
--- a/tests/builders_http1.py
+++ b/tests/builders_http1.py
@@ -1,5 +1,7 @@
 """Builders for tests of the HTTP/1 client: servers that send given bytes."""
 
+import hashlib
+import re
 from typing import Any
 
 from twisted.internet import defer
@@ -146,3 +148,53 @@
 
     def on_failure(self, failure: http1.Failure) -> None:
         """Ignores the failure."""
+
+
+class _BodyDigest(protocol.Protocol):
+    """Answers each request with a digest of its body."""
+
+    def connectionMade(self):  # noqa: N802
+        self.factory.connections.append(self)
+        self._received = bytearray()
+
+    def dataReceived(self, data):  # noqa: N802
+        self._received += data
+        head, end, rest = bytes(self._received).partition(b"\r\n\r\n")
+        length = re.search(rb"content-length: (\d+)", head)
+        if end and length and len(rest) >= int(length[1]):
+            self._received.clear()
+            self.transport.write(answer(hashlib.sha256(rest).digest()))
+
+
+class _Early(protocol.Protocol):
+    """Answers, or resets, as soon as a request begins, and reads no more."""
+
+    def connectionMade(self):  # noqa: N802
+        self.factory.connections.append(self)
+
+    def dataReceived(self, data):  # noqa: N802
+        self.transport.pauseProducing()
+        self.transport.write(self.factory.early)
+        if self.factory.reset:
+            self.transport.abortConnection()
+
+
+def _listen(case: Any, kind: type, **fields: Any) -> tuple[http1.Address, Any]:
+    factory = protocol.Factory.forProtocol(kind)
+    factory.connections = []
+    vars(factory).update(fields)
+    port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+    case.addCleanup(port.stopListening)
+    return http1.Address("127.0.0.1", port.getHost().port), factory
+
+
+def serve_bodies(case: Any) -> tuple[http1.Address, Any]:
+    """Serves digests of bodies; returns the address and the factory."""
+    return _listen(case, _BodyDigest)
+
+
+def serve_early(
+    case: Any, early: bytes, reset: bool = False
+) -> tuple[http1.Address, Any]:
+    """Serves answers before the body was read; returns address and factory."""
+    return _listen(case, _Early, early=early, reset=reset)
--- a/tests/test_callers_relay.py
+++ b/tests/test_callers_relay.py
@@ -9,7 +9,9 @@
 from twisted.trial import unittest
 
 from azureline.callers import relay
+from azureline.util import memory_budget
 
+BUDGET_BYTES = 1000
 PART = b"x" * 50_000
 MAX_PARTS = 1000
 
@@ -18,6 +20,7 @@
     """Answers each request with a stream that does not end."""
 
     def __init__(self):
+        self.body_budget = memory_budget.MemoryBudget(BUDGET_BYTES)
         self.parts = 0
         self.gone = defer.Deferred()
 
@@ -83,3 +86,119 @@
         while self.handler.parts < MAX_PARTS and not self.handler.gone.called:
             await task.deferLater(reactor, 0.01)
         assert self.handler.parts == MAX_PARTS
+
+
+class _HoldingHandler:
+    """Keeps the bodies of requests until `release` is called."""
+
+    def __init__(self):
+        self.body_budget = memory_budget.MemoryBudget(BUDGET_BYTES)
+        self.held = []
+
+    def handle(self, received):
+        self.held.append((received, received.take_body()))
+
+    def release(self):
+        for received, _ in self.held:
+            received.start_response(200, b"OK", ((b"content-length", b"0"),))
+            received.finish_response()
+            received.release_body()
+        self.held.clear()
+
+    def body_bound(self):
+        return 10 * BUDGET_BYTES
+
+    def closing(self):
+        return False
+
+
+class _Raw(protocol.Protocol):
+    """Keeps what it receives."""
+
+    def connectionMade(self):  # noqa: N802
+        self.received = b""
+        self.factory.opened.callback(self)
+
+    def dataReceived(self, data):  # noqa: N802
+        self.received += data
+
+
+def _post(size, sent=None):
+    head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % size
+    return head + b"x" * (size if sent is None else sent)
+
+
+def _chunked(size):
+    head = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+    return (
+        head + b"64\r\n%s\r\n" % (b"x" * 100) * (size // 100) + (b"0\r\n\r\n")
+    )
+
+
+class BodyMemoryTest(unittest.TestCase):
+    """Bodies of requests that need more memory together than there is."""
+
+    timeout = 20
+
+    def setUp(self):
+        self.handler = _HoldingHandler()
+        factory = relay.make_factory(self.handler, 60.0)
+        port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        self.addCleanup(port.stopListening)
+        self.port = port.getHost().port
+
+    async def _open(self):
+        factory = protocol.ClientFactory.forProtocol(_Raw)
+        factory.opened = defer.Deferred()
+        connector = reactor.connectTCP("127.0.0.1", self.port, factory)
+        self.addCleanup(self._close, connector)
+        return await factory.opened
+
+    async def _close(self, connector):
+        connector.disconnect()
+        await task.deferLater(reactor, 0.05)
+
+    async def _send(self, data, caller=None):
+        caller = caller or await self._open()
+        caller.received = b""
+        caller.transport.write(data)
+        await task.deferLater(reactor, 0.1)
+        return caller
+
+    def _assert_refused(self, caller):
+        assert caller.received.startswith(b"HTTP/1.1 429")
+        assert b"Retry-After" in caller.received
+
+    async def test_a_body_without_room_is_refused_as_not_run(self):
+        await self._send(_post(600))
+        assert len(self.handler.held) == 1
+        second = await self._send(_post(600))
+        self._assert_refused(second)
+        # Small bodies still have room, and the caller may come back.
+        await self._send(_post(300))
+        assert len(self.handler.held) == 2
+        self.handler.release()
+        await self._send(_post(600), second)
+        assert len(self.handler.held) == 1
+        assert self.handler.held[0][1] == b"x" * 600
+
+    async def test_a_body_that_outgrows_the_room_is_refused(self):
+        caller = await self._send(_chunked(2 * BUDGET_BYTES))
+        self._assert_refused(caller)
+        assert not self.handler.held
+        assert self.handler.body_budget.used_bytes == 0
+
+    async def test_a_caller_that_leaves_gives_its_memory_back(self):
+        caller = await self._send(_post(600, sent=500))
+        assert self.handler.body_budget.used_bytes == 500
+        caller.transport.loseConnection()
+        await task.deferLater(reactor, 0.1)
+        assert self.handler.body_budget.used_bytes == 0
+
+    async def test_memory_is_given_back_once(self):
+        for _ in range(3):
+            await self._send(_post(900))
+            received, _ = self.handler.held[0]
+            self.handler.release()
+            received.release_body()
+        assert self.handler.body_budget.used_bytes == 0
--- a/tests/test_relay_settings.py
+++ b/tests/test_relay_settings.py
@@ -42,6 +42,7 @@
         "listen.front|json": '"10.1.0.38:8149"',
         "listen.ready|json": '"10.1.0.38:8141"',
         "limits.link_mbps": "1000.0",
+        "limits.memory_mb": "200",
         "internal_ports.0": "7380",
         "internal_ports.1": "7395",
         "platform.address|json": '"10.200.1.7:8142"',
@@ -62,3 +63,4 @@
     path.write_text(text)
     found = settings.read(str(path))
     assert found.orders.turn_s == 3.0 and found.repeats.allowance == 54
+    assert found.memory_mb == 200
--- a/tests/test_util_http1.py
+++ b/tests/test_util_http1.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP/1 client: complete answers, failures and reuse."""
 
+import hashlib
+
 from twisted.internet import defer
 from twisted.internet import reactor
 from twisted.internet import task
@@ -7,6 +9,7 @@
 
 from azureline.util import bodies
 from azureline.util import http1
+from azureline.util import transports
 from tests import builders_http1 as builders
 
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nhalf"
@@ -119,6 +122,57 @@
         await closed.addTimeout(1.0, reactor)
 
 
+class LargeBodyTest(unittest.TestCase):
+    """Requests with bodies that are sent in parts."""
+
+    BODY = bytes(range(256)) * 20_000
+
+    def setUp(self):
+        self.client = builders.client(self)
+
+    def _post(self, address):
+        request = builders.get(address)
+        return request._replace(method=b"POST", body=self.BODY)
+
+    async def test_the_body_arrives_whole(self):
+        address, factory = builders.serve_bodies(self)
+        for _ in range(2):
+            answer = await self.client.fetch(address, self._post(address), 5.0)
+            assert answer.body == hashlib.sha256(self.BODY).digest()
+        assert len(factory.connections) == 1
+
+    async def test_an_answer_before_the_body_was_read_ends_the_connection(self):
+        # Bytes of another request would be taken for the rest of the body.
+        early = builders.answer(b"1")
+        address, factory = builders.serve_early(self, early)
+        for _ in range(2):
+            answer = await self.client.fetch(address, self._post(address), 5.0)
+            assert answer.body == b"1"
+        assert len(factory.connections) == 2
+
+    async def test_little_of_the_body_is_kept_for_a_peer_that_does_not_read(
+        self,
+    ):
+        address, factory = builders.serve_early(self, b"")
+        calls = [
+            self.client.start(
+                address, self._post(address), builders.IgnoringListener()
+            )
+            for _ in range(4)
+        ]
+        await task.deferLater(reactor, 0.3)
+        assert len(factory.connections) == 4
+        for call in calls:
+            transport = call.connection.transport
+            assert transports.unsent_bytes(transport) < 200_000
+            call.cancel()
+
+    async def test_a_reset_while_the_body_is_sent_may_have_run(self):
+        address, _ = builders.serve_early(self, b"", reset=True)
+        failed = await self.client.fetch(address, self._post(address), 5.0)
+        assert isinstance(failed, http1.Failure) and failed.sent
+
+
 class EndlessPeerTest(unittest.TestCase):
     """Peers that send without end until the client closes."""
 
