Give two tests of store clients time for a stall of their own process

Cause: their clients wait 0.3 s and 0.2 s (0.1 s to connect), and client and stand-in share one process.

The tests were wrong: neither is about time. What they check is unchanged; their clients wait 10 s and 2 s.

--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -45,7 +45,8 @@
         self,
     ):
         self.app.inject_fault("lose_answers", 1)
-        lost = await self._client(timeout_s=0.2).put("k", b"mine", 0)
+        # A stall of this process must not end the call before it is sent.
+        lost = await self._client(timeout_s=2.0).put("k", b"mine", 0)
         assert isinstance(lost, interface.Unavailable) and lost.sent
         assert (await self.kv.get("k")).value == b"mine"
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -22,10 +22,13 @@
         self.app = kv_service.KvService(options.KvOptions(history=50))
         url = builders.serve(self, self.app)
         self.addCleanup(self._stop_sweep)
-        client = builders_http1.client(self)
         host, _, port = url.removeprefix("http://").rpartition(":")
         self.address = http1.Address(host, int(port))
-        self.store = store_lib.StoreClient(client, self.address, 0.3)
+        self.store = self._client(timeout_s=0.3)
+
+    def _client(self, timeout_s):
+        client = builders_http1.client(self)
+        return store_lib.StoreClient(client, self.address, timeout_s)
 
     def _stop_sweep(self):
         for call in reactor.getDelayedCalls():
@@ -48,9 +51,11 @@
         assert len(listing.items) == 120
 
     async def test_a_conflict_tells_what_is_there(self):
+        # A stall of this process must not look like a store that is away.
+        store = self._client(timeout_s=10.0)
         put = store_lib.Put("k", b"mine")
-        await self.store.transact({"k": 0}, (put,))
-        found = await self.store.transact({"k": 0}, (put,))
+        await store.transact({"k": 0}, (put,))
+        found = await store.transact({"k": 0}, (put,))
         assert isinstance(found, store_lib.Conflict), found
         assert found.items[0].value == b"mine"
 
