Ask whether a node lags behind a feed only where the answer counts

It is asked for only where it decides, as before. A negative age counts as none. A test shows what of an earlier or a later version is read.

--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -330,7 +330,7 @@
             return
         self._store.learn_era(eras.era_of(feed.upto))
         now = self._clock.now()
-        confirmed_at = now - feed.age_ms / 1000
+        confirmed_at = now - max(0, feed.age_ms) / 1000
         if self._role is not change_feed.Role.FED:
             self._roles.confirmed(confirmed_at)
         if self._revision is None or not self._uses_feed(feed, now):
@@ -365,8 +365,9 @@
             change_feed.Role.FED,
             change_feed.Role.SECOND,
         )
-        is_lagging = self._is_lagging(feed, now)
-        return follows_feed or self._failures > 0 or is_lagging
+        if follows_feed or self._failures:
+            return True
+        return self._is_lagging(feed, now)
 
     def _view_confirmed(self, at: float) -> None:
         """Records when the store confirmed the view, as a feed says."""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import msgpack
 import pytest
 
 from azureline.core import wire
@@ -19,6 +20,12 @@
     tag: bytes
 
 
+class _LaterPoint(NamedTuple):
+    x: int
+    label: str
+    age_ms: int = 0
+
+
 _CODEC = wire.Codec({1: _Point, 2: _Line})
 
 
@@ -27,6 +34,17 @@
     assert _CODEC.unpack(_CODEC.pack(line)) == line
 
 
+def test_a_message_of_an_earlier_version_lacks_only_later_fields():
+    later = wire.Codec({1: _LaterPoint})
+    earlier = _CODEC.pack(_Point(1, "a"))
+    assert later.unpack(earlier) == _LaterPoint(1, "a", 0)
+    for fields in ([1, 1], [1, 1, "a", 5, 6]):
+        with pytest.raises(wire.MalformedError):
+            later.unpack(msgpack.packb(fields))
+    with pytest.raises(wire.MalformedError):
+        _CODEC.unpack(later.pack(_LaterPoint(1, "a", 5)))
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_unpack_or_raise_malformed_error(data):
     try:
