Cut off callers whose bodies have no end

Change: 16 MiB beyond the limit the connection is dropped; smaller bodies are still answered with 413.

Measured: two of the eight tests of EndlessCallerTest (chunks without an end, a length far over the limit) fail before and pass after; heads, chunk sizes, extensions and trailers had a bound already.

--- a/azureline/callers/memory_body.py
+++ b/azureline/callers/memory_body.py
@@ -9,6 +9,10 @@
 
 from azureline.util import memory_budget
 
+# A caller that sends more than this beyond the limit is cut off, as its body
+# may have no end. Others get an answer once their body has been read.
+MAX_DISCARDED_BYTES = 16 << 20
+
 
 class MemoryBody:
     """Mixin for Twisted request classes that limits the size of the body.
@@ -18,6 +22,7 @@
     """
 
     content: Any
+    channel: Any
 
     def __init__(self, *args: Any, **kwargs: Any):
         """Creates a request; see `twisted.web.http.Request`."""
@@ -52,6 +57,8 @@
             self._no_memory = reservation is not None and not reservation.grow(
                 len(data)
             )
+        if self._body_bytes > self.max_body_bytes() + MAX_DISCARDED_BYTES:
+            self.channel.transport.abortConnection()
         if self._too_large or self._no_memory:
             self.release_body()
         else:
--- a/tests/test_callers_relay.py
+++ b/tests/test_callers_relay.py
@@ -8,6 +8,7 @@
 from twisted.internet import task
 from twisted.trial import unittest
 
+from azureline.callers import memory_body
 from azureline.callers import relay
 from azureline.util import memory_budget
 
@@ -205,3 +206,81 @@
             self.handler.release()
             received.release_body()
         assert self.handler.body_budget.used_bytes == 0
+
+
+class _Endless(protocol.Protocol):
+    """Sends the same bytes until the node closes the connection."""
+
+    def connectionMade(self):  # noqa: N802
+        self.sent = 0
+        self.transport.write(self.factory.start)
+        self.transport.registerProducer(self, streaming=False)
+
+    def resumeProducing(self):  # noqa: N802
+        self.sent += len(self.factory.again)
+        self.transport.write(self.factory.again)
+
+    def stopProducing(self):  # noqa: N802
+        pass
+
+    def connectionLost(self, reason):  # noqa: N802
+        self.factory.closed.callback(self.sent)
+
+
+class EndlessCallerTest(unittest.TestCase):
+    """Callers that send without an end until the node closes."""
+
+    timeout = 20
+
+    def setUp(self):
+        self.handler = _HoldingHandler()
+        factory = relay.make_factory(self.handler, 60.0)
+        port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        self.addCleanup(port.stopListening)
+        self.port = port.getHost().port
+
+    async def _assert_closed(self, start, again, limit=8 << 20):
+        factory = protocol.ClientFactory.forProtocol(_Endless)
+        factory.start, factory.again = start, again
+        factory.closed = defer.Deferred()
+        connector = reactor.connectTCP("127.0.0.1", self.port, factory)
+        factory.closed.addTimeout(5.0, reactor)
+        try:
+            # The kernel takes some megabytes before the node reads them.
+            assert await factory.closed < limit
+        finally:
+            connector.disconnect()
+            await task.deferLater(reactor, 0.05)
+        assert not self.handler.held
+        assert self.handler.body_budget.used_bytes == 0
+
+    HEAD = b"POST / HTTP/1.1\r\nhost: a\r\n"
+    CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+    MAX_BODY_BYTES = memory_body.MAX_DISCARDED_BYTES + (8 << 20)
+
+    async def test_a_request_line_without_an_end(self):
+        await self._assert_closed(b"GET /", b"x" * 8192)
+
+    async def test_a_header_without_an_end(self):
+        await self._assert_closed(self.HEAD + b"a: ", b"x" * 8192)
+
+    async def test_headers_without_an_end(self):
+        await self._assert_closed(self.HEAD, b"a: b\r\n" * 999)
+
+    async def test_a_chunk_size_without_an_end(self):
+        await self._assert_closed(self.CHUNKED, b"0" * 8192)
+
+    async def test_a_chunk_extension_without_an_end(self):
+        await self._assert_closed(self.CHUNKED + b"1;", b"x" * 8192)
+
+    async def test_trailers_without_an_end(self):
+        await self._assert_closed(self.CHUNKED + b"0\r\n", b"a: b\r\n" * 999)
+
+    async def test_chunks_without_an_end(self):
+        chunk = b"2000\r\n%s\r\n" % (b"x" * 8192)
+        await self._assert_closed(self.CHUNKED, chunk, self.MAX_BODY_BYTES)
+
+    async def test_a_body_of_a_length_far_over_the_limit(self):
+        length = b"content-length: 99999999999\r\n\r\n"
+        start = self.HEAD + length
+        await self._assert_closed(start, b"x" * 8192, self.MAX_BODY_BYTES)
