--- a/tests/test_callers_relay.py
+++ b/tests/test_callers_relay.py
@@ -56,15 +56,20 @@
             self.transport.pauseProducing()
 
 
+def _listen(case, handler):
+    """Serves callers until the test ends; returns the port."""
+    factory = relay.make_factory(handler, 60.0)
+    port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+    case.addCleanup(port.stopListening)
+    return port.getHost().port
+
+
 class SlowCallerTest(unittest.TestCase):
     timeout = 20
 
     def setUp(self):
         self.handler = _Handler()
-        factory = relay.make_factory(self.handler, 60.0)
-        port = reactor.listenTCP(0, factory, interface="127.0.0.1")
-        self.addCleanup(port.stopListening)
-        self.port = port.getHost().port
+        self.port = _listen(self, self.handler)
 
     def _call(self, reads):
         factory = protocol.ClientFactory.forProtocol(_Caller)
@@ -144,10 +149,7 @@
 
     def setUp(self):
         self.handler = _HoldingHandler()
-        factory = relay.make_factory(self.handler, 60.0)
-        port = reactor.listenTCP(0, factory, interface="127.0.0.1")
-        self.addCleanup(port.stopListening)
-        self.port = port.getHost().port
+        self.port = _listen(self, self.handler)
 
     async def _open(self):
         factory = protocol.ClientFactory.forProtocol(_Raw)
@@ -234,10 +236,7 @@
 
     def setUp(self):
         self.handler = _HoldingHandler()
-        factory = relay.make_factory(self.handler, 60.0)
-        port = reactor.listenTCP(0, factory, interface="127.0.0.1")
-        self.addCleanup(port.stopListening)
-        self.port = port.getHost().port
+        self.port = _listen(self, self.handler)
 
     async def _assert_closed(self, start, again, limit=8 << 20):
         factory = protocol.ClientFactory.forProtocol(_Endless)
