Give up an answer's body that comes in too many small parts

Callers saw 504 at the route's timeout (1.51 s) while a second, sound server was idle: a ledger server sends a body without an end, one byte a chunk. The limit of a collected body counted bytes alone, so the attempt used processor time until its deadline and was not repeated.

A body may come in 4,096 parts of any size; beyond them its parts need a mean size of 64 bytes. The same class collects what is fetched from the store and from engines.

--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -159,8 +159,9 @@
             return
         self._record_part()
         if not self._is_stream():
-            if not self._body.add(data):
-                self._break_off(bodies.TOO_LARGE)
+            excess = self._body.add(data)
+            if excess:
+                self._break_off(excess)
             return
         read = self._reader.feed(data)
         if read.pieces:
--- a/azureline/util/bodies.py
+++ b/azureline/util/bodies.py
@@ -8,6 +8,17 @@
 MAX_BODY_BYTES = 4 << 20
 # Failure reason for a body over this limit or without room in memory.
 TOO_LARGE = "answer: too large"
+# Failure reason for a body in too many small parts.
+TOO_MANY_PARTS = "answer: too many small parts"
+# A body may come in this many parts of any size; beyond them, its parts need
+# this mean size. Each part costs time, however small.
+MAX_SMALL_PARTS = 4096
+MIN_MEAN_PART_BYTES = 64
+
+
+def has_too_many_parts(parts: int, size: int) -> bool:
+    """Returns whether a body has too many parts for its size in bytes."""
+    return parts > MAX_SMALL_PARTS + size // MIN_MEAN_PART_BYTES
 
 
 class Body:
@@ -23,17 +34,27 @@
         self._reservation = reservation
         # A buffer, as a list of small parts takes many times their size.
         self._data = io.BytesIO()
+        self._parts = 0
 
-    def add(self, data: bytes) -> bool:
-        """Adds a part; returns False if there is no room for it."""
-        fits = self._data.tell() + len(data) <= MAX_BODY_BYTES
-        if fits and self._reservation is not None:
-            fits = self._reservation.grow(len(data))
-        if not fits:
+    def add(self, data: bytes) -> str:
+        """Adds a part; returns why the body exceeds a limit, or ""."""
+        self._parts += 1
+        excess = self._excess(data)
+        if excess:
             self.release()
-            return False
-        self._data.write(data)
-        return True
+        else:
+            self._data.write(data)
+        return excess
+
+    def _excess(self, data: bytes) -> str:
+        size = self._data.tell() + len(data)
+        if has_too_many_parts(self._parts, size):
+            return TOO_MANY_PARTS
+        if size > MAX_BODY_BYTES:
+            return TOO_LARGE
+        if self._reservation is None or self._reservation.grow(len(data)):
+            return ""
+        return TOO_LARGE
 
     def release(self) -> None:
         """Drops the body and gives its memory back."""
--- a/azureline/util/http1_client.py
+++ b/azureline/util/http1_client.py
@@ -185,9 +185,10 @@
         self._head = head
 
     def on_data(self, data: bytes) -> None:
-        if not self._body.add(data) and self.call is not None:
+        excess = self._body.add(data)
+        if excess and self.call is not None:
             self.call.cancel()
-            self.on_failure(http1.Failure(bodies.TOO_LARGE, sent=True))
+            self.on_failure(http1.Failure(excess, sent=True))
 
     def on_complete(self) -> None:
         assert self._head is not None
