Bound the time of a turn that all peers with small parts take together

Lookups at a sound server were late beside 240 streams without an end at one node: median 1.27 s, longest 1.62 s, 4 of 24 over their route's timeout. Each turn of the reactor handled 64 parts of each connection, so a lookup, which needs some ten turns, took a time in proportion to the number of faulty streams.

The test with 500 connections failed before (a turn handled 32,000 parts).

--- a/azureline/util/http1.py
+++ b/azureline/util/http1.py
@@ -33,7 +33,7 @@
 IDLE_MARGIN_S = 0.7
 # Parts of an answer that are handled before other connections get their turn. A
 # peer can put thousands of them into what is received at once.
-PARTS_PER_TURN = 64
+PARTS_PER_TURN = 16
 # A connection with unacknowledged bytes fails after this time, because a VM
 # that lost power sends no reset.
 TCP_USER_TIMEOUT_MS = 3000
--- a/azureline/util/http1_client.py
+++ b/azureline/util/http1_client.py
@@ -11,6 +11,7 @@
 from azureline.core import clock as clocks
 from azureline.util import bodies
 from azureline.util import http1
+from azureline.util import turns
 
 MAX_IDLE_PER_ADDRESS = 16
 
@@ -33,6 +34,7 @@
             http1.Address, collections.deque[http1.Connection]
         ] = {}
         self._all: set[http1.Connection] = set()
+        self._turns = turns.Turns(reactor)
         self.opened = 0
 
     def start(
@@ -127,7 +129,7 @@
 
     def call_next_turn(self, function: Callable[[], None]) -> Any:
         """Calls a function after other connections had their turn."""
-        return self._reactor.callLater(0, function)
+        return self._turns.call(function)
 
     def _connected(
         self, connection: http1.Connection, call: http1.Call
--- a/tests/builders_http1.py
+++ b/tests/builders_http1.py
@@ -263,3 +263,26 @@
 
     setTcpNoDelay = write = abortConnection = ignore  # noqa: N815
     pauseProducing = resumeProducing = ignore  # noqa: N815
+
+
+class TurnReactor:
+    """A reactor that makes the calls of one turn at a time.
+
+    Attributes:
+      calls: what waits for the next turn.
+    """
+
+    def __init__(self):
+        """Creates a reactor for which nothing waits."""
+        self.calls: list[Any] = []
+
+    def callLater(self, delay_s: float, function: Any) -> None:  # noqa: N802
+        """Records a call for the next turn."""
+        assert delay_s == 0
+        self.calls.append(function)
+
+    def turn(self) -> None:
+        """Makes the calls that wait."""
+        calls, self.calls = self.calls, []
+        for function in calls:
+            function()
--- a/tests/test_util_http1.py
+++ b/tests/test_util_http1.py
@@ -9,8 +9,10 @@
 from twisted.python import failure
 from twisted.trial import unittest
 
+from azureline.core import clock as clocks
 from azureline.util import bodies
 from azureline.util import http1
+from azureline.util import http1_client
 from azureline.util import transports
 from tests import builders_http1 as builders
 
@@ -303,3 +305,24 @@
         assert parts < self.SIZE
         await task.deferLater(reactor, 0.05)
         assert listener.parts == parts
+
+
+def test_a_turn_handles_a_bounded_number_of_parts_however_many_peers_send():
+    # Lookups were late beside 240 streams without an end.
+    reactor = builders.TurnReactor()
+    client = http1_client.Client(reactor, clocks.SystemClock(), 1.0)
+    address = http1.Address("127.0.0.1", 1)
+    listeners = []
+    for _ in range(500):
+        connection = http1.Connection(client, address)
+        connection.makeConnection(builders.Transport())
+        listeners.append(builders.IgnoringListener())
+        connection.send(http1.Call(builders.get(address), listeners[-1]))
+        connection.dataReceived(TurnsTest.HEAD + b"1\r\nx\r\n" * 300)
+    handled = sum(listener.parts for listener in listeners)
+    while reactor.calls:
+        before = handled
+        reactor.turn()
+        handled = sum(listener.parts for listener in listeners)
+        assert handled - before <= 2000
+    assert handled == 500 * 300
