Give answers a memory budget of their own, and each server a share of it

Requests and answers shared a fifth of the process's memory. A server whose answers have no end holds 4 MiB for each until it is cut off, so a single faulty one could take all: callers' sound requests of over 16 KiB got 429, and large answers of sound servers failed.

Answers now have a budget of the same size beside that of requests, and one server's answers take half of it at the most. The two new tests fail on the code before, where answers count against the budget of requests and a budget has no shares.

--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -254,7 +254,9 @@
             self._request.request_id,
             route,
             self._reader,
-            bodies.Body(context.body_budget.reserve()),
+            bodies.Body(
+                context.answer_budget.reserve(assignment.server.server_id)
+            ),
             context.clock.now,
             lambda first_s: context.scheduler.record_first_part(
                 assignment, first_s
--- a/azureline/relay/exchange_context.py
+++ b/azureline/relay/exchange_context.py
@@ -40,7 +40,8 @@
       notices: processes server notices in the headers of answers.
       sends: counts the calls to backend servers.
       streams: finds the software version at which a stream began.
-      body_budget: memory for the bodies of all requests and answers.
+      body_budget: memory for the bodies of all requests.
+      answer_budget: memory for what is held of all answers.
       crash_suspects: isolates requests that are suspected of crashing servers.
       counters: counts refusals and retries by reason.
       exposition: records latencies.
@@ -58,6 +59,7 @@
     sends: send_counts.SendCounts
     streams: stream_versions.StreamVersions
     body_budget: memory_budget.MemoryBudget
+    answer_budget: memory_budget.MemoryBudget
     crash_suspects: crash_suspects.CrashSuspects
     counters: metrics.Counters
     exposition: exposition.Exposition
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -63,8 +63,12 @@
 _ABORT_MARGIN_S = 0.6
 _BACKLOG = 512
 _MB = 1 << 20
-# Part of the process's memory for the bodies of requests and answers.
+# Part of the process's memory for the bodies of requests.
 _BODIES_SHARE = 0.2
+# The same for what is held of answers, and the part of it for each server, so
+# that a faulty one leaves room for others.
+_ANSWERS_SHARE = 0.2
+_SERVER_SHARE = 0.5
 
 
 class Node:
@@ -219,6 +223,9 @@
             memory_budget.MemoryBudget(
                 int(settings.memory_mb * _MB * _BODIES_SHARE)
             ),
+            memory_budget.MemoryBudget(
+                int(settings.memory_mb * _MB * _ANSWERS_SHARE), _SERVER_SHARE
+            ),
             self._crash_suspects,
             self._counters,
             self._exposition,
--- a/tests/builders_exchange.py
+++ b/tests/builders_exchange.py
@@ -65,6 +65,7 @@
         """Takes a report about an assignment."""
 
     release = record_sent = record_unreachable = ignore
+    record_first_part = ignore
 
 
 class Suspects:
@@ -91,6 +92,13 @@
         """Takes one send."""
 
 
+class Notices:
+    """Takes the notices in the heads of answers."""
+
+    def heard(self, *unused: Any) -> None:
+        """Takes the head of one answer."""
+
+
 class Client:
     """Keeps each call, so that a test can end it."""
 
@@ -118,6 +126,7 @@
       context: what the exchange depends on.
       client: the calls to the server.
       received: the caller's connection.
+      request: the caller's request.
       exchange: the exchange, which has not started.
     """
 
@@ -155,20 +164,32 @@
                 counters,
                 events.null_log(),
             ),
-            notices=None,
+            notices=Notices(),
             sends=Sends(),
             streams=None,
             body_budget=memory_budget.MemoryBudget(1 << 20),
+            answer_budget=memory_budget.MemoryBudget(1 << 20, 0.5),
             crash_suspects=suspects,
             counters=counters,
             exposition=exposition.Exposition(counters),
             log=events.null_log(),
         )
+        self.request = builders_relay.request(**request_fields)
         self.exchange = exchange.Exchange(
-            self.context,
-            self.received,
-            builders_relay.request(**request_fields),
+            self.context, self.received, self.request
+        )
+
+    def answer(self, data: bytes, status: int = 200) -> None:
+        """Sends a part of the answer to the latest call, after its head."""
+        request_id = self.request.request_id.encode()
+        headers = (
+            (b"azureline-request-id", request_id),
+            (b"azureline-server-seal", b"x"),
+            (b"transfer-encoding", b"chunked"),
         )
+        listener = self.client.calls[-1].listener
+        listener.on_head(http1.Head(status, b"", headers))
+        listener.on_data(data)
 
     def break_connection(self, sent: bool = True) -> None:
         """Breaks the connection of the latest call."""
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -68,3 +68,14 @@
         scene.break_connection(sent=False)
     assert len(scene.client.calls) == 4
     assert scene.received.refusal.answer.ran is errors.Ran.NO
+
+
+def test_answers_without_an_end_leave_room_for_the_bodies_of_requests():
+    # Callers' sound requests were refused with 429.
+    scene = builders_exchange.Scene(builders_relay.route(timeout_s=_TIMEOUT_S))
+    scene.exchange.start()
+    scene.answer(b"x" * 300_000)
+    assert scene.context.body_budget.used_bytes == 0
+    assert scene.context.answer_budget.used_bytes > 200_000
+    scene.break_connection()
+    assert scene.context.answer_budget.used_bytes == 0
--- a/tests/test_util_bodies.py
+++ b/tests/test_util_bodies.py
@@ -53,3 +53,16 @@
         body.release()
         body.release()
     assert budget.used_bytes == 0
+
+
+def test_the_bodies_of_one_peer_leave_room_for_those_of_others():
+    # One faulty server took all the memory that answers share.
+    budget = memory_budget.MemoryBudget(1 << 20, peer_share=0.5)
+    faulty = [bodies.Body(budget.reserve("s1")) for _ in range(100)]
+    kept = [body for body in faulty if not body.add(b"x" * 100_000)]
+    assert 0 < len(kept) < 10
+    sound = bodies.Body(budget.reserve("s2"))
+    assert not sound.add(b"x" * 400_000)
+    for body in (*faulty, sound):
+        body.release()
+    assert not bodies.Body(budget.reserve("s1")).add(b"x" * 500_000)
