Bound the memory of the incomplete events of all streams together

An incomplete event may have 256 KiB, and only the number of streams bounded how many there are: 400 streams of engines that send an event without an end hold 100 MB of the 256 MB that a node may use. Nothing counted them.

What exceeds 16 KiB of an incomplete event now counts against the budget of answers, with the server's share; a stream whose event doesn't fit is broken, and resumed elsewhere where it may be. The reader drops what it holds as soon as its attempt has ended. The two new tests of test_relay_stream_events.py fail on the code before, whose reader takes no reservation.

--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -13,6 +13,7 @@
 from azureline.util import bodies
 from azureline.util import http1
 from azureline.util import http1_client
+from azureline.util import memory_budget
 
 # An engine that crashes as it begins to write may have written one event.
 _BEGUN_EVENTS = 2
@@ -62,7 +63,7 @@
         request_id: str,
         route: routes.Route,
         reader: stream_events.EventReader,
-        body: bodies.Body,
+        memory: memory_budget.Reservation | None,
         now: Callable[[], float],
         on_first: Callable[[float], None],
         on_head: Callable[[http1.Head], None],
@@ -76,7 +77,8 @@
           request_id: the caller's id of the request.
           route: the request's route.
           reader: reads the stream's events; all attempts of a request share it.
-          body: collects the body of an answer that is not a stream.
+          memory: memory for what is held of the answer; None if it is not
+            counted. It is released when the attempt ends.
           now: returns monotonic time in seconds.
           on_first: called with the seconds to the first part of the answer.
           on_head: called with the head of the server's answer.
@@ -99,7 +101,8 @@
         self._last_part_at: float | None = None
         self._head: http1.Head | None = None
         self._reply: wire.AnswerHead | None = None
-        self._body = body
+        self._memory = memory
+        self._body = bodies.Body(memory)
         self._call: http1.Call | None = None
         self.done: defer.Deferred[Result] = defer.Deferred()
         # Seconds to the first part of the answer, and the longest pause in
@@ -124,7 +127,7 @@
           request: the encoded request.
           fresh: whether to use a new connection.
         """
-        self._reader.restart()
+        self._reader.restart(self._memory)
         self._call = client.start(address, request, self, fresh)
 
     def cancel(self, end: End = End.CANCELLED) -> None:
@@ -287,8 +290,10 @@
         self._finish(Result(End.BROKEN, reason))
 
     def _finish(self, result: Result) -> None:
-        self._body.release()
         if not self.done.called:
+            self._body.release()
+            # A later attempt may use the reader already.
+            self._reader.restart()
             self.done.callback(result)
 
 
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -20,7 +20,6 @@
 from azureline.relay import send_counts
 from azureline.relay import server_runs
 from azureline.relay import stream_events
-from azureline.util import bodies
 
 # Attempts whose connection failed before the request is refused.
 _MAX_CONNECT_FAILURES = 4
@@ -254,9 +253,7 @@
             self._request.request_id,
             route,
             self._reader,
-            bodies.Body(
-                context.answer_budget.reserve(assignment.server.server_id)
-            ),
+            context.answer_budget.reserve(assignment.server.server_id),
             context.clock.now,
             lambda first_s: context.scheduler.record_first_part(
                 assignment, first_s
--- a/azureline/relay/stream_events.py
+++ b/azureline/relay/stream_events.py
@@ -3,12 +3,14 @@
 from typing import NamedTuple
 
 from azureline.util import digits
+from azureline.util import memory_budget
 
 _EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 256 << 10
 # Limit of the chunks that bring one event; each costs time, however small.
 MAX_EVENT_CHUNKS = 4096
 _MAX_ID_DIGITS = 100
+_NO_MEMORY = "incomplete events of other streams use the node's memory"
 
 
 class Read(NamedTuple):
@@ -41,6 +43,7 @@
         self._last_id = digits.parse(last_event, _MAX_ID_DIGITS)
         self._buffer = bytearray()
         self._chunks = 0
+        self._memory: memory_budget.Reservation | None = None
         self.passed = 0
 
     @property
@@ -48,10 +51,16 @@
         """Id of the last event that was passed on, or "" without one."""
         return "" if self._last_id is None else str(self._last_id)
 
-    def restart(self) -> None:
-        """Starts to read the same stream from another connection."""
+    def restart(self, memory: memory_budget.Reservation | None = None) -> None:
+        """Starts to read the same stream from another connection.
+
+        Args:
+          memory: reservation that takes the size of the incomplete event; the
+            caller releases it. None if it is not counted.
+        """
         self._buffer = bytearray()
         self._chunks = 0
+        self._memory = memory
 
     def feed(self, data: bytes) -> Read:
         """Adds bytes and returns the events that are now complete."""
@@ -66,6 +75,8 @@
         complete = bytes(self._buffer[:end])
         del self._buffer[:end]
         self._chunks = 0
+        if not self._has_memory():
+            return Read(b"", _NO_MEMORY)
         passed = []
         for event in complete.split(_EVENT_END)[:-1]:
             event_id = _event_id(event)
@@ -86,7 +97,12 @@
             return f"event exceeds {MAX_EVENT_BYTES} bytes"
         if self._chunks > MAX_EVENT_CHUNKS:
             return f"event exceeds {MAX_EVENT_CHUNKS} chunks"
-        return ""
+        return "" if self._has_memory() else _NO_MEMORY
+
+    def _has_memory(self) -> bool:
+        """Reserves the memory of the incomplete event, if there is any."""
+        memory = self._memory
+        return memory is None or memory.resize(len(self._buffer))
 
     def end(self) -> str:
         """Handles the end of the stream; returns an error, or ""."""
--- a/azureline/util/memory_budget.py
+++ b/azureline/util/memory_budget.py
@@ -78,6 +78,15 @@
         self._counted += added
         return True
 
+    def resize(self, size: int) -> bool:
+        """Changes the size; returns False if the budget has no room."""
+        if size > self._size:
+            return self.grow(size - self._size)
+        counted = max(0, size - FREE_BYTES)
+        self._budget._give_back(self._counted - counted, self._peer)
+        self._size, self._counted = size, counted
+        return True
+
     def release(self) -> None:
         """Gives all bytes back; further calls have no effect."""
         self._budget._give_back(self._counted, self._peer)
--- a/tests/test_relay_stream_events.py
+++ b/tests/test_relay_stream_events.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from azureline.relay import stream_events
+from azureline.util import memory_budget
 
 
 def _event(number):
@@ -73,3 +74,42 @@
     for _ in range(stream_events.MAX_EVENT_CHUNKS - 1):
         assert not reader.feed(b"x" * 60).fault
     assert time.process_time() - began < 0.05
+
+
+def _fill(budget, count, size):
+    """Returns how many streams may hold an incomplete event of a size."""
+    kept = []
+    for _ in range(count):
+        reader, memory = stream_events.EventReader(""), budget.reserve("s1")
+        reader.restart(memory)
+        if reader.feed(b"x" * size).fault:
+            memory.release()
+        else:
+            kept.append((reader, memory))
+    return kept
+
+
+def test_incomplete_events_take_a_bounded_memory_together():
+    # Their number was bounded by that of all streams alone.
+    budget = memory_budget.MemoryBudget(1 << 20)
+    kept = _fill(budget, 100, 100_000)
+    assert 0 < len(kept) < 20
+    # Streams of events of a usual size go on.
+    assert len(_fill(budget, 100, 2_000)) == 100
+    for reader, memory in kept:
+        assert reader.feed(b"\n\n").pieces
+        memory.release()
+    assert budget.used_bytes == 0
+
+
+def test_a_complete_event_gives_its_memory_back():
+    budget = memory_budget.MemoryBudget(100_000)
+    reader = stream_events.EventReader("")
+    reader.restart(budget.reserve("s1"))
+    for number in range(50):
+        assert not reader.feed(b"id: %d\ndata: " % number).fault
+        assert not reader.feed(b"x" * 90_000).fault
+        assert budget.used_bytes > 50_000
+        assert reader.feed(b"\n\nid").pieces
+        assert budget.used_bytes == 0
+        reader.restart(budget.reserve("s1"))
