Bound the time that callers' small chunks take from others

Received bytes are parsed 1 KiB at a time, and what is over 2 KiB waits in the queue that gets 4 ms of each turn. A caller whose body comes in too many small parts is cut off, like one whose body has no end. The addresses of readiness and metrics keep no body any more. memory_body moved to util, as metrics needs it, too.

Two tests of test_util_http_service.py fail on the code before: one caller is not cut off within 30 s, and one turn parses all chunks of 100 callers. The third plays pipelined requests that are answered at once and later.

--- a/azureline/callers/memory_request.py
+++ b/azureline/callers/memory_request.py
@@ -3,8 +3,8 @@
 from twisted.web import server
 
 from azureline.callers import answer
-from azureline.callers import memory_body
 from azureline.core import errors
+from azureline.util import memory_body
 
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 
--- a/azureline/callers/relay.py
+++ b/azureline/callers/relay.py
@@ -8,10 +8,10 @@
 from twisted.internet import protocol
 from twisted.web import http
 
-from azureline.callers import memory_body
 from azureline.core import errors
 from azureline.util import http1
 from azureline.util import http_service
+from azureline.util import memory_body
 from azureline.util import memory_budget
 from azureline.util import transports
 
@@ -200,9 +200,13 @@
     return http_service.Factory(request, idle_timeout_s)
 
 
-class _Readiness(http.Request):
+class _Readiness(memory_body.MemoryBody, http.Request):
     ready: Callable[[], bool]
 
+    def max_body_bytes(self) -> int:
+        """Returns 0: a body of a readiness check is discarded."""
+        return 0
+
     def process(self) -> None:
         """Responds with 200 if the node is ready, else with 503."""
         self.setResponseCode(200 if type(self).ready() else 503)
--- a/azureline/metrics/exposition.py
+++ b/azureline/metrics/exposition.py
@@ -9,6 +9,7 @@
 
 from azureline.metrics import counters as counters_lib
 from azureline.util import http_service
+from azureline.util import memory_body
 
 # Upper bounds of latency buckets in seconds.  The latency targets are between
 # 0.3 s and 4 s.
@@ -74,7 +75,10 @@
 def make_factory(exposition: Exposition) -> http_service.Factory:
     """Returns the Twisted factory of connections that serve the metrics."""
 
-    class _Request(http.Request):
+    class _Request(memory_body.MemoryBody, http.Request):
+        def max_body_bytes(self) -> int:
+            return 0
+
         def process(self) -> None:
             self.setHeader(b"content-type", b"text/plain; version=0.0.4")
             self.write(exposition.text())
--- a/azureline/util/http_service.py
+++ b/azureline/util/http_service.py
@@ -1,22 +1,124 @@
 """HTTP server factory with a configurable request class."""
 
+from typing import Any
+
+from twisted.internet import reactor as default_reactor
 from twisted.web import http
 
+from azureline.util import turns
+
+# Received bytes that are parsed at once, and how often before other connections
+# get their turn. A caller can put hundreds of chunks into that many bytes.
+_PARSED_BYTES = 1024
+_PARSED_PER_TURN = 2
+
+
+class _Reading:
+    """Reads from a transport while neither of two sides asks for a pause.
+
+    Twisted's channel pauses and resumes by itself, as requests and responses
+    go on.
+    """
+
+    def __init__(self, transport: Any):
+        self._transport = transport
+        self._paused_by_channel = False
+        self._paused_by_turns = False
+
+    def pauseProducing(self):  # noqa: N802
+        self._paused_by_channel = True
+        self._transport.pauseProducing()
+
+    def resumeProducing(self):  # noqa: N802
+        self._paused_by_channel = False
+        self._resume()
+
+    def pause_for_turns(self) -> None:
+        self._paused_by_turns = True
+        self._transport.pauseProducing()
+
+    def end_pause_for_turns(self) -> None:
+        self._paused_by_turns = False
+        self._resume()
+
+    def unregisterProducer(self):  # noqa: N802
+        self._transport.unregisterProducer()
+
+    def _resume(self) -> None:
+        if not self._paused_by_channel and not self._paused_by_turns:
+            self._transport.resumeProducing()
+
 
 class _Channel(http.HTTPChannel):
-    """A connection that registers with its factory."""
+    """A connection that registers with its factory.
+
+    It parses what it received in several turns if that is much.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self._unparsed = b""
+        self._is_parsing = False
+        # The next turn, while not all that was received has been parsed.
+        self._next_turn: Any = None
 
     def connectionMade(self):  # noqa: D102, N802
         super().connectionMade()
+        self._networkProducer = _Reading(self.transport)
         self.factory.channels.add(self)
 
     def connectionLost(self, reason):  # noqa: D102, N802
         self.factory.channels.discard(self)
+        self._unparsed = b""
+        turn, self._next_turn = self._next_turn, None
+        if turn is not None:
+            turn.cancel()
         super().connectionLost(reason)
 
+    def dataReceived(self, data):  # noqa: D102, N802
+        self._unparsed += data
+        self._parse_unless_busy()
+
+    def setLineMode(self, extra=b""):  # noqa: N802
+        """Goes on after a request; `extra` came while it was handled."""
+        super().setLineMode()
+        # Later bytes may wait to be parsed.
+        self._unparsed = extra + self._unparsed
+        self._parse_unless_busy()
+
+    def _parse_unless_busy(self) -> None:
+        if self._unparsed and not self._is_parsing and self._next_turn is None:
+            self._parse()
+
+    def _parse_next(self) -> None:
+        self._next_turn = None
+        self._parse()
+        if self._next_turn is None:
+            self._networkProducer.end_pause_for_turns()
+
+    def _parse(self) -> None:
+        """Parses a part of what was received, the rest in a later turn."""
+        self._is_parsing = True
+        try:
+            for _ in range(_PARSED_PER_TURN):
+                part = self._unparsed[:_PARSED_BYTES]
+                self._unparsed = self._unparsed[_PARSED_BYTES:]
+                super().dataReceived(part)
+                if not self._unparsed:
+                    return
+        finally:
+            self._is_parsing = False
+        self._networkProducer.pause_for_turns()
+        self._next_turn = self.factory.turns.call(self._parse_next)
+
 
 class Factory(http.HTTPFactory):
-    """Creates connections whose requests are of a given class."""
+    """Creates connections whose requests are of a given class.
+
+    Attributes:
+      channels: the open connections.
+      turns: turns of the connections with much to parse.
+    """
 
     def __init__(self, request: type[http.Request], idle_s: float = 60.0):
         """Creates a factory.
@@ -28,6 +130,7 @@
         super().__init__(timeout=idle_s)
         self.protocol = _Channel
         self.channels: set[_Channel] = set()
+        self.turns = turns.Turns(default_reactor)
         self._request = request
 
     def set_idle_s(self, idle_s: float) -> None:
--- a/azureline/callers/memory_body.py
+++ b/azureline/util/memory_body.py
@@ -7,6 +7,7 @@
 import io
 from typing import Any
 
+from azureline.util import bodies
 from azureline.util import memory_budget
 
 # A caller that sends more than this beyond the limit is cut off, as its body
@@ -18,7 +19,7 @@
     """Mixin for Twisted request classes that limits the size of the body.
 
     A body that is too large, or for which there is no memory, is read and
-    discarded.
+    discarded. The connection of a body in too many small parts is aborted.
     """
 
     content: Any
@@ -28,6 +29,7 @@
         """Creates a request; see `twisted.web.http.Request`."""
         super().__init__(*args, **kwargs)
         self._body_bytes = 0
+        self._body_parts = 0
         self._too_large = False
         self._no_memory = False
         self._reservation: memory_budget.Reservation | None = None
@@ -50,6 +52,7 @@
 
     def handleContentChunk(self, data):  # noqa: D102, N802
         self._body_bytes += len(data)
+        self._body_parts += 1
         if self._body_bytes > self.max_body_bytes():
             self._too_large = True
         if not self._too_large and not self._no_memory:
@@ -57,13 +60,20 @@
             self._no_memory = reservation is not None and not reservation.grow(
                 len(data)
             )
-        if self._body_bytes > self.max_body_bytes() + MAX_DISCARDED_BYTES:
+        if self._is_endless():
+            self._too_large = True
             self.channel.transport.abortConnection()
         if self._too_large or self._no_memory:
             self.release_body()
         else:
             self.content.write(data)
 
+    def _is_endless(self) -> bool:
+        """Returns whether to cut the caller off instead of answering."""
+        if bodies.has_too_many_parts(self._body_parts, self._body_bytes):
+            return True
+        return self._body_bytes > self.max_body_bytes() + MAX_DISCARDED_BYTES
+
     def take_body(self) -> bytes:
         """Returns the body, which the request does not keep.
 
--- a/tests/test_callers_relay.py
+++ b/tests/test_callers_relay.py
@@ -8,8 +8,8 @@
 from twisted.internet import task
 from twisted.trial import unittest
 
-from azureline.callers import memory_body
 from azureline.callers import relay
+from azureline.util import memory_body
 from azureline.util import memory_budget
 
 BUDGET_BYTES = 1000
