Limit how deep messages between nodes may be nested

A single datagram of 1,328 bytes ended a node with a segmentation fault: messages within messages are msgpack extension types, for which the codec calls itself from C, and 230 levels overflow the C stack before Python's own limit on recursion applies. A faulty node, or whoever reaches the port, could end all nodes and the requests at them.

A message with more than 8 levels is malformed. The test ended its process with signal 11 on the code before (230, 300, 600 and 1,200 levels tried).

--- a/azureline/core/wire.py
+++ b/azureline/core/wire.py
@@ -14,6 +14,9 @@
 import msgpack
 
 MAX_FRAME_BYTES = 1 << 20
+# Levels of messages within messages. msgpack calls back for each, and its
+# recursion in C has no limit.
+MAX_NESTING = 8
 _LENGTH = struct.Struct(">I")
 _EXT_MESSAGE = 1
 # Types of fields that are checked when a message is unpacked.
@@ -42,6 +45,8 @@
         """
         self._by_number = dict(messages)
         self._by_class = {cls: num for num, cls in messages.items()}
+        # Messages that contain the one that is being unpacked.
+        self._nesting = 0
 
     def pack(self, message: Any) -> bytes:
         """Returns the msgpack form of a registered message."""
@@ -89,7 +94,13 @@
             raise MalformedError(
                 f"expected extension type {_EXT_MESSAGE}, got {code}"
             )
-        return self.unpack(data)
+        if self._nesting >= MAX_NESTING:
+            raise MalformedError(f"over {MAX_NESTING} levels of messages")
+        self._nesting += 1
+        try:
+            return self.unpack(data)
+        finally:
+            self._nesting -= 1
 
     def _from_array(self, fields: Any) -> Any:
         if not isinstance(fields, tuple) or not fields:
