Bound the datagrams that a node handles in one turn

Twisted reads datagrams until 256 KiB have come in one turn: empty ones never reach that bound, small ones after tens of thousands. While a faulty node sends faster than they are handled, nothing else gets its turn.

A turn handles 64 datagrams, or what 4 ms allow. Malformed ones are logged once a second; a handler that fails is logged and the port stays open.

--- a/azureline/nodes/datagrams.py
+++ b/azureline/nodes/datagrams.py
@@ -1,15 +1,23 @@
 """Datagrams between nodes, for probes and small gossip entries."""
 
+import time
 from typing import Any
 from typing import Protocol
 
 from absl import logging
 from twisted.internet import protocol
+from twisted.internet import udp
 
 from azureline.core import wire
 from azureline.metrics import counters as metrics
 
 MAX_DATAGRAM_BYTES = 1400
+# Datagrams, and seconds, that are handled before other connections get their
+# turn. Twisted bounds the bytes alone, and a datagram can be empty.
+MAX_PER_TURN = 64
+TURN_S = 0.004
+# A faulty node can send thousands of malformed datagrams a second.
+_LOG_INTERVAL_S = 1.0
 
 
 class Receiver(Protocol):
@@ -56,6 +64,47 @@
             message = self._codec.unpack(datagram)
         except wire.MalformedError as e:
             self._counters.count("datagrams.malformed")
-            logging.warning("event=malformed_datagram reason=%r", str(e))
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "event=malformed_datagram reason=%r",
+                _LOG_INTERVAL_S,
+                str(e),
+            )
             return
         self._receiver.datagram(addr[0], addr[1], message)
+
+
+class _Port(udp.Port):
+    """A UDP port that reads a bounded number of datagrams in each turn."""
+
+    def doRead(self):  # noqa: N802
+        """Handles datagrams that have arrived; the reactor calls it."""
+        ends_at = time.monotonic() + TURN_S
+        for _ in range(MAX_PER_TURN):
+            try:
+                datagram, addr = self.socket.recvfrom(self.maxPacketSize)
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionRefusedError:
+                # A datagram that was sent earlier found no listener.
+                continue
+            try:
+                self.protocol.datagramReceived(datagram, addr)
+            except Exception:  # A message of a peer must not close the port.
+                logging.exception("event=datagram_failed host=%s", addr[0])
+            if time.monotonic() > ends_at:
+                return
+
+
+def listen(reactor: Any, handler: Datagrams, host: str, port: int) -> Any:
+    """Opens the UDP socket of a node and returns its listening port.
+
+    Args:
+      reactor: the Twisted reactor.
+      handler: handles the datagrams.
+      host: IP address of the node.
+      port: number of the port.
+    """
+    opened = _Port(port, handler, host, reactor=reactor)
+    opened.startListening()
+    return opened
--- a/azureline/nodes/neighbours.py
+++ b/azureline/nodes/neighbours.py
@@ -83,8 +83,8 @@
         """Opens the sockets and starts to probe other nodes."""
         info = self._membership.info
         await self._links.listen()
-        self._udp = self._reactor.listenUDP(
-            info.port, self._datagrams, interface=info.host
+        self._udp = datagrams.listen(
+            self._reactor, self._datagrams, info.host, info.port
         )
         self._ticker.start(TICK_S, now=True)
 
--- a/azureline/relay/peers.py
+++ b/azureline/relay/peers.py
@@ -78,8 +78,8 @@
 
     def listen(self, reactor: Any) -> Any:
         """Opens the UDP socket and returns its listening port."""
-        return reactor.listenUDP(
-            self._record.port, self._datagrams, interface=self._record.host
+        return datagrams.listen(
+            reactor, self._datagrams, self._record.host, self._record.port
         )
 
     def on(self, kind: type, handler: Callable[[Any, str, int], None]) -> None:
