Search an incomplete event of the product's own streams once

An incomplete event is searched once and may come in 4,096 chunks; then its connection is replaced. The new test fails on the code before.

--- a/azureline/routing/events.py
+++ b/azureline/routing/events.py
@@ -12,6 +12,8 @@
 _ID = b"id: "
 _DATA = b"\ndata: "
 _DONE = b"[DONE]"
+# Limit of the chunks that bring one event; each costs time, however small.
+MAX_EVENT_CHUNKS = 4096
 
 
 class Counts(NamedTuple):
@@ -22,7 +24,8 @@
       gaps: events with a later offset than the next one.
       mismatches: answers or events of another request.
       resumes: connections that were replaced.
-      malformed: events that could not be parsed or were too large.
+      malformed: events that could not be parsed, were too large or came in
+        too many chunks.
     """
 
     repeats: int = 0
@@ -78,12 +81,14 @@
         self._request_id = request_id
         self._data_prefixes = (b'{"id":"%b"' % name, b'{"id": "%b"' % name)
         self._event_bytes = event_bytes
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._chunks = 0
         self._confirmed = False
 
     def reset(self) -> None:
         """Prepares to read a new connection of the same stream."""
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._chunks = 0
         self._confirmed = False
 
     def check_request_id(self, request_id: str) -> bool:
@@ -103,7 +108,29 @@
 
     def feed(self, data: bytes) -> ReadResult:
         """Reads bytes of the current connection."""
-        buffer = self._buffer + data if self._buffer else data
+        if not self._buffer and data.endswith(_END):
+            return self._read_events(data)
+        # An end that was there before would have been found.
+        unsearched = max(0, len(self._buffer) + 1 - len(_END))
+        self._buffer += data
+        self._chunks += 1
+        if self._buffer.find(_END, unsearched) < 0:
+            return ReadResult([], False, self._exceeds_limit())
+        return self._read_events(bytes(self._buffer))
+
+    def _exceeds_limit(self) -> bool:
+        """Returns whether the incomplete event exceeds a limit; counts it."""
+        if (
+            len(self._buffer) <= self._event_bytes
+            and self._chunks <= MAX_EVENT_CHUNKS
+        ):
+            return False
+        self._malformed()
+        return True
+
+    def _read_events(self, buffer: bytes) -> ReadResult:
+        """Reads complete events and keeps the incomplete one after them."""
+        self._chunks = 0
         start = 0
         events: list[bytes] = []
         action = _DROP
@@ -118,10 +145,11 @@
                 break
             elif action is _FAULT:
                 break
-        self._buffer = buffer[start:]
-        if len(self._buffer) > self._event_bytes and action is not _FINISH:
-            action = self._malformed()
-        return ReadResult(events, action is _FINISH, action is _FAULT)
+        self._buffer = bytearray(buffer[start:])
+        is_faulty = action is _FAULT
+        if action is not _FINISH and self._exceeds_limit():
+            is_faulty = True
+        return ReadResult(events, action is _FINISH, is_faulty)
 
     def count(self, **increments: int) -> None:
         """Adds to the counts by name."""
--- a/tests/test_routing_stream.py
+++ b/tests/test_routing_stream.py
@@ -1,5 +1,7 @@
 """Tests of the relay of token streams."""
 
+import time
+
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -316,3 +318,24 @@
                 phases=[hypothesis.Phase.generate],
             ),
         )
+
+
+def test_an_event_in_small_chunks_without_an_end_is_given_up_early():
+    # The work grew with the square of the bytes: 2.5 s for one event.
+    reader = events.EventReader(_NAME, 65536)
+    began = time.process_time()
+    chunks = 1
+    while not reader.feed(b"x").faulty:
+        chunks += 1
+    assert chunks == events.MAX_EVENT_CHUNKS + 1
+    assert reader.counts.malformed == 1
+    assert time.process_time() - began < 0.1
+
+
+def test_events_in_many_chunks_are_no_fault():
+    reader = events.EventReader(_NAME, 65536)
+    for offset in range(500):
+        data = event(offset)
+        reads = [reader.feed(data[at : at + 1]) for at in range(len(data))]
+        assert not any(read.faulty for read in reads)
+        assert reads[-1].events == [data]
