Use the shared HTTP client for the product's own peers

The clients of azureline node for engines, services and the store were Twisted's: all chunks of one read (64 KiB) were handled in one turn, heads and parts had no limit, a body in one-byte chunks used processor time until the call's timeout, and the connection of a stream that nobody read stayed open.

Both clients are built on util/http1_client now. A call can be paused and resumed, a failure says whether the connection was refused, and a fetch can count its body against a budget.

--- a/azureline/backends/http.py
+++ b/azureline/backends/http.py
@@ -9,29 +9,22 @@
 from typing import Any
 from typing import NamedTuple
 from typing import Protocol
+import urllib.parse
 
 from absl import logging
 from twisted.internet import defer
-from twisted.internet import error as net_error
-from twisted.internet import protocol
-from twisted.web import client
-from twisted.web import http_headers
-from twisted.web import iweb
-from zope import interface as zope_interface
 
 from azureline.backends import interface
+from azureline.core import clock as clocks
+from azureline.util import http1
+from azureline.util import http1_client
+from azureline.util import memory_budget
 
 REPORT_TIMEOUT_S = 2.0
 ORDER_TIMEOUT_S = 5.0
 CANCEL_TIMEOUT_S = 2.0
 MAX_ANSWER_BYTES = 1 << 20
-MAX_IDLE_PER_HOST = 64
-_NOT_SENT = (
-    net_error.ConnectError,
-    net_error.ConnectionRefusedError,
-    net_error.DNSLookupError,
-    net_error.NoRouteError,
-)
+_STATUSES_WITHOUT_BODY = (204, 304)
 
 
 class Failure(NamedTuple):
@@ -97,97 +90,93 @@
     response: Any
 
 
-@zope_interface.implementer(iweb.IBodyProducer)
-class _BytesProducer:
-    """Body producer of bytes that are already in memory."""
+class _Transport:
+    """The connection of a stream, as its sink uses it."""
 
-    def __init__(self, body: bytes):
-        self._body = body
-        self.length = len(body)
+    def __init__(self, call: http1.Call):
+        self._call = call
 
-    def startProducing(self, consumer):  # noqa: N802
-        consumer.write(self._body)
-        return defer.succeed(None)
-
-    def pauseProducing(self):  # noqa: N802
-        """Does nothing; the body was written at once."""
+    def pauseProducing(self) -> None:  # noqa: N802
+        self._call.pause()
 
-    def resumeProducing(self):  # noqa: N802
-        """Does nothing; the body was written at once."""
+    def resumeProducing(self) -> None:  # noqa: N802
+        self._call.resume()
 
-    def stopProducing(self):  # noqa: N802
-        """Does nothing; the body was written at once."""
+    def loseConnection(self) -> None:  # noqa: N802
+        self._call.cancel()
 
 
-class _BodyForwarder(protocol.Protocol):
-    """Forwards the bytes of a response body to a sink."""
+class _StreamListener:
+    """Forwards the answer that is a stream to a sink.
 
-    def __init__(self, sink: StreamSink):
-        self._sink = sink
+    Attributes:
+      opened: fires with the stream, or with why there is none.
+      call: the request that opens the stream.
+    """
 
-    def connectionMade(self):  # noqa: N802
-        self._sink.on_opened(self.transport)
+    def __init__(self):
+        self.opened: defer.Deferred[Stream | Failure] = defer.Deferred()
+        self.call: http1.Call
+        self._sink: StreamSink | None = None
 
-    def dataReceived(self, data):  # noqa: N802
-        self._sink.on_data(data)
+    def forward_to(self, sink: StreamSink) -> None:
+        """Forwards the body, from the moment at which the head has come."""
+        self._sink = sink
+        sink.on_opened(_Transport(self.call))
+
+    def on_head(self, head: http1.Head) -> None:
+        stream = Stream(
+            head.status,
+            _text(head, b"x-load"),
+            _text(head, b"x-request-id"),
+            self,
+        )
+        self.opened.callback(stream)
+        if self._sink is None:
+            # Nobody wants the body.
+            self.call.cancel()
 
-    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
-        self._sink.on_closed(reason.type.__name__)
+    def on_data(self, data: bytes) -> None:
+        if self._sink is not None:
+            self._sink.on_data(data)
 
+    def on_complete(self) -> None:
+        if self._sink is not None:
+            self._sink.on_closed("ResponseDone")
 
-class _BodyCollector(protocol.Protocol):
-    """Collects a response body of at most `MAX_ANSWER_BYTES` bytes.
-
-    The result is None if the body is larger, or if the connection closed before
-    an explicit end (Content-Length or the last chunk).
-    """
-
-    def __init__(self, done: defer.Deferred[bytes | None]):
-        self._done = done
-        self._chunks: list[bytes] = []
-        self._size = 0
-
-    def dataReceived(self, data):  # noqa: N802
-        self._size += len(data)
-        self._chunks.append(data)
-        if self._size > MAX_ANSWER_BYTES and self.transport is not None:
-            self.transport.loseConnection()
-
-    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
-        complete = reason.check(client.ResponseDone) is not None
-        within_limit = self._size <= MAX_ANSWER_BYTES
-        self._done.callback(
-            b"".join(self._chunks) if complete and within_limit else None
-        )
+    def on_failure(self, failure: http1.Failure) -> None:
+        if not self.opened.called:
+            self.opened.callback(_failure(failure))
+        elif self._sink is not None:
+            self._sink.on_closed(failure.reason)
 
 
 class BackendClient:
     """Sends requests and orders to backend servers."""
 
-    def __init__(self, reactor: Any, connect_timeout_s: float):
+    def __init__(
+        self,
+        reactor: Any,
+        connect_timeout_s: float,
+        answer_budget: memory_budget.MemoryBudget | None = None,
+    ):
         """Creates a client.
 
         Args:
           reactor: the Twisted reactor.
           connect_timeout_s: timeout of connecting to a server, in seconds.
+          answer_budget: memory for the answers that are being received; None
+            if it is not counted.
         """
-        self._reactor = reactor
-        self._pool = client.HTTPConnectionPool(reactor)
-        self._pool.maxPersistentPerHost = MAX_IDLE_PER_HOST
-        self._pool.retryAutomatically = False
-        self._agent = client.Agent(
-            reactor, connectTimeout=connect_timeout_s, pool=self._pool
-        )
-        # A server may close an idle connection just as a request is sent on
-        # it, and then it is unknown whether the request ran.  New connections
-        # do not have this race.
-        self._unpooled_agent = client.Agent(
-            reactor, connectTimeout=connect_timeout_s
+        self._client = http1_client.Client(
+            reactor, clocks.SystemClock(), connect_timeout_s
         )
+        self._answer_budget = answer_budget
 
     def close(self) -> defer.Deferred[None]:
-        """Closes the idle connections."""
-        return self._pool.closeCachedConnections()
+        """Closes all connections."""
+        self._client.close()
+        return defer.succeed(None)
 
     async def generate(
         self, url: str, body: dict[str, Any]
@@ -215,12 +204,11 @@
 
     def forward_body(self, stream: Stream, sink: StreamSink) -> None:
         """Starts forwarding the bytes of a stream to a sink."""
-        stream.response.deliverBody(_BodyForwarder(sink))
+        stream.response.forward_to(sink)
 
     async def cancel(self, url: str, request_id: str) -> None:
         """Asks an engine to cancel a stream; failures are only logged."""
         result = await self._call(
-            self._agent,
             b"DELETE",
             f"{url}/v1/streams/{request_id}",
             None,
@@ -237,7 +225,6 @@
         fields = order._asdict()
         fields["kind"] = order.kind.value
         reply = await self._call(
-            self._agent,
             b"POST",
             f"{url}/orders",
             json.dumps(fields).encode(),
@@ -254,7 +241,7 @@
     async def fetch_report(self, url: str) -> interface.Report | Failure:
         """Fetches an engine's report."""
         reply = await self._call(
-            self._agent, b"GET", f"{url}/report", None, {}, REPORT_TIMEOUT_S
+            b"GET", f"{url}/report", None, {}, REPORT_TIMEOUT_S
         )
         if isinstance(reply, Failure):
             return reply
@@ -281,88 +268,82 @@
           headers: headers to send.
           timeout_s: timeout of the whole call in seconds.
         """
+        # A server may close an idle connection just as a request is sent on
+        # it, and then it is unknown whether the request ran.  New connections
+        # do not have this race.
+        headers = {**headers, "Connection": "close"}
         return await self._call(
-            self._unpooled_agent, method, url, body, headers, timeout_s
+            method, url, body, headers, timeout_s, new_connection=True
         )
 
     async def _open(
         self, method: bytes, url: str, body: bytes | None
     ) -> Stream | Failure:
-        try:
-            response = await self._agent.request(
-                method,
-                url.encode(),
-                http_headers.Headers({"Content-Type": ["application/json"]}),
-                _BytesProducer(body) if body is not None else None,
-            )
-        except Exception as e:  # Twisted raises exceptions of many types.
-            return _failure(e)
-        return Stream(
-            response.code,
-            _header(response, "X-Load"),
-            _header(response, "X-Request-Id"),
-            response,
+        listener = _StreamListener()
+        address, request = _request(
+            method, url, body, {"Content-Type": "application/json"}
         )
+        listener.call = self._client.start(address, request, listener)
+        return await listener.opened
 
     async def _call(
         self,
-        agent: client.Agent,
         method: bytes,
         url: str,
         body: bytes | None,
         headers: dict[str, str],
         timeout_s: float,
+        new_connection: bool = False,
     ) -> Reply | Failure:
-        pending = defer.ensureDeferred(
-            self._exchange(agent, method, url, body, headers)
+        address, request = _request(method, url, body, headers)
+        budget = self._answer_budget
+        memory = budget and budget.reserve(f"{address.host}:{address.port}")
+        answer = await self._client.fetch(
+            address, request, timeout_s, new_connection, memory
         )
-        pending.addTimeout(timeout_s, self._reactor)
-        try:
-            return await pending
-        except Exception as e:  # Twisted raises exceptions of many types.
-            return _failure(e)
-
-    async def _exchange(
-        self,
-        agent: client.Agent,
-        method: bytes,
-        url: str,
-        body: bytes | None,
-        headers: dict[str, str],
-    ) -> Reply | Failure:
-        response = await agent.request(
-            method,
-            url.encode(),
-            http_headers.Headers({k: [v] for k, v in headers.items()}),
-            _BytesProducer(body) if body is not None else None,
-        )
-        done: defer.Deferred[bytes | None] = defer.Deferred()
-        response.deliverBody(_BodyCollector(done))
-        content = await done
-        if content is None:
-            return Failure(
-                f"response cut off or over {MAX_ANSWER_BYTES} bytes", True
-            )
+        if isinstance(answer, http1.Failure):
+            return _failure(answer)
+        if not _has_explicit_end(answer.head):
+            return Failure("response without an explicit end", True)
+        if len(answer.body) > MAX_ANSWER_BYTES:
+            return Failure(f"response over {MAX_ANSWER_BYTES} bytes", True)
         return Reply(
-            response.code,
-            _header(response, "Content-Type"),
-            content,
-            _header(response, "X-Not-Started") == "",
+            answer.head.status,
+            _text(answer.head, b"content-type"),
+            answer.body,
+            not answer.head.get(b"x-not-started"),
         )
 
 
-def _header(response: Any, name: str) -> str:
-    values = response.headers.getRawHeaders(name)
-    return values[0] if values else ""
+def _request(
+    method: bytes, url: str, body: bytes | None, headers: dict[str, str]
+) -> tuple[http1.Address, http1.Request]:
+    """Returns the address of a URL and the request to send there."""
+    parts = urllib.parse.urlsplit(url)
+    target = urllib.parse.urlunsplit(("", "", parts.path, parts.query, ""))
+    sent = {"Host": parts.netloc, **headers}
+    return http1.Address(parts.hostname or "", parts.port or 80), http1.Request(
+        method,
+        (target or "/").encode(),
+        tuple((n.encode(), v.encode()) for n, v in sent.items()),
+        body or b"",
+    )
+
+
+def _text(head: http1.Head, name: bytes) -> str:
+    return head.get(name).decode("latin-1")
+
+
+def _has_explicit_end(head: http1.Head) -> bool:
+    """Returns whether an answer does not merely end with its connection."""
+    if head.status in _STATUSES_WITHOUT_BODY:
+        return True
+    framing = (b"content-length", b"transfer-encoding")
+    return any(head.get(name) for name in framing)
 
 
-def _failure(error: Exception) -> Failure:
-    # The timeout of the whole call is a `defer.TimeoutError`, which is not in
-    # `_NOT_SENT`, since the request may have been sent.  Twisted's connect
-    # timeout is a `ConnectError`.
-    sent = not isinstance(error, _NOT_SENT)
-    refused = isinstance(error, net_error.ConnectionRefusedError)
-    return Failure(f"{type(error).__name__}: {error}"[:200], sent, refused)
+def _failure(failure: http1.Failure) -> Failure:
+    return Failure(failure.reason, failure.sent, failure.refused)
 
 
 def _parse_report(body: bytes) -> interface.Report | Failure:
--- a/azureline/platform/http.py
+++ b/azureline/platform/http.py
@@ -4,23 +4,18 @@
 answer) returns `Unavailable`.
 """
 
-import io
 import json
 from typing import Any
 from typing import NamedTuple
 import urllib.parse
 
 from twisted.internet import defer
-from twisted.internet import error
-from twisted.internet import protocol
-from twisted.web import client
-from twisted.web import http_headers
 
+from azureline.core import clock as clocks
 from azureline.platform import interface
-
-_IDLE_CONNECTION_S = 10.0
-_IDLE_CONNECTIONS = 4
-_MAX_BODY_BYTES = 4 << 20  # Values are at most 1 MB; VM lists can be larger.
+from azureline.util import digits
+from azureline.util import http1
+from azureline.util import http1_client
 
 
 class _Answer(NamedTuple):
@@ -41,40 +36,34 @@
     """Persistent connections to the platform."""
 
     def __init__(self, reactor: Any, url: str, timeout_s: float):
-        self._reactor = reactor
-        self._url = url.rstrip("/")
+        parts = urllib.parse.urlsplit(url)
+        self._host = parts.netloc.encode()
+        self._root = parts.path.rstrip("/")
+        self._address = http1.Address(parts.hostname or "", parts.port or 80)
         self._timeout_s = timeout_s
-        self._pool = client.HTTPConnectionPool(reactor)
-        self._pool.maxPersistentPerHost = _IDLE_CONNECTIONS
-        self._pool.cachedConnectionTimeout = _IDLE_CONNECTION_S
-        # An automatic retry would count against the service's rate limit again.
-        self._pool.retryAutomatically = False
         # Shorter than the time-out of the whole call, so that a connection that
         # is not established in time fails with its own error: such a call was
         # certainly not sent.
-        self._agent = client.Agent(
-            reactor, connectTimeout=timeout_s / 2, pool=self._pool
+        self._client = http1_client.Client(
+            reactor, clocks.SystemClock(), timeout_s / 2
         )
 
     def close(self) -> defer.Deferred[None]:
-        """Closes idle connections."""
-        return self._pool.closeCachedConnections()
+        """Closes all connections."""
+        self._client.close()
+        return defer.succeed(None)
 
     def call(
-        self, *args: Any, **kwargs: Any
-    ) -> defer.Deferred[_Answer | interface.Unavailable]:
-        """Makes one call; takes the arguments of `_call`."""
-        return defer.ensureDeferred(self._call(*args, **kwargs))
-
-    async def _call(
         self,
         method: str,
         path: str,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         extra_s: float = 0.0,
-    ) -> _Answer | interface.Unavailable:
-        """Makes one call.
+    ) -> defer.Deferred[_Answer | interface.Unavailable]:
+        """Makes one call, which is never repeated.
+
+        A repeat would count against the service's rate limit again.
 
         Args:
           method: HTTP method.
@@ -86,24 +75,16 @@
         Returns:
           The answer, whatever its status.
         """
-        raw = {name: [value] for name, value in (headers or {}).items()}
-        pending = self._agent.request(
+        sent = {"Host": self._host.decode(), **(headers or {})}
+        request = http1.Request(
             method.encode(),
-            (self._url + path).encode(),
-            http_headers.Headers(raw),
-            None if body is None else client.FileBodyProducer(io.BytesIO(body)),
+            (self._root + path).encode(),
+            tuple((n.encode(), v.encode()) for n, v in sent.items()),
+            body or b"",
         )
-        pending.addCallback(_read_answer)
-        pending.addTimeout(self._timeout_s + extra_s, self._reactor)
-        try:
-            return await pending
-        except (error.ConnectError, error.ConnectingCancelledError) as e:
-            return interface.Unavailable(f"no connection: {e}", sent=False)
-        except defer.TimeoutError:
-            waited_s = self._timeout_s + extra_s
-            return interface.Unavailable(f"no answer within {waited_s} s")
-        except Exception as e:  # No method of the clients raises.
-            return interface.Unavailable(f"{type(e).__name__}: {e}")
+        timeout_s = self._timeout_s + extra_s
+        fetching = self._client.fetch(self._address, request, timeout_s)
+        return fetching.addCallback(_parse_answer)
 
 
 class HttpKeyValue:
@@ -194,43 +175,15 @@
         return self._session.call("GET", "/vms").addCallback(_parse_list)
 
 
-class _Body(protocol.Protocol):
-    """Receives a body of at most `_MAX_BODY_BYTES`.
-
-    Cancelling the deferred `whole` closes the connection.
-    """
-
-    def __init__(self):
-        self.whole: defer.Deferred[bytes] = defer.Deferred(self._cancel)
-        self._parts: list[bytes] = []
-        self._size = 0
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Buffers a part of the body; closes a connection over the limit."""
-        self._parts.append(data)
-        self._size += len(data)
-        if self._size > _MAX_BODY_BYTES:
-            self.transport.loseConnection()
-
-    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        """Fires `whole` with the body; fails it if the body is incomplete."""
-        if self.whole.called:
-            return
-        if reason.check(client.ResponseDone):
-            self.whole.callback(b"".join(self._parts))
-        else:
-            self.whole.errback(reason)
-
-    def _cancel(self, _: Any) -> None:
-        self.transport.loseConnection()
-
-
-def _read_answer(response: Any) -> defer.Deferred[_Answer]:
-    version = int(response.headers.getRawHeaders("X-Version", ["-1"])[0])
-    body = _Body()
-    response.deliverBody(body)
-    return body.whole.addCallback(
-        lambda whole: _Answer(response.code, version, whole)
+def _parse_answer(
+    answer: http1.Answer | http1.Failure,
+) -> _Answer | interface.Unavailable:
+    if isinstance(answer, http1.Failure):
+        return interface.Unavailable(answer.reason, answer.sent)
+    version = answer.head.get(b"x-version")
+    number = digits.parse(version) if version else None
+    return _Answer(
+        answer.head.status, -1 if number is None else number, answer.body
     )
 
 
--- a/azureline/util/http1.py
+++ b/azureline/util/http1.py
@@ -102,11 +102,13 @@
       reason: cause of the failure, for logs.
       sent: whether the request may have reached the peer.
       reused: whether it was sent on a connection that had been used before.
+      refused: whether the host answered that nothing listens on the port.
     """
 
     reason: str
     sent: bool
     reused: bool = False
+    refused: bool = False
 
     def __bool__(self) -> bool:
         return False
@@ -147,6 +149,16 @@
         elif self.connecting is not None:
             self.connecting.cancel()
 
+    def pause(self) -> None:
+        """Stops reading the answer until `resume` is called."""
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        """Goes on reading the answer."""
+        if self.connection is not None:
+            self.connection.resume()
+
     def fail(self, failure: Failure) -> None:
         """Reports a failure to the listener, at most once."""
         listener, self.listener = self.listener, None
@@ -189,6 +201,8 @@
         self._lost = False
         self._unsent_body = memoryview(b"")
         self._unparsed = memoryview(b"")
+        # Whether the listener has asked for a pause.
+        self._is_paused = False
         # The next turn, while not all that was received has been handled.
         self._next_turn: Any = None
 
@@ -242,6 +256,20 @@
         self.transport.unregisterProducer()
         self.transport.write(self._encode_body(part))
 
+    def pause(self) -> None:
+        """Stops reading the answer until `resume` is called."""
+        if not self._is_paused and not self._ended:
+            self._is_paused = True
+            self._cancel_turn()
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Goes on reading the answer."""
+        if self._is_paused and not self._ended:
+            self._is_paused = False
+            # What was received before the pause is handled first.
+            self._next_turn = self._owner.call_next_turn(self._read)
+
     def stopProducing(self) -> None:  # noqa: N802
         """Drops the body; the transport calls it when it is lost."""
         self._unsent_body = memoryview(b"")
@@ -271,7 +299,7 @@
         if self._unparsed:
             data = bytes(self._unparsed) + data
         self._unparsed = memoryview(data)
-        if self._next_turn is None:
+        if self._next_turn is None and not self._is_paused:
             self._read()
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: D102, N802
@@ -300,6 +328,8 @@
         was_paused = self._next_turn is not None
         self._next_turn = None
         for _ in range(PARTS_PER_TURN):
+            if self._is_paused:
+                return
             if not self._read_part() and not self._parse_more():
                 if was_paused and not self._ended:
                     self.transport.resumeProducing()
@@ -373,6 +403,9 @@
         if has_more or closed or unsent or not is_reusable:
             self.abort()
             return
+        if self._is_paused:
+            self._is_paused = False
+            self.transport.resumeProducing()
         self._http.start_next_cycle()
         self._owner.add_idle(self, self._idle_limit_s)
 
--- a/azureline/util/http1_client.py
+++ b/azureline/util/http1_client.py
@@ -6,11 +6,13 @@
 
 from twisted.internet import defer
 from twisted.internet import endpoints
+from twisted.internet import error
 from twisted.internet import protocol
 
 from azureline.core import clock as clocks
 from azureline.util import bodies
 from azureline.util import http1
+from azureline.util import memory_budget
 from azureline.util import turns
 
 MAX_IDLE_PER_ADDRESS = 16
@@ -67,7 +69,11 @@
         call.connecting.addCallbacks(
             self._connected,
             lambda failure: call.fail(
-                http1.Failure(f"connect: {failure.type.__name__}", sent=False)
+                http1.Failure(
+                    f"connect: {failure.type.__name__}",
+                    sent=False,
+                    refused=bool(failure.check(error.ConnectionRefusedError)),
+                )
             ),
             callbackArgs=(call,),
         )
@@ -79,6 +85,7 @@
         request: http1.Request,
         timeout_s: float,
         new_connection: bool = False,
+        memory: memory_budget.Reservation | None = None,
     ) -> defer.Deferred[http1.Answer | http1.Failure]:
         """Sends a request and collects its whole answer.
 
@@ -87,8 +94,10 @@
           request: what to send.
           timeout_s: seconds after which the request fails as unanswered.
           new_connection: whether to open a connection even if one is idle.
+          memory: memory for the body while it is received; None if it is not
+            counted.
         """
-        fetching = _Fetch()
+        fetching = _Fetch(memory)
         call = self.start(address, request, fetching, new_connection)
         fetching.call = call
 
@@ -175,13 +184,13 @@
 class _Fetch:
     """Collects one answer."""
 
-    def __init__(self):
+    def __init__(self, memory: memory_budget.Reservation | None):
         self.result: defer.Deferred[http1.Answer | http1.Failure] = (
             defer.Deferred()
         )
         self.call: http1.Call | None = None
         self._head: http1.Head | None = None
-        self._body = bodies.Body()
+        self._body = bodies.Body(memory)
 
     def on_head(self, head: http1.Head) -> None:
         self._head = head
@@ -200,5 +209,6 @@
         self._finish(failure)
 
     def _finish(self, result: http1.Answer | http1.Failure) -> None:
+        self._body.release()
         if not self.result.called:
             self.result.callback(result)
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -9,6 +9,8 @@
 
 from azureline.platform import http
 from azureline.platform import interface
+from azureline.util import bodies
+from tests import builders_http1
 from tests import builders_standins as builders
 
 # Twisted's transport lacks the abortConnection method that readBody expects.
@@ -140,3 +142,20 @@
         self.addCleanup(vms.close)
         found = await vms.list()
         assert isinstance(found, interface.Unavailable) and not found.sent
+
+
+class EndlessTest(unittest.TestCase):
+    timeout = 20
+
+    async def test_small_chunks_without_an_end_fail_before_the_timeout(self):
+        start = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        address, served = builders_http1.serve_endless(
+            self, start, b"1\r\nx\r\n" * 9999
+        )
+        url = f"http://{address.host}:{address.port}"
+        kv = http.HttpKeyValue(reactor, url, timeout_s=10.0)
+        self.addCleanup(kv.close)
+        found = await kv.get("k")
+        assert isinstance(found, interface.Unavailable)
+        assert found.reason == bodies.TOO_MANY_PARTS and found.sent
+        await served.closed.addTimeout(2.0, reactor)
