Give the product's own interface budgets for bodies and answers

azureline node had no bound on what the bodies of all requests, all answers and all incomplete events hold together, a document collected an engine's events for as long as they came, and callers' chunks of one read were parsed in one turn.

What doesn't fit is refused as not run (429), or broken. A document has the limits of a body. The site's connections parse in turns.

The two new tests of test_callers_site.py fail on the code before, which has no budget. The in-memory connections of the callers' tests make the turns of a site at once; the deliberate fault _ReadsAnyRequest takes the reader's new argument.

--- a/azureline/callers/answer.py
+++ b/azureline/callers/answer.py
@@ -9,6 +9,8 @@
 
 from azureline.callers import problem
 from azureline.core import errors
+from azureline.util import bodies
+from azureline.util import memory_budget
 
 EVENT_STREAM = "text/event-stream"
 _DATA = b"data: "
@@ -113,18 +115,25 @@
 
     unsent_bytes = 0
 
-    def __init__(self, request: Any, request_id: str, model: str):
+    def __init__(
+        self,
+        request: Any,
+        request_id: str,
+        model: str,
+        memory: memory_budget.Reservation | None = None,
+    ):
         """Creates the answer.
 
         Args:
           request: the `twisted.web` request.
           request_id: identity of the request.
           model: name of the model as sent by the caller.
+          memory: memory for the events; None if it is not counted.
         """
         self._request = request
         self._request_id = request_id
         self._model = model
-        self._events: list[bytes] = []
+        self._events = bodies.Body(memory)
         self._ended = False
         self._observer: ConnectionObserver | None = None
         request.notifyFinish().addErrback(lambda _: self._on_disconnect())
@@ -134,15 +143,25 @@
         self._observer = observer
 
     def write(self, data: bytes) -> None:
-        """Stores complete events until the end of the answer."""
-        self._events.append(data)
+        """Stores complete events until the end of the answer.
+
+        Refuses an answer that exceeds a limit, and stops the generation.
+        """
+        if self._ended:
+            return
+        excess = self._events.add(data)
+        if excess:
+            self.refuse(errors.Refusal(errors.ErrorKind.BACKEND_FAILED, excess))
+            if self._observer is not None:
+                self._observer.on_caller_disconnected()
 
     def finish(self) -> None:
         """Sends the complete answer."""
         if self._ended:
             return
         self._ended = True
-        text = _content(b"".join(self._events))
+        text = _content(self._events.content())
+        self._events.release()
         document = {
             "id": self._request_id,
             "object": "chat.completion",
@@ -162,10 +181,12 @@
         if self._ended:
             return
         self._ended = True
+        self._events.release()
         write_refusal(self._request, refusal, self._request_id)
 
     def _on_disconnect(self) -> None:
         self._ended = True
+        self._events.release()
         if self._observer is not None:
             self._observer.on_caller_disconnected()
 
--- a/azureline/callers/memory_request.py
+++ b/azureline/callers/memory_request.py
@@ -3,8 +3,8 @@
 from twisted.web import server
 
 from azureline.callers import answer
-from azureline.core import errors
 from azureline.util import memory_body
+from azureline.util import memory_budget
 
 DEFAULT_MAX_BODY_BYTES = 1 << 20
 
@@ -13,17 +13,27 @@
     """A request that refuses a body larger than the site's limit."""
 
     def process(self):
-        """Refuses a body that is too large, else renders the resource."""
-        if not self._too_large:
+        """Refuses a body without room, else renders the resource."""
+        refusal = self.body_refusal()
+        if refusal is None:
             super().process()
             return
-        refusal = errors.Refusal(
-            errors.ErrorKind.BODY_TOO_LARGE,
-            f"The body may have up to {self.max_body_bytes()} bytes.",
-        )
         self.channel.site.refused(refusal)
         answer.write_refusal(self, refusal, "")
 
+    def finish(self):
+        """Ends the response; the body's memory is free again."""
+        super().finish()
+        self.release_body()
+
+    def connectionLost(self, reason):  # noqa: D102, N802
+        super().connectionLost(reason)
+        self.release_body()
+
+    def body_budget(self) -> memory_budget.MemoryBudget | None:
+        """Returns the memory for the bodies of all requests."""
+        return getattr(self.channel.site, "body_budget", None)
+
     def max_body_bytes(self) -> int:
         """Returns the maximum size of a request body in bytes."""
         site = self.channel.site
--- a/azureline/callers/relay.py
+++ b/azureline/callers/relay.py
@@ -17,8 +17,6 @@
 
 # A connection is dropped once more bytes than this wait for a slow caller.
 MAX_UNSENT_BYTES = 1 << 20
-# Seconds after which a caller may come back whose body had no room in memory.
-_NO_MEMORY_RETURN_S = 0.5
 
 
 class Handler(Protocol):
@@ -66,22 +64,9 @@
 
     def process(self) -> None:
         """Passes the request to the handler or refuses a too large one."""
-        if self._too_large:
-            self.refuse(
-                errors.Refusal(
-                    errors.ErrorKind.BODY_TOO_LARGE,
-                    f"The body may have up to {self.max_body_bytes()} bytes.",
-                )
-            )
-            return
-        if self._no_memory:
-            self.refuse(
-                errors.Refusal(
-                    errors.ErrorKind.OVERLOADED,
-                    "The bodies of other requests use the node's memory.",
-                    retry_after=_NO_MEMORY_RETURN_S,
-                )
-            )
+        refusal = self.body_refusal()
+        if refusal is not None:
+            self.refuse(refusal)
             return
         self._is_handled = True
         self.handler.handle(self)
--- a/azureline/callers/site.py
+++ b/azureline/callers/site.py
@@ -6,6 +6,7 @@
 import uuid
 
 from twisted.internet import defer
+from twisted.internet import reactor as default_reactor
 from twisted.web import resource
 from twisted.web import server
 
@@ -15,6 +16,9 @@
 from azureline.callers import memory_request
 from azureline.callers import parse
 from azureline.core import errors
+from azureline.util import http_service
+from azureline.util import memory_budget
+from azureline.util import turns
 
 _SERVICES = b"/v1/services/"
 
@@ -103,19 +107,36 @@
         """Returns the operators' status document."""
 
 
+class _Site(server.Site):
+    """The site, whose connections parse much input in several turns."""
+
+    def __init__(self, root: "Root"):
+        super().__init__(root, requestFactory=memory_request.MemoryRequest)
+        self.channels: set[http_service.Channel] = set()
+        self.turns = turns.Turns(default_reactor)
+        self.protocol = http_service.Channel
+
+
 class Root(resource.Resource):
     """Routes every path of the interface."""
 
     isLeaf = True  # noqa: N815
 
-    def __init__(self, frontend: Frontend):
+    def __init__(
+        self,
+        frontend: Frontend,
+        answer_budget: memory_budget.MemoryBudget | None = None,
+    ):
         """Creates the resource.
 
         Args:
           frontend: functions of the node.
+          answer_budget: memory for answers that are sent as one document;
+            None if it is not counted.
         """
         super().__init__()
         self._frontend = frontend
+        self._answer_budget = answer_budget
 
     def render(self, request):
         """Handles a request; see `twisted.web.resource.Resource`."""
@@ -180,7 +201,13 @@
         if parsed.stream:
             sink = answer.StreamAnswer(request, request_id)
         else:
-            sink = answer.DocumentAnswer(request, request_id, parsed.model)
+            budget = self._answer_budget
+            sink = answer.DocumentAnswer(
+                request,
+                request_id,
+                parsed.model,
+                budget and budget.reserve(),
+            )
         self._frontend.generate(call, parsed.messages, sink)
 
     def _chat_call(
@@ -290,16 +317,20 @@
 def make_site(
     frontend: Frontend,
     max_body_bytes: int = memory_request.DEFAULT_MAX_BODY_BYTES,
+    body_budget: memory_budget.MemoryBudget | None = None,
+    answer_budget: memory_budget.MemoryBudget | None = None,
 ) -> server.Site:
     """Returns the HTTP site that serves callers and operators.
 
     Args:
       frontend: functions of the node.
       max_body_bytes: maximum size of a request body in bytes.
+      body_budget: memory for the bodies of all requests; None if it is not
+        counted.
+      answer_budget: the same for answers that are sent as one document.
     """
-    site = server.Site(
-        Root(frontend), requestFactory=memory_request.MemoryRequest
-    )
+    site = _Site(Root(frontend, answer_budget))
+    site.body_budget = body_budget
     site.max_body_bytes = max_body_bytes
     site.refused = frontend.count_refusal
     site.displayTracebacks = False
--- a/azureline/config/schema.py
+++ b/azureline/config/schema.py
@@ -84,15 +84,18 @@
 
 
 class Buffers(NamedTuple):
-    """Memory limits for one request, in bytes.
+    """Memory limits, in bytes.
 
     Attributes:
       body_bytes: largest accepted request body.
       stream_bytes: part of an answer that is buffered for a slow caller.
+      total_bytes: all request bodies together, and as much again for what is
+        held of answers.
     """
 
     body_bytes: bounds.Bytes
     stream_bytes: bounds.Bytes
+    total_bytes: bounds.Bytes
 
 
 class NodeSettings(NamedTuple):
@@ -110,7 +113,7 @@
       statsd: server that receives the metrics.
       log: logging of the node.
       timeouts: timeouts and intervals.
-      buffers: memory limits for one request.
+      buffers: memory limits of requests.
     """
 
     name: bounds.Name
--- a/azureline/node.py
+++ b/azureline/node.py
@@ -40,10 +40,13 @@
 from azureline.serving import slot_manager
 from azureline.serving import suspect_gossip
 from azureline.util import addresses
+from azureline.util import memory_budget
 
 DRAIN_POLL_S = 0.1
 DRAIN_LINGER_S = 0.5
 HAND_OVER_TIMEOUT_S = 2.0
+# Part of the memory for answers that those of one server may take.
+SERVER_SHARE = 0.5
 
 
 class Node:
@@ -71,8 +74,13 @@
         self._counters = metrics.make_counters(
             statsd.host, statsd.port, statsd.prefix
         )
+        total_bytes = settings.buffers.total_bytes
+        self._body_budget = memory_budget.MemoryBudget(total_bytes)
+        self._answer_budget = memory_budget.MemoryBudget(
+            total_bytes, SERVER_SHARE
+        )
         self._backends = backend_http.BackendClient(
-            reactor, settings.timeouts.connect_s
+            reactor, settings.timeouts.connect_s, self._answer_budget
         )
         self._key_value = platform_http.HttpKeyValue(
             reactor, settings.platform.url, settings.platform.timeout_s
@@ -172,7 +180,10 @@
         self._port = self._reactor.listenTCP(
             self._settings.port,
             site_lib.make_site(
-                self._frontend, self._settings.buffers.body_bytes
+                self._frontend,
+                self._settings.buffers.body_bytes,
+                self._body_budget,
+                self._answer_budget,
             ),
             interface=self._settings.host,
         )
@@ -269,6 +280,7 @@
             self._backends,
             self._counters,
             stream_settings,
+            self._answer_budget,
         )
         self._suspect_gossip = suspect_gossip.SuspectGossip(
             self._reactor,
--- a/azureline/routing/events.py
+++ b/azureline/routing/events.py
@@ -8,6 +8,8 @@
 import enum
 from typing import NamedTuple
 
+from azureline.util import memory_budget
+
 _END = b"\n\n"
 _ID = b"id: "
 _DATA = b"\ndata: "
@@ -68,12 +70,19 @@
 class EventReader:
     """Splits bytes into events and passes on those that are next in order."""
 
-    def __init__(self, request_id: str, event_bytes: int):
+    def __init__(
+        self,
+        request_id: str,
+        event_bytes: int,
+        memory: memory_budget.Reservation | None = None,
+    ):
         """Creates a reader that expects offset 0.
 
         Args:
           request_id: identity that every event must carry.
           event_bytes: maximum size of an event.
+          memory: reservation that takes the size of the incomplete event; None
+            if it is not counted.
         """
         name = request_id.encode()
         self.next_offset = 0
@@ -81,6 +90,7 @@
         self._request_id = request_id
         self._data_prefixes = (b'{"id":"%b"' % name, b'{"id": "%b"' % name)
         self._event_bytes = event_bytes
+        self._memory = memory
         self._buffer = bytearray()
         self._chunks = 0
         self._confirmed = False
@@ -90,6 +100,8 @@
         self._buffer = bytearray()
         self._chunks = 0
         self._confirmed = False
+        if self._memory is not None:
+            self._memory.release()
 
     def check_request_id(self, request_id: str) -> bool:
         """Checks the request id that a response header echoes.
@@ -120,10 +132,9 @@
 
     def _exceeds_limit(self) -> bool:
         """Returns whether the incomplete event exceeds a limit; counts it."""
-        if (
-            len(self._buffer) <= self._event_bytes
-            and self._chunks <= MAX_EVENT_CHUNKS
-        ):
+        size = len(self._buffer)
+        fits = size <= self._event_bytes and self._chunks <= MAX_EVENT_CHUNKS
+        if fits and (self._memory is None or self._memory.resize(size)):
             return False
         self._malformed()
         return True
--- a/azureline/routing/stream.py
+++ b/azureline/routing/stream.py
@@ -9,6 +9,7 @@
 
 from azureline.core import errors
 from azureline.routing import events
+from azureline.util import memory_budget
 
 
 class Settings(NamedTuple):
@@ -113,7 +114,11 @@
     """State of one stream; its methods take inputs and return outputs."""
 
     def __init__(
-        self, now: float, request_id: str, settings: Settings = DEFAULTS
+        self,
+        now: float,
+        request_id: str,
+        settings: Settings = DEFAULTS,
+        memory: memory_budget.Reservation | None = None,
     ):
         """Creates a relay whose first connection is attempt 1.
 
@@ -121,9 +126,12 @@
           now: monotonic time in seconds.
           request_id: identity that every event must carry.
           settings: the settings.
+          memory: memory for the incomplete event; None if it is not counted.
         """
         self._settings = settings
-        self._reader = events.EventReader(request_id, settings.event_bytes)
+        self._reader = events.EventReader(
+            request_id, settings.event_bytes, memory
+        )
         self._attempt = 1
         self._resumes_without_event = 0
         self._ended = False
@@ -156,6 +164,10 @@
         """Whether the relay produces no further output."""
         return self._ended
 
+    def release(self) -> None:
+        """Drops an incomplete event; no input follows."""
+        self._reader.reset()
+
     def response_started(
         self, now: float, attempt: int, request_id: str
     ) -> list[Output]:
--- a/azureline/serving/generation.py
+++ b/azureline/serving/generation.py
@@ -14,6 +14,7 @@
 from azureline.routing import outcome
 from azureline.routing import retry
 from azureline.routing import stream
+from azureline.util import memory_budget
 
 GAP_SAMPLE_INTERVAL_S = 1.0
 _REASONS = {
@@ -99,6 +100,7 @@
         backends: http.BackendClient,
         clock: clocks.Clock,
         settings: stream.Settings,
+        answer_budget: memory_budget.MemoryBudget | None = None,
     ):
         """Creates a generation that has not been sent.
 
@@ -110,6 +112,8 @@
           backends: sends calls to engines.
           clock: source of time.
           settings: settings of the stream relay.
+          answer_budget: memory for incomplete events; None if they are not
+            counted.
         """
         self.call = call
         self.answer = answer
@@ -122,6 +126,7 @@
         self._backends = backends
         self._clock = clock
         self._settings = settings
+        self._answer_budget = answer_budget
         self._relay: stream.StreamRelay | None = None
         self._url = ""
         self._attempt_id = ""
@@ -172,7 +177,13 @@
         self._first_token_at = None
         self._tokens = 0
         self._hint = None
-        self._relay = stream.StreamRelay(now, self._attempt_id, self._settings)
+        budget = self._answer_budget
+        self._relay = stream.StreamRelay(
+            now,
+            self._attempt_id,
+            self._settings,
+            budget and budget.reserve(engine),
+        )
 
     def tick(self, now: float) -> None:
         """Handles timeouts of the stream and the deadline."""
@@ -355,6 +366,7 @@
     ) -> None:
         if self._relay is None:
             return
+        self._relay.release()
         self._relay = None
         self._drop_transport()
         self._listener.on_attempt_ended(
--- a/azureline/serving/generations.py
+++ b/azureline/serving/generations.py
@@ -25,6 +25,7 @@
 from azureline.routing import verdicts
 from azureline.serving import adapters as adapters_lib
 from azureline.serving import generation
+from azureline.util import memory_budget
 
 TICK_S = 0.05
 QUARANTINE_RETRY_S = 0.2
@@ -45,6 +46,7 @@
         backends: http.BackendClient,
         counters: metrics.Counters,
         settings: stream.Settings = stream.DEFAULTS,
+        answer_budget: memory_budget.MemoryBudget | None = None,
     ):
         """Creates an empty collection.
 
@@ -59,6 +61,8 @@
           backends: sends calls to engines.
           counters: counts refusals and retries by reason.
           settings: settings of the stream relays.
+          answer_budget: memory for what is held of answers; None if it is not
+            counted.
         """
         self._reactor = reactor
         self._clock = clock
@@ -70,6 +74,7 @@
         self._backends = backends
         self._counters = counters
         self._settings = settings
+        self._answer_budget = answer_budget
         self._active: dict[str, generation.Generation] = {}
         self._crashed_incarnations: dict[str, str] = {}
         self._suspects_handler: Callable[[], None] = lambda: None
@@ -117,6 +122,7 @@
             self._backends,
             self._clock,
             self._settings,
+            self._answer_budget,
         )
         self._active[call.request_id] = gen
         if not self._tick_loop.running:
--- a/azureline/util/http_service.py
+++ b/azureline/util/http_service.py
@@ -49,7 +49,7 @@
             self._transport.resumeProducing()
 
 
-class _Channel(http.HTTPChannel):
+class Channel(http.HTTPChannel):
     """A connection that registers with its factory.
 
     It parses what it received in several turns if that is much.
@@ -128,9 +128,9 @@
           idle_s: seconds that a connection may stay idle.
         """
         super().__init__(timeout=idle_s)
-        self.protocol = _Channel
-        self.channels: set[_Channel] = set()
+        self.channels: set[Channel] = set()
         self.turns = turns.Turns(default_reactor)
+        self.protocol = Channel
         self._request = request
 
     def set_idle_s(self, idle_s: float) -> None:
--- a/azureline/util/memory_body.py
+++ b/azureline/util/memory_body.py
@@ -7,12 +7,15 @@
 import io
 from typing import Any
 
+from azureline.core import errors
 from azureline.util import bodies
 from azureline.util import memory_budget
 
 # A caller that sends more than this beyond the limit is cut off, as its body
 # may have no end. Others get an answer once their body has been read.
 MAX_DISCARDED_BYTES = 16 << 20
+# Seconds after which a caller may come back whose body had no room in memory.
+_NO_MEMORY_RETURN_S = 0.5
 
 
 class MemoryBody:
@@ -74,6 +77,21 @@
             return True
         return self._body_bytes > self.max_body_bytes() + MAX_DISCARDED_BYTES
 
+    def body_refusal(self) -> errors.Refusal | None:
+        """Returns why the request is refused for its body, or None."""
+        if self._too_large:
+            return errors.Refusal(
+                errors.ErrorKind.BODY_TOO_LARGE,
+                f"The body may have up to {self.max_body_bytes()} bytes.",
+            )
+        if self._no_memory:
+            return errors.Refusal(
+                errors.ErrorKind.OVERLOADED,
+                "The bodies of other requests use the node's memory.",
+                retry_after=_NO_MEMORY_RETURN_S,
+            )
+        return None
+
     def take_body(self) -> bytes:
         """Returns the body, which the request does not keep.
 
--- a/tests/builders_callers.py
+++ b/tests/builders_callers.py
@@ -94,3 +94,15 @@
         f'{{"id":"r","choices":[{{"index":0,"delta":{{"content":"{text}"}}}}]}}'
     )
     return f"id: {offset}\ndata: {data}\n\n".encode()
+
+
+class Observer:
+    """Records that an answer's generation is to stop."""
+
+    def __init__(self, gone: list[bool]):
+        """Creates an observer that adds to a list."""
+        self._gone = gone
+
+    def on_caller_disconnected(self) -> None:
+        """Records the call."""
+        self._gone.append(True)
--- a/tests/builders_http.py
+++ b/tests/builders_http.py
@@ -8,6 +8,9 @@
 from twisted.internet import testing
 from twisted.web import server
 
+from azureline.util import turns
+from tests import builders_http1
+
 
 class Response(NamedTuple):
     """A parsed answer."""
@@ -28,6 +31,9 @@
     def __init__(self, site: server.Site):
         # An idle timeout would leave a pending timer in the reactor.
         site.timeOut = None
+        # Turns are made at once, as the reactor does not run.
+        self._reactor = builders_http1.TurnReactor()
+        site.turns = turns.Turns(self._reactor)
         peer = address.IPv4Address("TCP", "127.0.0.1", 1)
         self._protocol = site.buildProtocol(peer)
         self._transport = testing.StringTransport()
@@ -45,6 +51,8 @@
         lines += [f"{k}: {v}" for k, v in (headers or {}).items()]
         lines += [f"Content-Length: {len(body)}", "", ""]
         self._protocol.dataReceived("\r\n".join(lines).encode() + body)
+        while self._reactor.calls:
+            self._reactor.turn()
 
     def response(self) -> Response:
         """Parses the part of the answer that has been received so far."""
--- a/tests/test_callers_site.py
+++ b/tests/test_callers_site.py
@@ -7,6 +7,8 @@
 from azureline import requests
 from azureline.callers import site as site_lib
 from azureline.core import errors
+from azureline.util import bodies
+from azureline.util import memory_budget
 from tests import builders_callers
 from tests import builders_http
 
@@ -153,3 +155,48 @@
     assert builders_http.request(site, "GET", "/readyz").status == 503
     assert builders_http.request(site, "GET", "/healthz").status == 200
     assert builders_http.request(site, "GET", "/nowhere").status == 404
+
+
+def _held_chat(site, size):
+    """Sends a chat with a body of a size; returns its connection."""
+    connection = builders_http.Connection(site)
+    body = json.dumps({"model": "m", "messages": MESSAGES}).encode()
+    connection.send("POST", CHAT, builders_callers.HEADERS, body.ljust(size))
+    return connection
+
+
+def test_the_bodies_of_all_requests_share_a_memory_budget(frontend):
+    budget = memory_budget.MemoryBudget(100_000)
+    site = site_lib.make_site(frontend, 1 << 20, budget)
+    frontend.hold = True
+    first = _held_chat(site, 90_000)
+    refused = _held_chat(site, 90_000).response()
+    assert refused.status == 429 and refused.json["ran"] == "no"
+    assert "Retry-After" in refused.headers
+    assert len(frontend.calls) == 1
+    # Small bodies have room in any case.
+    small = _held_chat(site, memory_budget.FREE_BYTES)
+    assert len(frontend.calls) == 2
+    first.close()
+    assert budget.used_bytes == 0
+    _held_chat(site, 90_000)
+    frontend.answer.finish()
+    assert budget.used_bytes == 0
+    small.close()
+
+
+def test_a_document_without_an_end_is_given_up(frontend):
+    # Its events were kept for as long as they came.
+    budget = memory_budget.MemoryBudget(50 << 20)
+    site = site_lib.make_site(frontend, 1 << 20, None, budget)
+    frontend.hold = True
+    connection = _held_chat(site, 100)
+    gone = []
+    frontend.answer.set_observer(builders_callers.Observer(gone))
+    event = builders_callers.event(0, "x" * 10_000)
+    for _ in range(2 * bodies.MAX_BODY_BYTES // len(event)):
+        frontend.answer.write(event)
+    assert connection.response().json["kind"] == "backend_failed"
+    assert gone == [True]
+    assert budget.used_bytes == 0
+    connection.close()
--- a/tests/test_routing_stream.py
+++ b/tests/test_routing_stream.py
@@ -274,8 +274,8 @@
 class _ReadsAnyRequest(events.EventReader):
     """Deliberate fault: the request id of events is not checked."""
 
-    def __init__(self, request_id, event_bytes):
-        super().__init__(request_id, event_bytes)
+    def __init__(self, request_id, event_bytes, memory=None):
+        super().__init__(request_id, event_bytes, memory)
         self._data_prefixes = (b"{",)
 
 
