Bound the messages that a link handles in one turn

A link between nodes of the product's own interface handled all messages of one read in one turn: 64 KiB hold thousands of small ones. It handles 16 and then lets others have their turn; what arrived before a link ends is still handled.

test_nodes_links.py: the code before handles 3,000 messages in one turn.

--- a/azureline/nodes/links.py
+++ b/azureline/nodes/links.py
@@ -6,6 +6,8 @@
 one.
 """
 
+import collections
+from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
 from typing import Protocol
@@ -19,8 +21,11 @@
 from azureline.core import wire
 from azureline.metrics import counters as metrics
 from azureline.nodes import messages
+from azureline.util import turns
 
 IDLE_S = 60.0
+# Messages that are handled before other connections get their turn.
+MESSAGES_PER_TURN = 16
 MAX_WAITING = 1024
 
 
@@ -100,6 +105,7 @@
         self._heartbeat = task.LoopingCall(self.beat)
         self._heartbeat.clock = reactor
         self._port: Any = None
+        self._turns = turns.Turns(reactor)
 
     async def listen(self) -> None:
         """Accepts streams and starts the heartbeats."""
@@ -167,6 +173,10 @@
         """Returns the message of a payload; see `wire.Codec.unpack`."""
         return self._codec.unpack(payload)
 
+    def call_next_turn(self, function: Callable[[], None]) -> turns.Waiting:
+        """Calls a function after other connections had their turn."""
+        return self._turns.call(function)
+
     def opened(self, link: "_LinkProtocol") -> None:
         """Registers a stream whose handshake is complete."""
         self._established.add(link)
@@ -231,6 +241,9 @@
         self.peer_name = ""
         self._links = links
         self._frames = wire.FrameDecoder()
+        # What was received but not handled yet, and the turn that it waits for.
+        self._unhandled: collections.deque[bytes] = collections.deque()
+        self._next_turn: turns.Waiting | None = None
         self._received_at = links.now()
         self._used_at = links.now()
         self._established = False
@@ -242,13 +255,38 @@
     def dataReceived(self, data):  # noqa: N802
         self._received_at = self._links.now()
         try:
-            for payload in self._frames.feed(data):
+            self._unhandled.extend(self._frames.feed(data))
+        except wire.MalformedError as e:
+            self._abort(e)
+        if self._next_turn is None:
+            self._handle()
+
+    def _handle(self) -> None:
+        """Handles received messages, in several turns if there are many."""
+        was_paused = self._next_turn is not None
+        self._next_turn = None
+        try:
+            for _ in range(min(MESSAGES_PER_TURN, len(self._unhandled))):
+                payload = self._unhandled.popleft()
                 self._received(self._links.unpack(payload))
         except wire.MalformedError as e:
-            self._links.malformed(str(e))
-            self.transport.abortConnection()
+            self._abort(e)
+        if self._unhandled:
+            self.transport.pauseProducing()
+            self._next_turn = self._links.call_next_turn(self._handle)
+        elif was_paused:
+            self.transport.resumeProducing()
+
+    def _abort(self, error: wire.MalformedError) -> None:
+        self._unhandled.clear()
+        self._links.malformed(str(error))
+        self.transport.abortConnection()
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
+        while self._unhandled and self._next_turn is not None:
+            # What arrived before the end counts.
+            self._next_turn.cancel()
+            self._handle()
         if self._established:
             self._links.ended(self)
 
--- a/tests/test_nodes_links.py
+++ b/tests/test_nodes_links.py
@@ -176,3 +176,14 @@
     proto.makeConnection(transport)
     proto.dataReceived(wire.frame(messages.codec().pack(MESSAGE)))
     assert transport.aborting
+
+
+def test_a_node_that_sends_many_messages_leaves_time_for_others():
+    # All messages of one read, 64 KiB, were handled in one turn.
+    _, a, b = _nodes()
+    receiving, _ = _Connection(a, b).ends[0]
+    sent = 3000
+    receiving.dataReceived(b.links.pack(MESSAGE) * sent)
+    assert len(a.receiver.messages) == links_lib.MESSAGES_PER_TURN
+    receiving.connectionLost()
+    assert len(a.receiver.messages) == sent
