Play stores and reports without an end

The stand-ins for the store and for servers can send reads, reports, answers to orders and health checks without an end.

--- a/standins/kv_service.py
+++ b/standins/kv_service.py
@@ -15,6 +15,7 @@
 from twisted.web import server
 
 from standins import common
+from standins import endless
 from standins import options
 
 MAX_WAIT_MS = 30000
@@ -90,6 +91,7 @@
         self.era = 1
         self._copies: list[_Copy] = []
         self._rewrite_s = _REWRITE_S
+        self._endless = endless.EndlessAnswers(reactor)
         self.route("GET", "/kv-key", self._key)
         self.route("GET", "/kv-range", self._range)
         self.route("GET", "/kv-watch", self._watch)
@@ -108,6 +110,8 @@
         `restore` (`age_s`, `down_s`) stops answering for `down_s` seconds and
         comes back from a copy that is `age_s` seconds old; `rewrite_s` is the
         time after which the operator then writes a lost configuration again;
+        `endless` answers reads without an end, see
+        `endless.EndlessFault`;
         `operator` writes a configuration; `write` (`key`, `text`) writes an
         item, as another program would.
         """
@@ -131,6 +135,8 @@
                 self.put(value["key"], value["text"].encode())
             case "operator":
                 self.put("op/config", json.dumps(value).encode())
+            case "endless":
+                self._endless.fault = endless.EndlessFault(**value)
             case "forget":
                 self._history.clear()
                 self._compacted_revision = self._revision
@@ -220,6 +226,11 @@
         ):
             request.setResponseCode(503)
             return b"{}"
+        # Servers only write, and their stand-ins bear no faulty store.
+        if request.method == b"GET" and self._endless.takes():
+            headers = ((ERA_HEADER, str(self.era)),)
+            defer.ensureDeferred(self._endless.send(request, headers))
+            return server.NOT_DONE_YET
         return super().render(request)
 
     def _key(self, request: server.Request) -> common.Reply:
--- a/standins/site_server.py
+++ b/standins/site_server.py
@@ -28,6 +28,7 @@
 MODEL = "Azureline-Model"
 EXPECT_INSTANCE = "Azureline-Expect-Instance"
 _LEAVING_HEADER = ("Server-Leaving", "1")
+_CONTROL_PATHS = (b"/report", b"/order", b"/healthz")
 
 
 class _PendingOrder(NamedTuple):
@@ -71,6 +72,7 @@
         # How often each fault that is injected N times still happens.
         self._faults_left: dict[str, int] = {}
         self._endless = endless.EndlessAnswers(reactor)
+        self._endless_control = endless.EndlessAnswers(reactor)
         self.route("GET", "/report", self._report)
         self.route("POST", "/order", self._order)
         self.route("GET", "/healthz", self._health)
@@ -98,7 +100,8 @@
         `for_s`) asks nodes for `for_s` seconds to pause for `seconds`;
         `limit` (`per_s`, `for_s`) names a limit in all replies for `for_s`
         seconds; `endless` answers a share of requests without an end, see
-        `endless.EndlessFault`.
+        `endless.EndlessFault`, and `endless_control` does so with reports,
+        answers to orders and health checks.
         """
         match name:
             case "leave":
@@ -112,6 +115,8 @@
                 self._set_limit(site_faults.LimitFault(**value))
             case "endless":
                 self._endless.fault = endless.EndlessFault(**value)
+            case "endless_control":
+                self._endless_control.fault = endless.EndlessFault(**value)
             case "deadly":
                 self._crash_fault = site_faults.CrashFault(**value)
             case "reset" | "cut" | "mute" | "late_orders":
@@ -162,6 +167,11 @@
 
     def _send(self, reply: common.Reply, request: server.Request) -> None:
         reply = reply._replace(headers=(*reply.headers, *self._notices()))
+        if request.path in _CONTROL_PATHS and self._endless_control.takes():
+            defer.ensureDeferred(
+                self._endless_control.send(request, reply.headers)
+            )
+            return
         super()._send(reply, request)
 
     def _model_rows(self) -> list[dict[str, Any]]:
--- a/tests/test_processes_endless.py
+++ b/tests/test_processes_endless.py
@@ -88,3 +88,29 @@
     finally:
         for name in engines:
             site.inject_fault(name, endless={"share": 0.0})
+
+
+CONTROL_PLACES = ("body", "head", "trailers")
+
+
+@pytest.mark.parametrize("place", CONTROL_PLACES)
+def test_requests_are_served_while_reports_have_no_end(site, place):
+    servers = ("engine-1", "ledger-1")
+    for name in servers:
+        site.inject_fault(name, endless_control={"place": place})
+    try:
+        assert _play(site, streams=6) == []
+    finally:
+        for name in servers:
+            site.inject_fault(name, endless_control={"share": 0.0})
+
+
+@pytest.mark.parametrize("place", CONTROL_PLACES)
+def test_requests_are_served_while_the_store_sends_without_an_end(site, place):
+    site.inject_fault("store", endless={"place": place})
+    try:
+        assert _play(site, streams=6) == []
+    finally:
+        site.inject_fault("store", endless={"share": 0.0})
+    time.sleep(2.0)
+    assert _play(site) == []
