Count large answers until their callers have read them

An answer that is not a stream counted against the memory budget until it was written to the caller's connection. A caller that does not read leaves up to 4 MiB there, uncounted, until its idle timeout, as the limit for slow callers is checked before a write and such an answer is one write. Sixty such callers take the memory of a node (worked out, not played).

The memory counts until less than 16 KiB wait for the caller or its connection has ended; a caller that reads nothing of it for 5 s is cut off. The two tests of UnreadAnswerTest are new: three callers that do not read 8 MiB each hold 24 MiB of the budget, one of them leaves, the others are cut off, and nothing is left in use.

--- a/azureline/callers/relay.py
+++ b/azureline/callers/relay.py
@@ -6,8 +6,10 @@
 from typing import Protocol
 
 from twisted.internet import protocol
+from twisted.internet import reactor
 from twisted.web import http
 
+from azureline.callers import unread
 from azureline.core import errors
 from azureline.util import http1
 from azureline.util import http_service
@@ -134,6 +136,17 @@
         self._ended = True
         self.finish()
 
+    def hold_until_read(self, memory: memory_budget.Reservation) -> None:
+        """Releases memory once the caller has read what was written.
+
+        Args:
+          memory: the memory of what was written.
+        """
+        if self.disconnected:
+            memory.release()
+        else:
+            unread.UnreadAnswer(reactor, self.channel.transport, memory)
+
     def abort(self) -> None:
         """Closes the connection, so that the caller detects the truncation."""
         if self._ended:
--- a/azureline/relay/attempt.py
+++ b/azureline/relay/attempt.py
@@ -209,7 +209,11 @@
                 Result(End.BROKEN, f"status {head.status} within a stream")
             )
         else:
-            pass_on(self._received, http1.Answer(head, self._body.content()))
+            pass_on(
+                self._received,
+                http1.Answer(head, self._body.content()),
+                self._body.hand_over(),
+            )
             if head.status < 300:
                 self._record_begun()
             self._finish(Result(End.DELIVERED, status=head.status))
@@ -298,9 +302,18 @@
 
 
 def pass_on(
-    received: caller_side.ReceivedRequest, answer: http1.Answer
+    received: caller_side.ReceivedRequest,
+    answer: http1.Answer,
+    memory: memory_budget.Reservation | None = None,
 ) -> None:
-    """Sends a server's complete answer to a caller."""
+    """Sends a server's complete answer to a caller.
+
+    Args:
+      received: the connection to the caller.
+      answer: the answer.
+      memory: memory of the answer, which is in use until the caller has read
+        it; None if it is not counted.
+    """
     head = answer.head
     headers = [
         h for h in wire.forwarded_headers(head) if h[0] != b"content-length"
@@ -308,4 +321,6 @@
     headers.append((b"content-length", b"%d" % len(answer.body)))
     received.start_response(head.status, head.reason, tuple(headers))
     received.write_body(answer.body)
+    if memory is not None:
+        received.hold_until_read(memory)
     received.finish_response()
--- a/azureline/util/bodies.py
+++ b/azureline/util/bodies.py
@@ -62,6 +62,11 @@
         if self._reservation is not None:
             self._reservation.release()
 
+    def hand_over(self) -> memory_budget.Reservation | None:
+        """Returns the memory of the body, which the receiver has to release."""
+        memory, self._reservation = self._reservation, None
+        return memory
+
     def content(self) -> bytes:
         """Returns the collected body."""
         return self._data.getvalue()
--- a/tests/test_callers_relay.py
+++ b/tests/test_callers_relay.py
@@ -9,6 +9,9 @@
 from twisted.trial import unittest
 
 from azureline.callers import relay
+from azureline.callers import unread
+from azureline.relay import attempt
+from azureline.util import http1
 from azureline.util import memory_body
 from azureline.util import memory_budget
 
@@ -95,6 +98,63 @@
         assert self.handler.parts == MAX_PARTS
 
 
+class _LargeHandler:
+    """Answers each request with a large body whose memory is counted."""
+
+    SIZE = 8 << 20
+
+    def __init__(self):
+        self.body_budget = memory_budget.MemoryBudget(BUDGET_BYTES)
+        self.answer_budget = memory_budget.MemoryBudget(64 << 20)
+
+    def handle(self, received):
+        memory = self.answer_budget.reserve("s1")
+        assert memory.grow(self.SIZE)
+        head = http1.Head(200, b"OK", ())
+        attempt.pass_on(received, http1.Answer(head, b"x" * self.SIZE), memory)
+
+    def body_bound(self):
+        return 1000
+
+    def closing(self):
+        return False
+
+
+class UnreadAnswerTest(unittest.TestCase):
+    """Large answers that callers have not read."""
+
+    timeout = 30
+
+    def setUp(self):
+        self.handler = _LargeHandler()
+        self.port = _listen(self, self.handler)
+        self.budget = self.handler.answer_budget
+
+    def _call(self, reads):
+        factory = protocol.ClientFactory.forProtocol(_Caller)
+        factory.reads = reads
+        return reactor.connectTCP("127.0.0.1", self.port, factory)
+
+    async def test_an_answer_counts_until_its_caller_has_read_it(self):
+        # Callers that do not read held their answers beside any budget.
+        connectors = [self._call(reads=False) for _ in range(3)]
+        await task.deferLater(reactor, 1.0)
+        assert self.budget.used_bytes > 2 * _LargeHandler.SIZE
+        connectors[0].disconnect()
+        await task.deferLater(reactor, 0.5)
+        assert self.budget.used_bytes < 2 * _LargeHandler.SIZE
+        # The others are cut off.
+        await task.deferLater(reactor, unread.UNREAD_TIMEOUT_S)
+        assert self.budget.used_bytes == 0
+
+    async def test_an_answer_that_is_read_gives_its_memory_back(self):
+        connector = self._call(reads=True)
+        await task.deferLater(reactor, 1.0)
+        assert self.budget.used_bytes == 0
+        connector.disconnect()
+        await task.deferLater(reactor, 0.05)
+
+
 class _HoldingHandler:
     """Keeps the bodies of requests until `release` is called."""
 
