--- a/standins/engine.py
+++ b/standins/engine.py
@@ -14,6 +14,7 @@
 from standins import answers
 from standins import batch
 from standins import common
+from standins import endless
 from standins import memory
 from standins import options
 
@@ -40,6 +41,7 @@
         self._sequence = 0
         self._snapshots: list[tuple[float, dict[str, Any]]] = []
         self._crash_on = ""
+        self._endless = endless.EndlessAnswers(self.reactor)
         self._orders_to_lose = 0
         self._order_delay_s = 0.0
         self._loop = task.LoopingCall(self._take_snapshot)
@@ -66,6 +68,8 @@
                 self._orders_to_lose = value
             case "order_delay_s":
                 self._order_delay_s = value
+            case "endless":
+                self._endless.fault = endless.EndlessFault(**value)
             case "drop_streams":
                 self._batch.abort_connections()
             case _:
@@ -78,6 +82,9 @@
         prompt = json.dumps(messages)
         if self._crash_on and self._crash_on in prompt:
             os._exit(1)
+        if self._endless.takes():
+            headers = (("X-Request-Id", call["request_id"]),)
+            return defer.ensureDeferred(self._endless.send(request, headers))
         if not self.memory.is_ready(model, adapter):
             return common.json_reply({"error": "not resident"}, 404)
         if self._batch.get(call["request_id"]) is not None:
