Parse callers' large bodies as fast as before

Eight callers of 4 MiB bodies got 22 MB/s instead of 206 (in one process, 28 instead of 68 with chunks of 8 KiB).

--- a/azureline/util/http_service.py
+++ b/azureline/util/http_service.py
@@ -1,5 +1,6 @@
 """HTTP server factory with a configurable request class."""
 
+import time
 from typing import Any
 
 from twisted.internet import reactor as default_reactor
@@ -7,10 +8,13 @@
 
 from azureline.util import turns
 
-# Received bytes that are parsed at once, and how often before other connections
-# get their turn. A caller can put hundreds of chunks into that many bytes.
-_PARSED_BYTES = 1024
-_PARSED_PER_TURN = 2
+# Received bytes that are parsed at once: at first, as a caller can put hundreds
+# of chunks into that many, and after parts that cost little time.
+_MIN_PART_BYTES = 1024
+_MAX_PART_BYTES = 8192
+_CHEAP_PART_S = 0.0002
+# Time of parsing after which other connections get their turn.
+_PARSE_S = 0.001
 
 
 class _Reading:
@@ -57,7 +61,8 @@
 
     def __init__(self):
         super().__init__()
-        self._unparsed = b""
+        self._unparsed = memoryview(b"")
+        self._part_bytes = _MIN_PART_BYTES
         self._is_parsing = False
         # The next turn, while not all that was received has been parsed.
         self._next_turn: Any = None
@@ -69,27 +74,43 @@
 
     def connectionLost(self, reason):  # noqa: D102, N802
         self.factory.channels.discard(self)
-        self._unparsed = b""
+        self._unparsed = memoryview(b"")
         turn, self._next_turn = self._next_turn, None
         if turn is not None:
             turn.cancel()
         super().connectionLost(reason)
 
     def dataReceived(self, data):  # noqa: D102, N802
-        self._unparsed += data
+        self._unparsed = memoryview(bytes(self._unparsed) + data)
         self._parse_unless_busy()
 
     def setLineMode(self, extra=b""):  # noqa: N802
         """Goes on after a request; `extra` came while it was handled."""
         super().setLineMode()
         # Later bytes may wait to be parsed.
-        self._unparsed = extra + self._unparsed
+        self._unparsed = memoryview(extra + bytes(self._unparsed))
         self._parse_unless_busy()
 
     def _parse_unless_busy(self) -> None:
         if self._unparsed and not self._is_parsing and self._next_turn is None:
             self._parse()
 
+    def _parse_part(self) -> None:
+        size = self._part_bytes
+        if isinstance(self._transferDecoder, http._IdentityTransferDecoder):
+            # A body with a length costs no time for each byte.
+            size = len(self._unparsed)
+        part = bytes(self._unparsed[:size])
+        self._unparsed = self._unparsed[size:]
+        super().dataReceived(part)
+
+    def _set_part_bytes(self, took_s: float) -> None:
+        """Adjusts the size of parts to what the last one cost."""
+        if took_s < _CHEAP_PART_S:
+            self._part_bytes = min(2 * self._part_bytes, _MAX_PART_BYTES)
+        else:
+            self._part_bytes = max(self._part_bytes // 2, _MIN_PART_BYTES)
+
     def _parse_next(self) -> None:
         self._next_turn = None
         self._parse()
@@ -98,14 +119,17 @@
 
     def _parse(self) -> None:
         """Parses a part of what was received, the rest in a later turn."""
+        now = time.monotonic()
+        ends_at = now + _PARSE_S
         self._is_parsing = True
         try:
-            for _ in range(_PARSED_PER_TURN):
-                part = self._unparsed[:_PARSED_BYTES]
-                self._unparsed = self._unparsed[_PARSED_BYTES:]
-                super().dataReceived(part)
+            while now < ends_at:
+                began_at = now
+                self._parse_part()
                 if not self._unparsed:
                     return
+                now = time.monotonic()
+                self._set_part_bytes(now - began_at)
         finally:
             self._is_parsing = False
         self._networkProducer.pause_for_turns()
