Resume streams of the product's own interface on new connections

By reading: when an engine ends, its idle connections break, too, but one after the other; an attempt to resume took such an idle one, and after four of them the stream is given up instead of being sent to another engine.

A resume uses a new connection, whose refusal shows that the engine has ended. The new test of test_backends_http.py fails on the code before.

--- a/azureline/backends/http.py
+++ b/azureline/backends/http.py
@@ -197,9 +197,15 @@
     async def resume(
         self, url: str, request_id: str, offset: int
     ) -> Stream | Failure:
-        """Opens a new connection to a stream, after the token at `offset`."""
+        """Opens a new connection to a stream, after the token at `offset`.
+
+        Idle connections to an engine that broke one may be broken, too.
+        """
         return await self._open(
-            b"GET", f"{url}/v1/streams/{request_id}?from={offset}", None
+            b"GET",
+            f"{url}/v1/streams/{request_id}?from={offset}",
+            None,
+            new_connection=True,
         )
 
     def forward_body(self, stream: Stream, sink: StreamSink) -> None:
@@ -277,13 +283,19 @@
         )
 
     async def _open(
-        self, method: bytes, url: str, body: bytes | None
+        self,
+        method: bytes,
+        url: str,
+        body: bytes | None,
+        new_connection: bool = False,
     ) -> Stream | Failure:
         listener = _StreamListener()
         address, request = _request(
             method, url, body, {"Content-Type": "application/json"}
         )
-        listener.call = self._client.start(address, request, listener)
+        listener.call = self._client.start(
+            address, request, listener, new_connection
+        )
         return await listener.opened
 
     async def _call(
--- a/tests/test_backends_http.py
+++ b/tests/test_backends_http.py
@@ -114,3 +114,14 @@
         sink.transport.loseConnection()
         await served.closed.addTimeout(2.0, reactor)
         assert not sink.closed.called
+
+    async def test_a_stream_is_resumed_on_a_new_connection(self):
+        # The idle ones of an engine that has just ended are broken, too: each
+        # attempt to resume took one, until the stream was given up.
+        answer = b"HTTP/1.1 404 No\r\ncontent-length: 0\r\n\r\n"
+        url, factory = self._serve(*[[answer]] * 3)
+        for _ in range(2):
+            await self.client.cancel(url, "r1")
+        assert len(factory.connections) == 1
+        await self.client.resume(url, "r1", 3)
+        assert len(factory.connections) == 2
