--- a/azureline/nodes/datagrams.py
+++ b/azureline/nodes/datagrams.py
@@ -36,7 +36,7 @@
         counters: metrics.Counters,
         codec: wire.Codec,
     ):
-        """Creates the protocol; the reactor's `listenUDP` opens the socket.
+        """Creates the protocol; `listen` opens the socket.
 
         Args:
           receiver: handles the received messages.
