Record the first crash that accuses a request in the store

Cause: a content was written to the store from its second crash on. A first crash was known to the nodes' memory alone, so each loss of all nodes let the request start with a clean record.

Change: the record also holds up to 128 contents that a single crash accuses, each written once. A node that reads them at its start tolerates no crash of theirs until a run clears them. Contents that a run has cleared are dropped by the next write, not by one of their own.

test_a_first_crash_outlives_the_loss_of_all_nodes failed before (all five nodes sent the request at once). The two tests of the number of writes bound the cost of an ordinary crash to four writes.

--- a/azureline/relay/suspect_record.py
+++ b/azureline/relay/suspect_record.py
@@ -10,8 +10,11 @@
 
 from azureline.routing import crash_history
 
-# Bounds of the record, about 20 KB.
-MAX_ENTRIES = 64
+# Bounds of the record, about 20 KB of suspects and 10 KB of contents that one
+# crash accuses.
+MAX_SUSPECTS = 64
+MAX_ONCE_ACCUSED = 128
+MAX_ENTRIES = MAX_SUSPECTS + MAX_ONCE_ACCUSED
 # The oldest crashes of an entry tell since when it is a suspect, the newest
 # whether trials failed.
 _OLDEST_CRASHES = 3
@@ -46,15 +49,24 @@
 
 
 def select(
-    entries: Iterable[crash_history.SuspectEntry],
+    suspects: Iterable[crash_history.SuspectEntry],
+    once_accused: Iterable[crash_history.SuspectEntry] = (),
 ) -> tuple[crash_history.SuspectEntry, ...]:
     """Returns what the record holds of some histories.
 
-    If there are too many, those with the most crashes are kept.
+    Args:
+      suspects: histories of suspects, and of what was in flight beside them.
+        If there are too many, those with the most crashes are kept.
+      once_accused: histories of contents that are no suspects yet.  If there
+        are too many, those with the newest crashes are kept.
     """
-    trimmed = [_trim(entry) for entry in entries]
+    trimmed = [_trim(entry) for entry in suspects]
     trimmed.sort(key=lambda entry: (-len(entry.crashes), entry.content))
-    return tuple(trimmed[:MAX_ENTRIES])
+    kept = trimmed[:MAX_SUSPECTS]
+    present = {entry.content for entry in kept}
+    others = [_trim(e) for e in once_accused if e.content not in present]
+    others.sort(key=lambda entry: (-entry.crashes[-1].at, entry.content))
+    return (*kept, *others[:MAX_ONCE_ACCUSED])
 
 
 def _trim(entry: crash_history.SuspectEntry) -> crash_history.SuspectEntry:
--- a/azureline/relay/suspect_store.py
+++ b/azureline/relay/suspect_store.py
@@ -81,6 +81,10 @@
         self._forgotten: tuple[suspect_record.Trial, ...] = ()
         # Suspects of this node's trials that are over.
         self._released: set[tuple[bytes, ...]] = set()
+        # Contents that were in the record with a single crash.  Another node
+        # that has seen their run removes them, so they are added only once.
+        self._once_recorded: dict[bytes, frozenset[tuple[str, str]]] = {}
+        self._has_read = False
         self._writing = False
         self._timer: Any = None
         self._closed = False
@@ -96,6 +100,7 @@
         self._forgotten = tuple(self._undecided())
         self._revision = 0
         self._record = suspect_record.SuspectRecord()
+        self._once_recorded.clear()
         self.suspects_changed()
 
     def changed(self, item: store_lib.Item) -> None:
@@ -110,7 +115,11 @@
             record = suspect_record.SuspectRecord()
         self._record = record
         self._released &= {trial.suspects for trial in record.trials}
+        if not self._has_read:
+            self._has_read = True
+            self._table.inherit(record.entries)
         self._on_entries(record.entries)
+        self._note_once_accused(record.entries)
         self.suspects_changed()
 
     def removed(self) -> None:
@@ -226,7 +235,33 @@
         ]
 
     def _selected(self) -> tuple[crash_history.SuspectEntry, ...]:
-        return suspect_record.select(self._table.accused_entries())
+        """Returns what the record should hold, as far as this node knows."""
+        present = {entry.content for entry in self._record.entries}
+        once_accused = [
+            entry
+            for entry in self._table.once_accused_entries()
+            if entry.content in present
+            or self._once_recorded.get(entry.content) != _crash_keys(entry)
+        ]
+        return suspect_record.select(
+            self._table.accused_entries(), once_accused
+        )
+
+    def _note_once_accused(
+        self, entries: tuple[crash_history.SuspectEntry, ...]
+    ) -> None:
+        """Records which contents need not be added to the record again."""
+        known = {e.content for e in self._table.once_accused_entries()}
+        self._once_recorded = {
+            content: crashes
+            for content, crashes in self._once_recorded.items()
+            if content in known
+        }
+        self._once_recorded.update(
+            (entry.content, _crash_keys(entry))
+            for entry in entries
+            if entry.content in known
+        )
 
     def _write_delay_s(self) -> float | None:
         """Returns the delay of the next write, or None if none is needed."""
@@ -247,7 +282,13 @@
             for trial in self._record.trials
         ):
             return _WRITE_DELAY_S
-        return _REMOVAL_DELAY_S if present.keys() - wanted.keys() else None
+        # Contents with a single crash are removed by the next write: a write
+        # for each would cost more than they do.
+        tolerated = self._table.tolerated_crashes
+        suspects = {
+            c for c, crashes in present.items() if len(crashes) > tolerated
+        }
+        return _REMOVAL_DELAY_S if suspects - wanted.keys() else None
 
     def _rank(self, key: bytes) -> int:
         """Returns this node's place in the order of nodes for a key."""
@@ -297,6 +338,8 @@
             case store_lib.Committed(revision=revision):
                 if revision > self._revision:
                     self._revision, self._record = revision, record
+                    self._has_read = True
+                    self._note_once_accused(record.entries)
                 self.suspects_changed()
             case store_lib.Conflict(items=items):
                 for item in items:
--- a/azureline/routing/suspects.py
+++ b/azureline/routing/suspects.py
@@ -52,8 +52,15 @@
         self._calls = server_calls.ServerCalls()
         self._crashed_at: dict[str, float] = {}
         self._ungossiped: dict[bytes, None] = {}
+        # Contents that earlier processes accused: what else these knew is lost.
+        self._inherited: set[bytes] = set()
         self.is_careful = False
 
+    @property
+    def tolerated_crashes(self) -> int:
+        """Number of crashes up to which a content is no suspect."""
+        return self._settings.tolerated_crashes
+
     def check(
         self,
         wall: float,
@@ -116,7 +123,25 @@
             if self.crash_count(signature) > self._tolerated(signature)
         )
 
+    def inherit(self, entries: Iterable[crash_history.SuspectEntry]) -> None:
+        """Makes suspects of contents that earlier processes accused.
+
+        A single crash makes a suspect of them until a run clears them, since
+        these processes may have been lost before they recorded another one.
+
+        Args:
+          entries: what the earlier processes have recorded.
+        """
+        self._inherited.update(
+            entry.content
+            for entry in entries
+            if not signatures.is_part(entry.content)
+            and entry.content not in self._entries
+        )
+
     def _tolerated(self, signature: bytes) -> int:
+        if signature in self._inherited:
+            return 0
         if self.is_careful and not signatures.is_part(signature):
             return 0
         return self._settings.tolerated_crashes
@@ -245,6 +270,17 @@
         }
         return [self._entries[c] for c in accused if self.crash_count(c)]
 
+    def once_accused_entries(self) -> list[crash_history.SuspectEntry]:
+        """Returns the contents that crashes accuse, but not as suspects."""
+        return [
+            entry
+            for content, entry in self._entries.items()
+            if not signatures.is_part(content)
+            and 0
+            < self.crash_count(content)
+            <= self._settings.tolerated_crashes
+        ]
+
     def entries(self) -> list[crash_history.SuspectEntry]:
         """Returns all entries, for a node that has just started."""
         return list(self._entries.values())
@@ -453,6 +489,8 @@
             return
         self._entries[entry.content] = merged
         self._ungossiped[entry.content] = None
+        if not self._effective(entry.content):
+            self._inherited.discard(entry.content)
         for crash in merged.crashes:
             key = (crash.server, crash.incarnation)
             self._by_crash.setdefault(key, {})[entry.content] = None
@@ -479,6 +517,7 @@
             self._unlink(content, crash)
         del self._entries[content]
         self._ungossiped.pop(content, None)
+        self._inherited.discard(content)
 
     def _unlink(self, content: bytes, crash: crash_history.Crash) -> None:
         entry = self._entries[content]
--- a/tests/test_relay_crash_suspects.py
+++ b/tests/test_relay_crash_suspects.py
@@ -287,3 +287,37 @@
         if isinstance(check, crash_suspects.SendPermit) and check.server_id
     ]
     assert len(permits) == 1
+
+
+def test_a_first_crash_outlives_the_loss_of_all_nodes():
+    # Callers saw one request end a server after each loss of all nodes.
+    fleet = builders.Fleet()
+    _crash(fleet, b"a")
+    _restart_all(fleet)
+    fleet.play(crash_suspects.CAREFUL_S)
+    checks = [fleet.check(n, b"a") for n in range(5)]
+    sent = [c for c in checks if isinstance(c, crash_suspects.SendPermit)]
+    assert len(sent) == 1 and sent[0].server_id
+
+
+def test_an_ordinary_crash_makes_few_writes():
+    # Requests that complete elsewhere must not make one write each.
+    fleet = builders.Fleet()
+    bodies = [b"%d" % number for number in range(64)]
+    fleet.end("s0", *bodies)
+    fleet.play(1.0)
+    for number, body in enumerate(bodies):
+        suspects = fleet.nodes[number % 5].crash_suspects
+        suspects.request_completed(fleet.request(body), builders.SERVICE)
+    fleet.play(60.0)
+    assert fleet.store.calls <= 4
+
+
+def test_a_content_that_was_removed_after_its_run_is_not_recorded_again():
+    fleet = builders.Fleet()
+    _crash(fleet, b"a")
+    suspects = fleet.nodes[2].crash_suspects
+    suspects.request_completed(fleet.request(b"a"), builders.SERVICE)
+    fleet.end("s1", b"b", seen_by=2)
+    fleet.play(30.0)
+    assert fleet.store.calls <= 4
