Count the crash of a trial whose node was lost

Callers saw a request sent on after each loss of all nodes, although its last trial had just ended a server: a claimed trial named neither the server nor its start, so the successors let the claim expire and tried again.

Change: a claim names its server and the server's start. The record keeps a claim without an outcome for 6 s after its last renewal. Before a node claims another trial, it counts a crash for each such claim whose server has no entry or a later start. A crash that the record holds already closes the claim, so the request is not held up by it.

A draft without the comparison of servers refused the request after two crashes; the unit test of a crash that is counted once guards against that.

Records of nodes before this change cannot be read by those after it and vice versa: they count as empty, as any unreadable record does.

--- a/azureline/relay/crash_suspects.py
+++ b/azureline/relay/crash_suspects.py
@@ -88,6 +88,7 @@
         store: store_lib.StoreClient,
         record_server_crash: Callable[[tuple[str, int]], None],
         crash_reported: Callable[[tuple[str, int]], None],
+        start_of: Callable[[str], int | None],
         counters: metrics.Counters,
         log: events.Log,
     ):
@@ -103,6 +104,8 @@
             just crashed.
           crash_reported: called with the id and start of a crashed server for
             each report.
+          start_of: returns the start of a server in Unix ms, or None if it
+            has no entry.
           counters: counts suspects.
           log: receives a line for each decision.
         """
@@ -130,6 +133,7 @@
             store,
             peers,
             self._suspects,
+            start_of,
             self._reports.merge,
             counters,
             log,
@@ -197,7 +201,7 @@
                     )
                     if now < claim_at:
                         until = min(until, claim_at)
-                    elif await self._record.claim_trial(found):
+                    elif await self._record.claim_trial(found, server_id):
                         self._log_decision(
                             "suspect_apart", request, found, server_id
                         )
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -180,6 +180,7 @@
             self._store,
             self._scheduler.record_server_crash,
             lambda server: self._crash_detector.crash_reported(server),
+            self._catalogue.start_of,
             self._counters,
             log,
         )
--- a/azureline/relay/servers.py
+++ b/azureline/relay/servers.py
@@ -124,6 +124,11 @@
         """Returns a server, or None if it is unknown."""
         return self._servers.get(server_id)
 
+    def start_of(self, server_id: str) -> int | None:
+        """Returns a server's start in Unix ms, or None without an entry."""
+        server = self.get(server_id)
+        return None if server is None else server.born_ms
+
     def of_service(self, service: str) -> list[BackendServer]:
         """Returns a service's servers that may get new requests."""
         return [
--- a/azureline/relay/suspect_record.py
+++ b/azureline/relay/suspect_record.py
@@ -29,11 +29,15 @@
       suspects: the signatures of the request.
       node: name of the node.
       at: monotonic time in seconds at which it was claimed.
+      server: the only server that may run them, or "" if unknown.
+      born_ms: the start of that server, Unix time in ms; 0 if unknown.
     """
 
     suspects: tuple[bytes, ...]
     node: str
     at: float
+    server: str = ""
+    born_ms: int = 0
 
 
 class SuspectRecord(NamedTuple):
@@ -95,7 +99,13 @@
         for entry in record.entries
     ]
     trials = [
-        [list(trial.suspects), trial.node, _age(trial.at, now)]
+        [
+            list(trial.suspects),
+            trial.node,
+            _age(trial.at, now),
+            trial.server,
+            trial.born_ms,
+        ]
         for trial in record.trials
     ]
     return msgpack.packb([entries, trials])
@@ -137,8 +147,14 @@
 
 
 def _trial(row: list, now: float) -> Trial:
-    suspects, node, age_ms = row
-    return Trial(tuple(map(bytes, suspects)), str(node), now - age_ms / 1000)
+    suspects, node, age_ms, server, born_ms = row
+    return Trial(
+        tuple(map(bytes, suspects)),
+        str(node),
+        now - age_ms / 1000,
+        str(server),
+        int(born_ms),
+    )
 
 
 def _age(at: float, now: float) -> int:
--- a/azureline/relay/suspect_store.py
+++ b/azureline/relay/suspect_store.py
@@ -24,6 +24,9 @@
 # Time after which a trial without an outcome no longer excludes others: longer
 # than an engine takes to begin an answer.
 TRIAL_S = 1.5
+# Time after the last renewal of a trial in which the end of its server counts
+# as its outcome: longer than a crashed server's entry takes to lapse.
+_OUTCOME_S = 6.0
 # Delay of a write of new suspects, in which reports of one crash arrive.
 _WRITE_DELAY_S = 0.05
 # Delay of a write that only removes cleared suspects.
@@ -49,6 +52,7 @@
         store: store_lib.StoreClient,
         peers: peers_lib.Peers,
         table: suspects_lib.SuspectTable,
+        start_of: Callable[[str], int | None],
         on_entries: Callable[[tuple[crash_history.SuspectEntry, ...]], None],
         counters: metrics.Counters,
         log: events.Log,
@@ -62,7 +66,10 @@
           store: client of the platform's store.
           peers: the other nodes.
           table: the suspects that this node knows.
-          on_entries: called with the entries of each new record.
+          start_of: returns the start of a server in Unix ms, or None if it
+            has no entry.
+          on_entries: called with the entries of each new record, and with
+            those of trials whose server has ended.
           counters: counts writes and trials.
           log: receives a line for each claim and failure.
         """
@@ -72,6 +79,7 @@
         self._store = store
         self._peers = peers
         self._table = table
+        self._start_of = start_of
         self._on_entries = on_entries
         self._counters = counters
         self._log = log
@@ -79,6 +87,8 @@
         self._record = suspect_record.SuspectRecord()
         # Trials claimed before the store's last return.
         self._forgotten: tuple[suspect_record.Trial, ...] = ()
+        # The latest claims of this node's trials.
+        self._claimed: dict[tuple[bytes, ...], suspect_record.Trial] = {}
         # Suspects of this node's trials that are over.
         self._released: set[tuple[bytes, ...]] = set()
         # Contents that were in the record with a single crash.  Another node
@@ -97,7 +107,7 @@
 
     def store_returned(self) -> None:
         """Keeps the trials that the store may have forgotten."""
-        self._forgotten = tuple(self._undecided())
+        self._forgotten = tuple(self._open_trials(_OUTCOME_S))
         self._revision = 0
         self._record = suspect_record.SuspectRecord()
         self._once_recorded.clear()
@@ -163,17 +173,28 @@
         """
         return min(_MAX_CLAIM_RANK, self._rank(suspects[0])) * _CLAIM_DELAY_S
 
-    async def claim_trial(self, suspects: tuple[bytes, ...]) -> bool:
+    async def claim_trial(
+        self, suspects: tuple[bytes, ...], server: str
+    ) -> bool:
         """Tries to become the only node that runs some suspects.
 
         While the store does not answer, the first node in an order that all
         nodes agree on runs them.
+
+        Args:
+          suspects: the signatures of the request.
+          server: id of the only server that may run them.
         """
         if self._writing or self._closed or self.trial_runs(suspects):
             return False
+        if self._count_abandoned_crashes(suspects):
+            return False
         self._released.discard(suspects)
         now = self._clock.now()
-        trial = suspect_record.Trial(suspects, self._peers.name, now)
+        trial = suspect_record.Trial(
+            suspects, self._peers.name, now, server, self._start_of(server) or 0
+        )
+        self._claimed[suspects] = trial
         written = await self._write((trial,))
         self._log.info(
             "suspect_trial",
@@ -193,14 +214,15 @@
         """Extends this node's claim, unless a write is in progress."""
         if self._writing or self._closed:
             return
-        now = self._clock.now()
-        await self._write(
-            (suspect_record.Trial(suspects, self._peers.name, now),)
-        )
+        trial = self._claimed.get(suspects)
+        if trial is None:
+            return
+        await self._write((trial._replace(at=self._clock.now()),))
         self._counters.count("suspects.trials.renewed")
 
     def release_trial(self, suspects: tuple[bytes, ...]) -> None:
         """Gives up this node's claim, so that others need not wait for it."""
+        self._claimed.pop(suspects, None)
         self._released.add(suspects)
         self._schedule_write(in_turn=False)
 
@@ -209,8 +231,59 @@
             trial.node == self._peers.name and trial.suspects in self._released
         )
 
+    def _count_abandoned_crashes(self, suspects: tuple[bytes, ...]) -> bool:
+        """Counts the crashes in trials whose node recorded no outcome.
+
+        The end of such a trial's server is its outcome.
+
+        Returns:
+          Whether a crash was counted.
+        """
+        crashed = [
+            trial
+            for trial in self._open_trials(_OUTCOME_S)
+            if not set(trial.suspects).isdisjoint(suspects)
+            and self._has_server_ended(trial)
+        ]
+        for trial in crashed:
+            self._record_crashed_trial(trial)
+        return bool(crashed)
+
+    def _has_server_ended(self, trial: suspect_record.Trial) -> bool:
+        if not trial.server:
+            return False
+        start = self._start_of(trial.server)
+        return start is None or start > trial.born_ms
+
+    def _record_crashed_trial(self, trial: suspect_record.Trial) -> None:
+        crash = crash_history.Crash(trial.server, str(trial.born_ms), trial.at)
+        present = {e.content: e.model for e in self._table.entries()}
+        self._on_entries(
+            tuple(
+                crash_history.SuspectEntry(
+                    suspect, present.get(suspect, ""), (crash,), 0.0
+                )
+                for suspect in trial.suspects
+            )
+        )
+        self._counters.count("suspects.trials.abandoned")
+        self._log.warning(
+            "suspect_trial_abandoned",
+            suspects=[s.hex() for s in trial.suspects],
+            node=trial.node,
+            server=trial.server,
+            born_ms=trial.born_ms,
+            crashes=self._table.crash_count(trial.suspects[0]),
+        )
+        self.suspects_changed()
+
     def _undecided(self) -> list[suspect_record.Trial]:
-        since = self._clock.now() - TRIAL_S
+        """Returns the trials that exclude others."""
+        return self._open_trials(TRIAL_S)
+
+    def _open_trials(self, age_s: float) -> list[suspect_record.Trial]:
+        """Returns the trials without an outcome up to an age in seconds."""
+        since = self._clock.now() - age_s
         return [
             trial
             for trial in (*self._record.trials, *self._unrecorded())
@@ -221,8 +294,16 @@
 
     def _is_open(self, trial: suspect_record.Trial) -> bool:
         """Returns whether a trial's suspects neither crashed nor completed."""
-        return bool(self._table.suspects_of(trial.suspects)) and (
-            max(map(self._table.last_crash_at, trial.suspects)) <= trial.at
+        if not self._table.suspects_of(trial.suspects):
+            return False
+        # Times of different records differ by the time since they were
+        # written, so the server is compared, too.
+        incarnation = (trial.server, str(trial.born_ms))
+        return max(
+            map(self._table.last_crash_at, trial.suspects)
+        ) <= trial.at and not any(
+            self._table.accuses(suspect, *incarnation)
+            for suspect in trial.suspects
         )
 
     def _unrecorded(self) -> list[suspect_record.Trial]:
@@ -318,7 +399,7 @@
         renewed = {(trial.node, trial.suspects) for trial in claimed}
         others = tuple(
             trial
-            for trial in self._undecided()
+            for trial in self._open_trials(_OUTCOME_S)
             if (trial.node, trial.suspects) not in renewed
         )
         record = suspect_record.SuspectRecord(
--- a/azureline/routing/suspects.py
+++ b/azureline/routing/suspects.py
@@ -223,6 +223,13 @@
         """Returns the Unix time of a signature's last crash, or 0."""
         return max((c.at for c in self._effective(signature)), default=0.0)
 
+    def accuses(self, signature: bytes, server: str, incarnation: str) -> bool:
+        """Returns whether a server's crash accuses a signature."""
+        entry = self._entries.get(signature)
+        return entry is not None and any(
+            crash[:2] == (server, incarnation) for crash in entry.crashes
+        )
+
     def merge(
         self,
         entries: Iterable[crash_history.SuspectEntry],
--- a/tests/builders_crash_plays.py
+++ b/tests/builders_crash_plays.py
@@ -42,6 +42,7 @@
       popular: number of idempotent requests that the other callers repeat all
         the time; 0 if each of their requests is new.
       seconds: duration of the play.
+      interval_s: seconds between copies.
     """
 
     path: str = "/look/deadly"
@@ -52,6 +53,7 @@
     leave_after_s: float | None = None
     popular: int = 0
     seconds: float = 15.0
+    interval_s: float = INTERVAL_S
 
 
 class Outcome(NamedTuple):
@@ -182,10 +184,10 @@
     threads: concurrent.futures.Executor, place: Scene, play: Play
 ) -> list[concurrent.futures.Future[soak_checks.SentRequest]]:
     copies = []
-    for number in range(int(play.seconds / INTERVAL_S)):
+    for number in range(int(play.seconds / play.interval_s)):
         node = NODES[number % len(NODES)]
         copies.append(threads.submit(_send_copy, place, play, node, number))
-        time.sleep(INTERVAL_S)
+        time.sleep(play.interval_s)
     return copies
 
 
--- a/tests/builders_crash_suspects.py
+++ b/tests/builders_crash_suspects.py
@@ -231,6 +231,7 @@
             self.store.client(number),
             lambda server: None,
             lambda server: None,
+            self.born.get,
             counters,
             events.null_log(),
         )
--- a/tests/test_relay_crash_suspects.py
+++ b/tests/test_relay_crash_suspects.py
@@ -321,3 +321,58 @@
     fleet.end("s1", b"b", seen_by=2)
     fleet.play(30.0)
     assert fleet.store.calls <= 4
+
+
+def _claimed_trial(fleet):
+    """Begins a trial of a once accused content; returns its server."""
+    _crash(fleet, b"a")
+    _restart_all(fleet)
+    checks = [fleet.check(n, b"a") for n in range(5)]
+    permits = [c for c in checks if isinstance(c, crash_suspects.SendPermit)]
+    assert len(permits) == 1
+    return permits[0].server_id
+
+
+def test_a_crash_in_a_trial_whose_node_was_lost_counts():
+    # The successors of lost nodes tried the request once more each time.
+    fleet = builders.Fleet()
+    server = _claimed_trial(fleet)
+    _restart_all(fleet)
+    fleet.born[server] += 1
+    waiting = [fleet.check(n, b"a") for n in range(5)]
+    fleet.play(suspect_store.TRIAL_S + 0.5)
+    content = request_identity.content_digest(fleet.request(b"a"))
+    counts = [
+        node.crash_suspects._suspects.crash_count(content)
+        for node in fleet.nodes
+    ]
+    assert max(counts) == 2
+    assert waiting
+
+
+def test_a_trial_whose_node_was_lost_is_repeated_if_its_server_survived():
+    fleet = builders.Fleet()
+    _claimed_trial(fleet)
+    _restart_all(fleet)
+    fleet.play(suspect_store.TRIAL_S + 5.0)
+    checks = [fleet.check(n, b"a") for n in range(5)]
+    sent = [c for c in checks if isinstance(c, crash_suspects.SendPermit)]
+    assert len(sent) == 1
+
+
+def test_a_crash_of_a_trial_that_the_record_holds_is_counted_once():
+    # Nodes refused to try the request again, as the trial stayed open.
+    fleet = builders.Fleet()
+    server = _claimed_trial(fleet)
+    _restart_all(fleet)
+    fleet.born[server] += 1
+    for _ in range(2):
+        _restart_all(fleet)
+        for number in range(5):
+            fleet.check(number, b"a")
+        fleet.play(suspect_store.TRIAL_S + builders.PATIENCE_S)
+    checks = [fleet.check(n, b"a") for n in range(5)]
+    fleet.play(suspect_store.TRIAL_S + 0.5)
+    results = [getattr(check, "result", check) for check in checks]
+    sent = [r for r in results if isinstance(r, crash_suspects.SendPermit)]
+    assert sent
