--- a/tools/soak.py
+++ b/tools/soak.py
@@ -44,6 +44,8 @@
 MIN_LIMIT_S = 7.0
 # Fraction of the requests that crash servers, once that fault is active.
 CRASHING_FRACTION = 0.03
+# Fraction of the faults that kill all nodes, while requests crash servers.
+LOSS_FRACTION = 0.25
 # Name of a part of prompts that crashes engines, once that fault is active.
 DEADLY_PART = "deadly"
 # How the crashing requests crash servers, and how long their callers wait.
@@ -92,9 +94,21 @@
     """The run of one seed."""
 
     def __init__(
-        self, seed: int, processes: deployment.Deployment, seconds: float
+        self,
+        seed: int,
+        processes: deployment.Deployment,
+        seconds: float,
+        lose_nodes: bool = False,
     ):
-        """Creates a soak test; `run` starts the processes."""
+        """Creates a soak test; `run` starts the processes.
+
+        Args:
+          seed: seed of all random choices.
+          processes: starts and signals the processes.
+          seconds: duration of the fault injection.
+          lose_nodes: whether all nodes are killed at once now and then while
+            requests crash servers.
+        """
         self._rng = random.Random(seed)
         self._processes = processes
         self._seconds = seconds
@@ -111,6 +125,7 @@
         self._crash_fault, self._crash_patience_s = random.Random(
             f"crash {seed}"
         ).choice(CRASH_VARIANTS)
+        self._losses = random.Random(f"losses {seed}") if lose_nodes else None
         self._faults = [f"crashes: {json.dumps(self._crash_fault)}"]
         self._version = 7
         self._proxy: soak_proxy.FaultProxy
@@ -274,6 +289,8 @@
             name, lasts_s, end = self._fault()
             self._faults.append(name)
             active.append((time.monotonic() + lasts_s, end))
+            if self._loses_nodes():
+                active += [(time.monotonic(), e) for e in self._lose_nodes()]
             time.sleep(self._rng.uniform(0.3, 1.5))
         self._end_expired_faults(active, float("inf"))
 
@@ -362,6 +379,18 @@
 
         return f"{choice} {node}", lasts_s, start
 
+    def _loses_nodes(self) -> bool:
+        """Returns whether all nodes are lost now."""
+        if self._losses is None or not self._send_deadly:
+            return False
+        return self._losses.random() < LOSS_FRACTION
+
+    def _lose_nodes(self) -> list[Any]:
+        """Kills all running nodes; returns the calls that start them again."""
+        self._faults.append("kill all")
+        running = [node for node in NODES if node not in self._down]
+        return [self._stop_node("kill", node, 0.0)[2] for node in running]
+
     def _resume(self, node: str) -> None:
         self._signal(node, signal.SIGCONT)
         self._down.discard(node)
@@ -453,11 +482,12 @@
     return None
 
 
-def run_seed(seed: int, seconds: float) -> Result:
+def run_seed(seed: int, seconds: float, lose_nodes: bool = False) -> Result:
     """Runs one seed from the start of its processes to their end."""
     began = time.monotonic()
     with deployment.Deployment() as processes:
-        broken, sent, faults = SoakRun(seed, processes, seconds).run()
+        run = SoakRun(seed, processes, seconds, lose_nodes)
+        broken, sent, faults = run.run()
         if broken:
             for name in NODES:
                 print(processes.log_tail(name, 400), file=sys.stderr)
@@ -466,17 +496,23 @@
     return Result(seed, broken, len(sent), served, faults, took_s)
 
 
-def main(first: int = 1, seeds: int = 1, seconds: float = 12.0) -> None:
+def main(
+    first: int = 1,
+    seeds: int = 1,
+    seconds: float = 12.0,
+    lose_nodes: bool = False,
+) -> None:
     """Runs seeds one after the other; exits with 1 if any check failed.
 
     Args:
       first: the first seed.
       seeds: the number of seeds.
       seconds: duration of the fault injection per seed.
+      lose_nodes: also kill all nodes at once while requests crash servers.
     """
     failed = []
     for seed in range(first, first + seeds):
-        result = run_seed(seed, seconds)
+        result = run_seed(seed, seconds, lose_nodes)
         print(
             f"seed {seed}: {result.served_count} of {result.sent} served, "
             f"{len(result.faults)} faults, {result.duration_s:.0f} s, "
