Recognize a repeated request whatever address it comes from

Cause: the identity of a request contained the address that it came from. Only a shared part of its prompt was found, for which more crashes are allowed.

Change: the address is no part of the identity. The field is gone, as nothing else used it.

Evidence: a new test with real processes, where each copy comes from another address.

test_only_repeats_of_a_request_have_its_content asserted that another address makes another request, which was the fault. It now asserts the same for another host and another method.

--- a/azureline/platform/requests.py
+++ b/azureline/platform/requests.py
@@ -99,7 +99,6 @@
     target: bytes,
     headers: Iterable[tuple[bytes, bytes]],
     body: bytes,
-    caller: str = "",
 ) -> requests.CallerRequest:
     """Parses a caller's request.
 
@@ -111,7 +110,6 @@
       target: request target, the path with its query.
       headers: all headers as received.
       body: the whole body.
-      caller: the caller's address.
     """
     lowered = [(name.lower(), value.strip()) for name, value in headers]
     first: dict[bytes, bytes] = {}
@@ -134,7 +132,6 @@
         parts=_parse_parts(_text(first, names.PREFIX)),
         last_event=_text(first, names.LAST_EVENT_ID),
         resumes=_text(first, names.RESUMES),
-        caller=caller,
         # Several keys are joined, so that they match no workspace's key.
         key=b",".join(v for n, v in lowered if n == names.API_KEY).decode(
             "latin-1"
--- a/azureline/relay/intake.py
+++ b/azureline/relay/intake.py
@@ -74,7 +74,6 @@
             received.uri,
             received.header_list(),
             received.take_body(),
-            received.getClientAddress().host,
         )
         if self._closed or not self._ends_before_stop(request):
             # It might not complete before this process exits.
--- a/azureline/relay/request_identity.py
+++ b/azureline/relay/request_identity.py
@@ -1,7 +1,8 @@
 """Identifies a request and its retries, whichever node receives them.
 
-Each attempt of a caller has a new id, so a retry is recognized by its caller,
-target and body.
+Each attempt of a caller has a new id, so a retry is recognized by its target
+and body.  The address that it comes from is no part of the identity: a caller's
+retries may come from other addresses.
 """
 
 import hashlib
@@ -23,7 +24,6 @@
     """
     fields = b"\n".join(
         (
-            request.caller.encode(),
             request.method,
             request.host.encode(),
             request.target,
--- a/azureline/relay/requests.py
+++ b/azureline/relay/requests.py
@@ -37,7 +37,6 @@
       resumes: id of the caller's attempt that brought the first event of the
         stream that this request takes up, or "".
       software_version: version of the servers that may serve it; None for any.
-      caller: address of the caller, or "".
       key: the caller's key, or "".
     """
 
@@ -56,7 +55,6 @@
     last_event: str = ""
     resumes: str = ""
     software_version: str | None = None
-    caller: str = ""
     key: str = ""
 
     @property
--- a/tests/builders_crash_plays.py
+++ b/tests/builders_crash_plays.py
@@ -43,6 +43,7 @@
         the time; 0 if each of their requests is new.
       seconds: duration of the play.
       interval_s: seconds between copies.
+      moves: whether each copy comes from another address.
     """
 
     path: str = "/look/deadly"
@@ -54,6 +55,7 @@
     popular: int = 0
     seconds: float = 15.0
     interval_s: float = INTERVAL_S
+    moves: bool = False
 
 
 class Outcome(NamedTuple):
@@ -199,7 +201,8 @@
     if play.part:
         path = f"{play.path}/{number}"
         headers = _prompt("first", play.part, f"copy{number}")
-    answer = place.site.caller(node).send(
+    source = f"127.200.1.{number % 200 + 1}" if play.moves else ""
+    answer = place.site.caller(node, source).send(
         path,
         play.model,
         method=play.method,
--- a/tests/builders_crash_suspects.py
+++ b/tests/builders_crash_suspects.py
@@ -311,7 +311,6 @@
         own = f"own-{body.hex()}"
         names = [*parts.split(","), own] if parts else []
         return builders_relay.request(
-            caller="c",
             body=body,
             parts=tuple(requests.PromptPart(name, 10) for name in names),
         )
--- a/tests/builders_site.py
+++ b/tests/builders_site.py
@@ -29,9 +29,11 @@
         self.processes.kill(node)
         self.killed.add(node)
 
-    def caller(self, node: str = NODES[0]) -> site_caller.Caller:
-        """Returns a caller of one node."""
-        return site_caller.Caller(self.processes.urls[node])
+    def caller(
+        self, node: str = NODES[0], source: str = ""
+    ) -> site_caller.Caller:
+        """Returns a caller of one node, from an address if one is given."""
+        return site_caller.Caller(self.processes.urls[node], source=source)
 
     def recorded(self, server: str) -> dict[str, Any]:
         """Returns the requests and orders that a backend server recorded."""
--- a/tests/test_processes_crashing.py
+++ b/tests/test_processes_crashing.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests import builders_crash_plays as plays
 from tests import builders_site as builders
 from tools import soak_checks
 
@@ -16,6 +17,7 @@
 DURATION_S = 10.0
 INTERVAL_S = 0.4
 OTHER_CALLERS = 6
+MIN_SERVED = 0.97
 
 
 @pytest.fixture
@@ -89,3 +91,14 @@
         return all(site.recorded(name) for name in LEDGERS)
     except OSError:
         return False
+
+
+def test_a_request_that_comes_from_other_addresses_is_not_sent_on():
+    # Its identity contained the caller's address, so that each repeat from
+    # another address was a new request, and it ended a server.
+    play = plays.Play("/post/deadly", "POST", moves=True)
+    with plays.scene() as place:
+        outcome = plays.run(place, play)
+    assert outcome.ends >= soak_checks.MAX_CRASHES, outcome
+    assert outcome.late <= soak_checks.MAX_LATE_RUNS, outcome
+    assert outcome.served >= MIN_SERVED * outcome.others, outcome
--- a/tests/test_relay_crash_detection.py
+++ b/tests/test_relay_crash_detection.py
@@ -137,7 +137,7 @@
 
 
 def test_only_repeats_of_a_request_have_its_content():
-    first = builders_relay.request(caller="c1", body=b"x")
+    first = builders_relay.request(body=b"x")
     content = request_identity.content_digest(first)
     assert content == request_identity.content_digest(
         first._replace(request_id="other")
@@ -146,7 +146,8 @@
         content
     ) == request_identity.outline_digest(first)
     for other in (
-        first._replace(caller="c2"),
+        first._replace(host="other.example"),
+        first._replace(method=b"PUT"),
         first._replace(body=b"y"),
         first._replace(target=b"/a/y"),
     ):
--- a/tools/site_caller.py
+++ b/tools/site_caller.py
@@ -55,15 +55,17 @@
 class Caller:
     """Sends requests to one node, on new or persistent connections."""
 
-    def __init__(self, url: str, host: str = "site.example"):
+    def __init__(self, url: str, host: str = "site.example", source: str = ""):
         """Creates a caller.
 
         Args:
           url: the node's URL.
           host: value of the Host header.
+          source: IP address that it calls from, or "" for any.
         """
         self._address = url.removeprefix("http://")
         self._host = host
+        self._source = (source, 0) if source else None
         self._persistent: http.client.HTTPConnection | None = None
 
     def send(
@@ -127,7 +129,7 @@
         if keep and self._persistent is not None:
             return self._persistent
         connection = http.client.HTTPConnection(
-            self._address, timeout=timeout_s
+            self._address, timeout=timeout_s, source_address=self._source
         )
         if keep:
             self._persistent = connection
