Decode the quotas of workspaces

The configuration names rate_per_s, burst, unit and plain_tokens per workspace, which were ignored. They are decoded now; negative values, an unknown unit and a key of two workspaces make a configuration invalid, and the reason does not contain the key. tests/test_relay_workspaces.py and tests/test_platform_store.py: 40 passed.

--- a/azureline/platform/site_config.py
+++ b/azureline/platform/site_config.py
@@ -17,6 +17,10 @@
 }
 
 
+# Units of quotas, and whether they count tokens.
+_UNITS = {"": False, "token_metered": True}
+
+
 class InvalidDocument(NamedTuple):
     """Falsy sentinel: the bytes are not a valid document.
 
@@ -57,7 +61,7 @@
                 s.name: s for s in (_service(f) for f in top.rows("services"))
             },
             limits=_limits(top.table("limits")),
-            workspaces=tuple(_workspace(f) for f in top.rows("tenants")),
+            workspaces=_workspaces(top.rows("tenants")),
         )
     except _FieldError as e:
         return InvalidDocument(e.where, str(e))
@@ -99,6 +103,13 @@
             )
         return float(value)
 
+    def amount(self, name: str, default: float) -> float:
+        """Returns a number that is not negative; null means the default."""
+        value = self.number(name, default) if self.has(name) else default
+        if value < 0:
+            raise self.error(name, f"expected at least 0, got {value:g}")
+        return float(value)
+
     def seconds(self, name: str, default_ms: float | None = None) -> float:
         """Returns a field in milliseconds, converted to seconds."""
         return self.number(name, default_ms) / 1000
@@ -117,6 +128,10 @@
         where = self._at(name)
         return [_Fields(row, f"{where}[{i}]") for i, row in enumerate(rows)]
 
+    def error(self, name: str, reason: str) -> _FieldError:
+        """Returns the error of a field with an invalid value."""
+        return _FieldError(self._at(name), reason)
+
     def _get(self, name: str, kind: Any, default: Any) -> Any:
         value = self._value.get(name, default)
         if isinstance(value, bool) and kind is not bool:
@@ -163,12 +178,43 @@
     )
 
 
+def _workspaces(rows: list[_Fields]) -> tuple[workspaces.Workspace, ...]:
+    found = tuple(map(_workspace, rows))
+    owners: dict[bytes, str] = {}
+    for row, workspace in zip(rows, found, strict=True):
+        for key in workspace.keys:
+            if key in owners:
+                # The reason is logged, so it does not contain the key.
+                raise row.error(
+                    "api_keys",
+                    f"has a key that also belongs to {owners[key]!r}",
+                )
+        owners.update(dict.fromkeys(workspace.keys, workspace.name))
+    return found
+
+
 def _workspace(fields: _Fields) -> workspaces.Workspace:
     has_rank = fields.has("priority")
     return workspaces.Workspace(
         name=fields.text("name"),
         keys=frozenset(map(workspaces.digest, fields.texts("api_keys"))),
         rank=fields.integer("priority") if has_rank else None,
+        quota=_quota(fields),
+    )
+
+
+def _quota(fields: _Fields) -> workspaces.Quota | None:
+    rate_per_s = fields.amount("rate_per_s", 0)
+    burst = fields.amount("burst", rate_per_s)
+    plain_tokens = fields.amount("plain_tokens", 1)
+    unit = fields.text("unit") if fields.has("unit") else ""
+    if unit not in _UNITS:
+        known = ", ".join(filter(None, _UNITS))
+        raise fields.error("unit", f"expected {known} or none; got {unit!r}")
+    if not rate_per_s:
+        return None
+    return workspaces.Quota(
+        rate_per_s, burst, _UNITS[unit], math.ceil(plain_tokens)
     )
 
 
--- a/azureline/relay/routes.py
+++ b/azureline/relay/routes.py
@@ -219,6 +219,11 @@
         """The version in force; 0 before the first."""
         return self._config.version if self._config else 0
 
+    @property
+    def workspaces(self) -> workspaces_lib.Workspaces:
+        """The workspaces of the configuration in force."""
+        return self._workspaces
+
     def put_in_force(self, config: SiteConfig, position: int = 0) -> bool:
         """Puts a configuration in force if it is newer than the current one.
 
--- a/tests/test_relay_workspaces.py
+++ b/tests/test_relay_workspaces.py
@@ -106,6 +106,12 @@
         [{"name": "w", "api_keys": "k"}],
         [{"name": "w", "api_keys": [1]}],
         [{"name": "w", "api_keys": [], "priority": "high"}],
+        [{"name": "w", "api_keys": [], "rate_per_s": -1}],
+        [{"name": "w", "api_keys": [], "rate_per_s": "many"}],
+        [{"name": "w", "api_keys": [], "burst": -0.5}],
+        [{"name": "w", "api_keys": [], "plain_tokens": -200}],
+        [{"name": "w", "api_keys": [], "unit": "bytes"}],
+        [{"name": "w", "api_keys": [], "unit": 3}],
     ],
 )
 def test_an_invalid_workspace_is_refused_with_its_position(tenants):
@@ -113,3 +119,38 @@
     found = site_config.decode(builders_relay.as_json(document))
     assert isinstance(found, site_config.InvalidDocument)
     assert found.where.startswith("tenants[0]")
+
+
+def _decode(*tenants):
+    document = builders_relay.site_document(7, tenants=list(tenants))
+    return site_config.decode(builders_relay.as_json(document))
+
+
+def test_a_key_of_two_workspaces_is_refused_without_naming_the_key():
+    found = _decode(
+        {"name": "w1", "api_keys": ["secret", "secret"]},
+        {"name": "w2", "api_keys": ["k2", "secret"]},
+    )
+    assert isinstance(found, site_config.InvalidDocument)
+    assert found.where == "tenants[1].api_keys" and "'w1'" in found.reason
+    assert "secret" not in found.reason
+
+
+def test_a_quota_counts_tokens_or_requests():
+    # Fields as the users' platform writes them.
+    fields = {"rate_per_s": 288475, "burst": 288475, "plain_tokens": 200}
+    config = _decode(
+        {"name": "w1", "api_keys": [], "unit": "token_metered", **fields},
+        {"name": "w2", "api_keys": [], "rate_per_s": 2.5},
+    )
+    metered, plain = (w.quota for w in config.workspaces)
+    assert metered == workspaces.Quota(288475, 288475, True, 200)
+    assert metered.amount(9190 + 60) == 9250 and metered.amount(0) == 200
+    assert plain.burst == 2.5 and plain.amount(9250) == 1
+
+
+@pytest.mark.parametrize("fields", [{}, {"rate_per_s": 0, "burst": 9}])
+def test_without_a_rate_no_quota_applies(fields):
+    table = _table(tenants=[{"name": "w1", "api_keys": ["k1"], **fields}])
+    assert table.workspaces.quota_of("w1") is None
+    assert not table.workspaces.with_quota()
