Charge requests to the quotas of their workspaces

A node now asks the workspace's quota owner, chosen by rendezvous hashing of its name, before it schedules a request; the owner charges a token bucket. Requests that did not run return their grant.

--- a/azureline/core/errors.py
+++ b/azureline/core/errors.py
@@ -33,6 +33,7 @@
     MAY_HAVE_RUN = "may_have_run"
     DID_NOT_RUN = "did_not_run"
     OVERLOADED = "overloaded"
+    OVER_QUOTA = "over_quota"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_REPLICA = "no_replica"
@@ -106,6 +107,9 @@
     ErrorKind.OVERLOADED: ErrorAnswer(
         429, Ran.NO, 1.0, "The system is over capacity"
     ),
+    ErrorKind.OVER_QUOTA: ErrorAnswer(
+        429, Ran.NO, 1.0, "The workspace is over its quota"
+    ),
     ErrorKind.DEADLINE_UNREACHABLE: ErrorAnswer(
         429, Ran.NO, 1.0, "The deadline cannot be met"
     ),
--- /dev/null
+++ b/azureline/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces, which bind all nodes together."""
--- /dev/null
+++ b/azureline/quotas/service.py
@@ -0,0 +1,93 @@
+"""Answers the requests of other nodes for workspaces that this node owns."""
+
+from azureline.core import clock as clocks
+from azureline.metrics import counters as metrics
+from azureline.quotas import owner as owners
+from azureline.quotas import ownership as ownerships
+from azureline.relay import messages
+from azureline.relay import peers as peers_lib
+from azureline.relay import routes
+
+# An owner that checked nothing for this time was frozen, and another node may
+# have been the owner meanwhile.
+_MAX_PAUSE_S = 2.0
+
+
+class QuotaService:
+    """Receives messages for the quota owner and keeps its workspaces."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        peers: peers_lib.Peers,
+        ownership: ownerships.Ownership,
+        table: routes.RouteTable,
+        counters: metrics.Counters,
+    ):
+        """Subscribes to the messages of other nodes.
+
+        Args:
+          clock: monotonic clock that also advances while the VM is suspended.
+          peers: the other nodes.
+          ownership: the quota owners.
+          table: the configuration in force.
+          counters: counts messages for which this node is not the owner.
+        """
+        self._clock = clock
+        self._peers = peers
+        self._ownership = ownership
+        self._table = table
+        self._counters = counters
+        self._owner = owners.QuotaOwner()
+        self._checked_at = float("-inf")
+        peers.on(messages.QuotaRequest, self._request_received)
+        peers.on(messages.QuotaReturn, self._return_received)
+
+    def update(self) -> None:
+        """Adopts workspaces that this node owns now and drops others.
+
+        Must be called at least once per second.
+        """
+        now = self._clock.now()
+        owned = {}
+        if self._may_grant(now):
+            owned = {
+                name: quota
+                for name, quota in self._table.workspaces.with_quota().items()
+                if self._ownership.is_owner(name)
+            }
+        self._owner.set_owned(owned, self._table.version, now)
+
+    def _may_grant(self, now: float) -> bool:
+        """Returns whether this node may grant; if not, its buckets are lost."""
+        was_frozen = now > self._checked_at + _MAX_PAUSE_S
+        self._checked_at = now
+        may_grant = self._ownership.may_grant(now)
+        if was_frozen or not may_grant:
+            self._owner.set_owned({}, self._table.version, now)
+        return may_grant
+
+    def _request_received(
+        self, request: messages.QuotaRequest, host: str, port: int
+    ) -> None:
+        now = self._clock.now()
+        self._ownership.heard(host, port, now)
+        if not self._ownership.is_owner(request.workspace):
+            # The sender asks the owner in its newer view again in 80 ms.
+            self._counters.count("quotas.not_owner")
+            return
+        if not self._may_grant(now):
+            self._counters.count("quotas.uncertain_owner")
+            return
+        own = self._peers.own
+        key = owners.RequestKey(host, port, request.number)
+        is_own = (host, port) == (own.host, own.port)
+        reply = self._owner.decide(request, key, not is_own, now)
+        self._peers.reply(host, port, reply)
+
+    def _return_received(
+        self, message: messages.QuotaReturn, host: str, port: int
+    ) -> None:
+        key = owners.RequestKey(host, port, message.number)
+        if not self._owner.put_back(key, self._clock.now()):
+            self._counters.count("quotas.return_unknown")
--- a/azureline/relay/attempt_log.py
+++ b/azureline/relay/attempt_log.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from azureline.core import errors
 from azureline.relay import assignment as assignments
 from azureline.relay import attempt as attempts
 from azureline.relay import requests
@@ -100,6 +101,37 @@
     )
 
 
+def write_refused(
+    log: events.Log,
+    request: requests.CallerRequest,
+    route: routes.Route | None,
+    refusal: errors.Refusal,
+    **progress: float,
+) -> None:
+    """Writes the line of a refusal.
+
+    Args:
+      log: the event log.
+      request: the request.
+      route: its route, if it is known.
+      refusal: the refusal.
+      **progress: version of the configuration, times in seconds and attempts.
+    """
+    answer = refusal.answer
+    log.info(
+        "refused",
+        request=request.request_id,
+        route=route.name if route else "",
+        model=request.model,
+        adapter=request.adapter,
+        kind=refusal.kind.value,
+        status=answer.status,
+        retry_after_s=answer.retry_after_s,
+        detail=refusal.detail,
+        **progress,
+    )
+
+
 def _shared_part_names(request: requests.CallerRequest) -> str:
     names = [part.name for part in request.shared_parts[:_MAX_PARTS]]
     return ",".join(name[:_MAX_NAME] for name in names)
--- a/azureline/relay/exchange.py
+++ b/azureline/relay/exchange.py
@@ -8,6 +8,7 @@
 from azureline.callers import relay as caller_side
 from azureline.core import errors
 from azureline.platform import requests as wire
+from azureline.quotas import charge as charges
 from azureline.relay import assignment as assignments
 from azureline.relay import attempt as attempts
 from azureline.relay import attempt_log
@@ -56,6 +57,9 @@
         self._continuation = continuation.Continuation(
             request, context.streams, context.counters, context.log
         )
+        self._charge = charges.Charge(
+            context.quotas, context.clock, context.log, request
+        )
         self._route: routes.Route | None = None
         self._deadline = self._started_at
         self._sends = 0
@@ -79,18 +83,11 @@
         context, request = self._context, self._request
         await context.wait_for_configuration(self._started_at)
         if context.route_table.config is None:
-            self._refuse(
-                errors.Refusal(errors.ErrorKind.NOT_READY, "No configuration.")
-            )
+            self._refuse(exchange_refusals.no_configuration())
             return
         route = context.route_table.match(request.host, request.path)
         if route is None:
-            self._refuse(
-                errors.Refusal(
-                    errors.ErrorKind.NOT_FOUND,
-                    "No route matches the host and path.",
-                )
-            )
+            self._refuse(exchange_refusals.no_route())
             return
         self._route = route
         wait_limit_s = request.patience_s
@@ -106,12 +103,13 @@
             return
         service = context.route_table.service_of(route)
         if service is None:
-            self._refuse(
-                errors.Refusal(
-                    errors.ErrorKind.NO_REPLICA,
-                    "The route's service is not configured.",
-                )
-            )
+            self._refuse(exchange_refusals.no_service())
+            return
+        over_quota = await self._charge.acquire(
+            admitted.workspace, self._deadline
+        )
+        if over_quota is not None:
+            self._refuse(over_quota)
             return
         while await self._may_go_on(admitted.route, service):
             if await self._attempt_once(admitted.route, service):
@@ -160,17 +158,17 @@
         if isinstance(assignment, errors.Refusal):
             self._refuse(self._adjust_refusal(assignment))
             return True
-        if not self._server_still_allowed(permit, service, assignment):
-            # The server became ineligible while the request was scheduled.
-            self._context.scheduler.release(assignment)
-            await self._sleep(_RESCHEDULE_DELAY_S)
-            return False
         # The key may have been revoked while the request waited.
-        admitted = self._context.route_table.admit(route, self._request.key)
+        admitted = await self._admit_again(route)
         if isinstance(admitted, errors.Refusal):
             self._context.scheduler.release(assignment)
             self._refuse(self._adjust_refusal(admitted))
             return True
+        if not self._server_still_allowed(permit, service, assignment):
+            # The server became ineligible while the request was scheduled.
+            self._context.scheduler.release(assignment)
+            await self._sleep(_RESCHEDULE_DELAY_S)
+            return False
         if not self._take_from_budget(service):
             self._context.scheduler.release(assignment)
             now = self._context.clock.now()
@@ -203,6 +201,16 @@
                     route, assignment, permit, result
                 )
 
+    async def _admit_again(
+        self, route: routes.Route
+    ) -> routes.Admitted | errors.Refusal:
+        """Checks the key and the quota of a request that has waited."""
+        admitted = self._context.route_table.admit(route, self._request.key)
+        if isinstance(admitted, errors.Refusal) or self._may_have_run:
+            return admitted
+        over_quota = await self._charge.renew(self._deadline)
+        return admitted if over_quota is None else over_quota
+
     def _server_still_allowed(
         self,
         permit: crash_suspects.SendPermit,
@@ -409,22 +417,8 @@
         if self._received.response_started:
             self._context.counters.count("cut.deadline")
             self._received.abort()
-        elif sent:
-            self._refuse(
-                errors.Refusal(
-                    errors.ErrorKind.DEADLINE_EXCEEDED,
-                    "The deadline passed before the answer ended.",
-                )
-            )
         else:
-            self._refuse(
-                errors.Refusal(
-                    errors.ErrorKind.DID_NOT_RUN,
-                    "The deadline passed before the request was sent.",
-                    retry_after=0.1,
-                    ran=errors.Ran.NO,
-                )
-            )
+            self._refuse(exchange_refusals.deadline_passed(sent))
         self._stop(attempts.End.EXPIRED)
 
     def _on_caller_gone(self) -> None:
@@ -456,20 +450,15 @@
             self._received.abort()
             return
         self._context.counters.count(refusal.counter)
-        answer = refusal.answer
-        self._context.log.info(
-            "refused",
-            request=self._request.request_id,
-            route=self._route.name if self._route else "",
+        now = self._context.clock.now()
+        attempt_log.write_refused(
+            self._context.log,
+            self._request,
+            self._route,
+            refusal,
             version=self._context.route_table.version,
-            model=self._request.model,
-            adapter=self._request.adapter,
-            kind=refusal.kind.value,
-            status=answer.status,
-            retry_after_s=answer.retry_after_s,
-            detail=refusal.detail,
-            waited_s=round(self._context.clock.now() - self._started_at, 3),
-            left_s=round(self._deadline - self._context.clock.now(), 3),
+            waited_s=round(now - self._started_at, 3),
+            left_s=round(self._deadline - now, 3),
             sends=self._sends,
         )
         self._received.refuse(refusal)
@@ -486,6 +475,7 @@
 
     def _on_finished(self, result: Any) -> Any:
         self._finished = True
+        self._charge.close(ran=self._may_have_run or self._attempt is not None)
         # Cycles of references keep an exchange until a garbage collection.
         self._request = self._request._replace(body=b"")
         self._attempt = None
--- a/azureline/relay/exchange_context.py
+++ b/azureline/relay/exchange_context.py
@@ -8,6 +8,7 @@
 from azureline.core import clock as clocks
 from azureline.metrics import counters as metrics
 from azureline.metrics import exposition
+from azureline.quotas import client as quota_clients
 from azureline.relay import crash_detection
 from azureline.relay import crash_suspects
 from azureline.relay import retry_budget as retry_budgets
@@ -43,6 +44,7 @@
       body_budget: memory for the bodies of all requests.
       answer_budget: memory for what is held of all answers.
       crash_suspects: isolates requests that are suspected of crashing servers.
+      quotas: charges requests to the quotas of their workspaces.
       counters: counts refusals and retries by reason.
       exposition: records latencies.
       log: event log; each decision writes one line.
@@ -61,6 +63,7 @@
     body_budget: memory_budget.MemoryBudget
     answer_budget: memory_budget.MemoryBudget
     crash_suspects: crash_suspects.CrashSuspects
+    quotas: quota_clients.QuotaClient
     counters: metrics.Counters
     exposition: exposition.Exposition
     log: events.Log
--- a/azureline/relay/exchange_refusals.py
+++ b/azureline/relay/exchange_refusals.py
@@ -1,4 +1,4 @@
-"""Refusals of requests that were offered to backend servers in vain."""
+"""Refusals of requests that no backend server answered."""
 
 from azureline.core import errors
 from azureline.relay import wait_policy
@@ -9,6 +9,44 @@
 _BUDGET_RETURN_S = 1.0
 
 
+def no_configuration() -> errors.Refusal:
+    """Returns the refusal of a request that came before a configuration."""
+    return errors.Refusal(errors.ErrorKind.NOT_READY, "No configuration.")
+
+
+def no_route() -> errors.Refusal:
+    """Returns the refusal of a request that no route matches."""
+    return errors.Refusal(
+        errors.ErrorKind.NOT_FOUND, "No route matches the host and path."
+    )
+
+
+def no_service() -> errors.Refusal:
+    """Returns the refusal of a request whose route names an unknown service."""
+    return errors.Refusal(
+        errors.ErrorKind.NO_REPLICA, "The route's service is not configured."
+    )
+
+
+def deadline_passed(sent: bool) -> errors.Refusal:
+    """Returns the refusal of a request at its deadline.
+
+    Args:
+      sent: whether it was sent to a backend server.
+    """
+    if sent:
+        return errors.Refusal(
+            errors.ErrorKind.DEADLINE_EXCEEDED,
+            "The deadline passed before the answer ended.",
+        )
+    return errors.Refusal(
+        errors.ErrorKind.DID_NOT_RUN,
+        "The deadline passed before the request was sent.",
+        retry_after=0.1,
+        ran=errors.Ran.NO,
+    )
+
+
 def turned_away(
     now: float, deadline: float, retry_after_s: float | None
 ) -> errors.Refusal:
--- a/azureline/relay/follower.py
+++ b/azureline/relay/follower.py
@@ -152,6 +152,11 @@
         """The current role of this node in the change feed."""
         return self._role
 
+    @property
+    def confirmed_at(self) -> float:
+        """Monotonic time, in seconds, of the store's last confirmation."""
+        return self._confirmed_at
+
     def is_current(self) -> defer.Deferred[bool]:
         """Returns whether this node has all changes made before this call."""
         return self._view_check.is_current()
@@ -369,9 +374,8 @@
             change_feed.Role.FED,
             change_feed.Role.SECOND,
         )
-        if follows_feed or self._failures:
-            return True
-        return self._is_lagging(feed, now)
+        uses_all = follows_feed or self._failures > 0
+        return uses_all or self._is_lagging(feed, now)
 
     def _view_confirmed(self, at: float) -> None:
         """Records when the store confirmed the view, as a feed says."""
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -401,6 +401,58 @@
     version: str
 
 
+class QuotaRequest(NamedTuple):
+    """Asks a workspace's quota owner to charge a request to the quota.
+
+    Attributes:
+      number: number of the request, repeated in the reply.
+      workspace: name of the workspace.
+      amount: tokens or requests to charge, by the unit of the quota.
+      rate_per_s: rate of the quota in the sender's configuration, in the same
+        unit.
+      burst: burst of the quota in the sender's configuration.
+      version: version of that configuration.
+    """
+
+    number: int
+    workspace: str
+    amount: int
+    rate_per_s: float
+    burst: float
+    version: int
+
+
+class QuotaReply(NamedTuple):
+    """Reply to a `QuotaRequest`.
+
+    Attributes:
+      number: number of the request.
+      granted: whether the amount was charged.
+      retry_after_ms: without a grant, milliseconds until the quota leaves room
+        for the amount.
+      credit: amount that was charged for further requests of the sender.
+    """
+
+    number: int
+    granted: bool
+    retry_after_ms: int
+    credit: int
+
+
+class QuotaReturn(NamedTuple):
+    """Tells a quota owner that a charged request did not run.
+
+    Attributes:
+      number: number of the `QuotaRequest`.
+      workspace: name of the workspace.
+      amount: the amount that was charged.
+    """
+
+    number: int
+    workspace: str
+    amount: int
+
+
 _MESSAGES: dict[int, type] = {
     1: EngineState,
     2: ReservationRequest,
@@ -426,6 +478,9 @@
     23: StreamBegan,
     24: StreamQuestion,
     25: StreamAnswer,
+    26: QuotaRequest,
+    27: QuotaReply,
+    28: QuotaReturn,
 }
 
 
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -14,6 +14,9 @@
 from azureline.metrics import counters as metrics
 from azureline.metrics import exposition as expositions
 from azureline.platform import store as store_lib
+from azureline.quotas import client as quota_clients
+from azureline.quotas import ownership as quota_ownership
+from azureline.quotas import service as quota_service
 from azureline.relay import claims
 from azureline.relay import config_copy
 from azureline.relay import controllers as controllers_lib
@@ -210,6 +213,25 @@
             lambda: self._follower.is_current(),
             self._counters,
         )
+        quota_owners = quota_ownership.Ownership(
+            self._record,
+            self._peers.nodes,
+            lambda: self._follower.confirmed_at,
+            settings.orders.lease_s - settings.orders.renew_s,
+        )
+        self._quotas = quota_clients.QuotaClient(
+            reactor,
+            self._clock,
+            self._rng,
+            self._peers,
+            quota_owners,
+            self._table,
+            self._counters,
+            log,
+        )
+        self._quota_service = quota_service.QuotaService(
+            self._clock, self._peers, quota_owners, self._table, self._counters
+        )
         self._exchange_context = exchange_context.ExchangeContext(
             reactor,
             self._clock,
@@ -228,6 +250,7 @@
                 int(settings.memory_mb * _MB * _ANSWERS_SHARE), _SERVER_SHARE
             ),
             self._crash_suspects,
+            self._quotas,
             self._counters,
             self._exposition,
             log,
@@ -447,6 +470,8 @@
         self._crash_detector.expire()
         self._eligibility.expire(self._clock.now())
         self._granter.expire()
+        self._quotas.expire()
+        self._quota_service.update()
         self._server_notices.request_limits()
         self._sends.write_log(self._clock.now())
         config = self._table.config
--- a/tests/builders_exchange.py
+++ b/tests/builders_exchange.py
@@ -6,6 +6,7 @@
 
 from azureline.metrics import counters as metrics
 from azureline.metrics import exposition
+from azureline.quotas import local_state
 from azureline.relay import assignment as assignments
 from azureline.relay import crash_detection
 from azureline.relay import crash_suspects
@@ -99,6 +100,46 @@
         """Takes the head of one answer."""
 
 
+class Quotas:
+    """A client of quota owners that refuses or records what it grants.
+
+    Attributes:
+      quota: the quota of every workspace, or None.
+      is_over: whether all requests are refused.
+      granted: grants that were made.
+      returned: grants that were returned.
+    """
+
+    def __init__(self):
+        """Creates a client under which no quota applies."""
+        self.quota: Any = None
+        self.is_over = False
+        self.granted: list[local_state.Grant] = []
+        self.returned: list[local_state.Grant] = []
+        self.clock: Any = None
+
+    def quota_of(self, workspace: str | None) -> Any:
+        """Returns the quota of every workspace."""
+        return self.quota if workspace else None
+
+    async def acquire(self, workspace: str, quota: Any, amount: int) -> Any:
+        """Grants or refuses at once."""
+        source = local_state.Source.OWNER
+        if self.is_over:
+            return local_state.OverQuota(0.4, source)
+        now = self.clock.now()
+        self.granted.append(local_state.Grant(workspace, amount, source, now))
+        return self.granted[-1]
+
+    def spread_wait_s(self, refused: local_state.OverQuota) -> float:
+        """Returns the wait of a refusal without jitter."""
+        return refused.wait_s
+
+    def give_back(self, grant: local_state.Grant) -> None:
+        """Records a return."""
+        self.returned.append(grant)
+
+
 class Client:
     """Keeps each call, so that a test can end it."""
 
@@ -128,6 +169,7 @@
       received: the caller's connection.
       request: the caller's request.
       exchange: the exchange, which has not started.
+      quotas: grants quotas.
     """
 
     def __init__(
@@ -136,6 +178,8 @@
         """Creates a node, without a configuration if no route is given."""
         self.clock = builders_serving.Clock()
         self.client = Client()
+        self.quotas = Quotas()
+        self.quotas.clock = self.clock
         self.received = ReceivedRequest()
         server = builders_relay.server("s1")
         catalogue = servers.Catalogue()
@@ -170,6 +214,7 @@
             body_budget=memory_budget.MemoryBudget(1 << 20),
             answer_budget=memory_budget.MemoryBudget(1 << 20, 0.5),
             crash_suspects=suspects,
+            quotas=self.quotas,
             counters=counters,
             exposition=exposition.Exposition(counters),
             log=events.null_log(),
