--- a/azureline/quotas/client.py
+++ b/azureline/quotas/client.py
@@ -174,6 +174,10 @@
         wait_s = max(0, reply.retry_after_ms) / 1000
         nodes = self._ownership.node_count
         state.refused(amount, wait_s, quota, nodes, replied_at)
+        # Replies to requests sent at the same time may have brought credit.
+        credit = state.take_credit(amount, replied_at)
+        if credit is not None:
+            return credit
         return local_state.OverQuota(wait_s, local_state.Source.OWNER)
 
     def _decide_alone(
