--- a/azureline/quotas/client.py
+++ b/azureline/quotas/client.py
@@ -187,6 +187,11 @@
         amount: int,
     ) -> local_state.Grant | local_state.OverQuota:
         now = self._clock.now()
+        if not self._ownership.is_known:
+            # Its part of the rate would be that of a fleet of one node.
+            return local_state.OverQuota(
+                local_state.ALONE_S, local_state.Source.ALONE
+            )
         return state.decide_alone(
             amount,
             quota,
--- a/azureline/quotas/local_state.py
+++ b/azureline/quotas/local_state.py
@@ -20,13 +20,13 @@
 # Time for which the bucket of a node that decides alone collects tokens, so
 # that all nodes together add less than the rate of one second in a burst.
 _ALONE_BURST_S = 4.0
-# After a refusal the owner is not asked for as much again for 2 ms per node, so
-# that all nodes together send about 500 requests per second in vain.
-_REFUSAL_S_PER_NODE = 0.002
+# After a refusal the owner is not asked for as much again for 4 ms per node, so
+# that all nodes together send about 250 requests per second in vain.
+_REFUSAL_S_PER_NODE = 0.004
 # The pause is at most this part of the time in which the burst refills, so that
 # no tokens are lost meanwhile, and at most this long, since tokens may be
 # returned.
-_REFUSAL_BURST_PART = 0.25
+_REFUSAL_BURST_PART = 0.5
 _MAX_REFUSAL_S = 0.5
 
 
--- a/azureline/quotas/ownership.py
+++ b/azureline/quotas/ownership.py
@@ -50,6 +50,11 @@
         """Number of nodes in the store."""
         return len(self._nodes)
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the store has ever listed the nodes."""
+        return self._confirmed_at() > float("-inf")
+
     def owner_of(self, workspace: str) -> keys.NodeRecord:
         """Returns the record of a workspace's quota owner."""
         names = tuple(self._nodes)
@@ -83,7 +88,7 @@
         """
         if self.view_is_valid(now):
             return True
-        if self._confirmed_at() == float("-inf"):
+        if not self.is_known:
             return False
         for sender, at in list(self._heard_at.items()):
             if at < now - _HEARD_S:
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -1,9 +1,11 @@
 """Tests of the handling of one request, without a network."""
 
 import pytest
+from twisted.internet import defer
 
 from azureline.core import errors
 from azureline.relay import routes
+from azureline.relay import workspaces
 from tests import builders_exchange
 from tests import builders_relay
 
@@ -79,3 +81,78 @@
     assert scene.context.answer_budget.used_bytes > 200_000
     scene.break_connection()
     assert scene.context.answer_budget.used_bytes == 0
+
+
+def _quota_scene(**fields) -> builders_exchange.Scene:
+    """Returns a node whose callers have a quota, before the request."""
+    route = builders_relay.route(attempts=1, timeout_s=_TIMEOUT_S, **fields)
+    scene = builders_exchange.Scene(
+        route, key="k1", prompt_tokens=700, output_tokens=50
+    )
+    quota = workspaces.Quota(1000.0, 1000.0, True, 200)
+    workspace = workspaces.Workspace(
+        "w1", frozenset([workspaces.digest("k1")]), None, quota
+    )
+    config = builders_relay.config(2, route)._replace(workspaces=(workspace,))
+    scene.context.route_table.put_in_force(config)
+    scene.quotas.quota = quota
+    return scene
+
+
+def test_a_request_over_its_quota_is_refused_before_it_is_scheduled():
+    scene = _quota_scene()
+    scene.quotas.is_over = True
+    scene.exchange.start()
+    refusal = scene.received.refusal
+    assert refusal.kind is errors.ErrorKind.OVER_QUOTA
+    assert refusal.answer.status == 429 and refusal.answer.retry_after_s == 0.4
+    assert refusal.answer.ran is errors.Ran.NO and not scene.client.calls
+
+
+def test_a_request_that_ran_keeps_its_grant():
+    scene = _quota_scene()
+    scene.exchange.start()
+    assert scene.quotas.granted[0].amount == 750
+    scene.received.disconnect()
+    assert scene.client.calls and not scene.quotas.returned
+
+
+def test_a_request_that_was_not_sent_returns_its_grant():
+    scene = _quota_scene()
+    scene.exchange.start()
+    for _ in range(4):
+        scene.break_connection(sent=False)
+    assert scene.received.refusal.kind is errors.ErrorKind.DID_NOT_RUN
+    assert scene.quotas.returned == scene.quotas.granted[:1]
+
+
+def test_an_unknown_key_is_refused_before_the_quota_is_asked():
+    scene = _quota_scene()
+    scene.request = scene.exchange._request = scene.request._replace(key="k2")
+    scene.exchange.start()
+    assert scene.received.refusal.kind is errors.ErrorKind.UNAUTHENTICATED
+    assert not scene.quotas.granted
+
+
+def test_a_request_of_a_public_route_has_no_quota():
+    scene = _quota_scene(public=True)
+    scene.exchange.start()
+    assert scene.client.calls and not scene.quotas.granted
+
+
+def test_a_request_that_waited_long_is_charged_again_before_it_is_sent():
+    # Requests that are held and sent together would break the bound.
+    scene = _quota_scene()
+    assigned: defer.Deferred[None] = defer.Deferred()
+    assign = scene.context.scheduler.assign
+
+    async def assign_late(*unused):
+        await assigned
+        return await assign()
+
+    scene.context.scheduler.assign = assign_late
+    scene.exchange.start()
+    scene.clock.advance(2.1)
+    assigned.callback(None)
+    assert len(scene.quotas.granted) == 2 and scene.client.calls
+    assert not scene.quotas.returned
