Let a quota owner that has just joined wait for older views to end

A node that was not sure to be the owner now grants only once the views of others must have ended (2 s).

--- a/azureline/quotas/client.py
+++ b/azureline/quotas/client.py
@@ -99,7 +99,6 @@
         if decision is None:
             decision = await self._ask(state, workspace, quota, amount)
         outcome = "granted" if decision else "refused"
-        self._counters.count(f"quotas.{outcome}")
         self._counters.count(f"quotas.{outcome}.{decision.source.value}")
         return decision
 
--- a/azureline/quotas/ownership.py
+++ b/azureline/quotas/ownership.py
@@ -44,6 +44,10 @@
         self._names: tuple[str, ...] = ()
         self._owners: dict[str, str] = {}
         self._heard_at: dict[tuple[str, int], float] = {}
+        self._checked_at = float("-inf")
+        # Monotonic time in seconds from which this node grants; None if it is
+        # not sure to be the owner.
+        self._grants_from: float | None = None
 
     @property
     def node_count(self) -> int:
@@ -82,6 +86,25 @@
     def may_grant(self, now: float) -> bool:
         """Returns whether this node is surely the owner it takes itself for.
 
+        Must be called at least once per `valid_s`; after a longer pause the
+        process was frozen, and another node may have been the owner.
+
+        A node that is not sure, because it has just started or was cut off,
+        waits for `valid_s` once it is: until then the previous owner may still
+        grant, since it has not heard of this node and its view is still valid.
+        """
+        was_frozen = now > self._checked_at + self._valid_s
+        self._checked_at = now
+        if was_frozen or not self._is_sure(now):
+            self._grants_from = None
+            return False
+        if self._grants_from is None:
+            self._grants_from = now + self._valid_s
+        return now >= self._grants_from
+
+    def _is_sure(self, now: float) -> bool:
+        """Returns whether no other node can have replaced this one.
+
         While the store is unavailable nobody can be replaced.  An owner cannot
         tell this from a partition that separates it from the store, unless more
         than half of all nodes still ask it.
--- a/azureline/quotas/service.py
+++ b/azureline/quotas/service.py
@@ -8,10 +8,6 @@
 from azureline.relay import peers as peers_lib
 from azureline.relay import routes
 
-# An owner that checked nothing for this time was frozen, and another node may
-# have been the owner meanwhile.
-_MAX_PAUSE_S = 2.0
-
 
 class QuotaService:
     """Receives messages for the quota owner and keeps its workspaces."""
@@ -39,7 +35,6 @@
         self._table = table
         self._counters = counters
         self._owner = owners.QuotaOwner()
-        self._checked_at = float("-inf")
         peers.on(messages.QuotaRequest, self._request_received)
         peers.on(messages.QuotaReturn, self._return_received)
 
@@ -60,10 +55,8 @@
 
     def _may_grant(self, now: float) -> bool:
         """Returns whether this node may grant; if not, its buckets are lost."""
-        was_frozen = now > self._checked_at + _MAX_PAUSE_S
-        self._checked_at = now
         may_grant = self._ownership.may_grant(now)
-        if was_frozen or not may_grant:
+        if not may_grant:
             self._owner.set_owned({}, self._table.version, now)
         return may_grant
 
