--- a/tests/builders_site.py
+++ b/tests/builders_site.py
@@ -100,6 +100,7 @@
     versions: tuple[str, ...] = ("v1",),
     work_s: float = 0.05,
     settings: dict[str, Any] | None = None,
+    tenants: tuple[dict[str, Any], ...] = (),
 ) -> Iterator[Site]:
     """Runs a site until the block ends.
 
@@ -112,10 +113,12 @@
       versions: software versions of the engines, in turn.
       work_s: seconds that a plain server takes for a request.
       settings: settings of the nodes that differ from the defaults.
+      tenants: workspaces of the configuration, as the store holds them.
     """
+    fields = {"tenants": list(tenants)} if tenants else {}
     domains = domains or len(nodes)
     with deployment.Deployment() as processes:
-        processes.start_site_store(builders_relay.site_document())
+        processes.start_site_store(builders_relay.site_document(**fields))
         for number, models in enumerate(engines, 1):
             processes.start_site_server(
                 f"engine-{number}",
