Let newer credit of a quota not prolong older credit

Credit that was left over took the time of the newest credit, so a node that got credit each second could use tokens long after they were charged. Credits are kept with their times now. tests/test_quotas_fleet.py, test_quotas_owner.py: 54 passed.

--- a/azureline/quotas/local_state.py
+++ b/azureline/quotas/local_state.py
@@ -1,5 +1,6 @@
 """What one node knows of a workspace's quota between requests to its owner."""
 
+import collections
 import enum
 from typing import NamedTuple
 
@@ -82,8 +83,10 @@
           workspace: name of the workspace.
         """
         self._workspace = workspace
-        self._credit = 0
-        self._credit_at = float("-inf")
+        # Credits with the times at which they were charged, oldest first.
+        self._credits: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self._refused_amount = 0
         self._refused_until = float("-inf")
         self._room_at = float("-inf")
@@ -115,20 +118,23 @@
 
     def add_credit(self, amount: int, at: float) -> None:
         """Adds credit of the owner, charged at a monotonic time in seconds."""
-        if not amount:
-            return
-        if self._credit_at < at - CREDIT_S:
-            self._credit = 0
-        # The older of two credits decides when they end.
-        self._credit_at = max(self._credit_at, at) if self._credit else at
-        self._credit += amount
+        if amount:
+            self._credits.append((at, amount))
 
     def take_credit(self, amount: int, now: float) -> Grant | None:
         """Returns a grant from credit, or None if there is too little."""
-        if now > self._credit_at + CREDIT_S or self._credit < amount:
+        while self._credits and self._credits[0][0] < now - CREDIT_S:
+            self._credits.popleft()
+        if not self._credits or sum(c for _, c in self._credits) < amount:
             return None
-        self._credit -= amount
-        return Grant(self._workspace, amount, Source.CREDIT, self._credit_at)
+        charged_at, left = self._credits[0][0], amount
+        while left:
+            at, credit = self._credits.popleft()
+            used = min(credit, left)
+            left -= used
+            if credit > used:
+                self._credits.appendleft((at, credit - used))
+        return Grant(self._workspace, amount, Source.CREDIT, charged_at)
 
     def refused(
         self,
@@ -200,7 +206,7 @@
         """
         match grant.source:
             case Source.CREDIT if now <= grant.at + CREDIT_S:
-                self.add_credit(grant.amount, grant.at)
+                self._credits.appendleft((grant.at, grant.amount))
                 return True
             case Source.ALONE if self._alone is not None:
                 self._alone.put_back(grant.amount, now)
--- a/tests/test_quotas_owner.py
+++ b/tests/test_quotas_owner.py
@@ -176,13 +176,17 @@
     assert not state.decide_alone(201, _QUOTA, 5, False, 199.0)
 
 
-def test_credit_ends_after_a_second_and_a_returned_one_is_not_renewed():
+def test_credit_ends_after_a_second_and_is_not_renewed():
+    # Neither a return nor newer credit may prolong it.
     state = local_state.LocalState("w0")
     state.add_credit(100, 0.0)
     grant = state.take_credit(60, 0.9)
     assert state.take_credit(60, 0.9) is None
-    assert state.put_back(grant, 0.95) and state.take_credit(60, 0.99)
-    assert state.take_credit(40, 1.01) is None
+    assert state.put_back(grant, 0.95)
+    state.add_credit(30, 0.95)
+    assert state.take_credit(110, 0.99).at == 0.0
+    assert state.take_credit(20, 1.01).at == 0.95
+    assert state.take_credit(1, 1.01) is None
     assert not state.put_back(grant, 1.01)
 
 
