Let a node without a record in the store own no quota

A node that stops as planned removes its record and still serves connected callers; it took itself for the owner beside the next one. The same held for a process before its registration.

--- a/azureline/quotas/ownership.py
+++ b/azureline/quotas/ownership.py
@@ -24,6 +24,7 @@
         self,
         own: keys.NodeRecord,
         nodes: Mapping[str, keys.NodeRecord],
+        is_listed: Callable[[], bool],
         confirmed_at: Callable[[], float],
         valid_s: float,
     ):
@@ -32,6 +33,8 @@
         Args:
           own: this node's record.
           nodes: all nodes by name, including this one; kept up to date.
+          is_listed: returns whether the store has this node's record; without
+            it, other nodes choose other owners.
           confirmed_at: returns the monotonic time in seconds at which the store
             last confirmed `nodes`.
           valid_s: seconds after a confirmation during which no other node can
@@ -39,6 +42,7 @@
         """
         self._own = own
         self._nodes = nodes
+        self._is_listed = is_listed
         self._confirmed_at = confirmed_at
         self._valid_s = valid_s
         self._names: tuple[str, ...] = ()
@@ -62,6 +66,8 @@
     def owner_of(self, workspace: str) -> keys.NodeRecord:
         """Returns the record of a workspace's quota owner."""
         names = tuple(self._nodes)
+        if not self._is_listed() and len(names) > 1:
+            names = tuple(n for n in names if n != self._own.name)
         if names != self._names:
             self._names = names
             self._owners.clear()
@@ -95,7 +101,8 @@
         """
         was_frozen = now > self._checked_at + self._valid_s
         self._checked_at = now
-        if was_frozen or not self._is_sure(now):
+        is_owner = self._is_listed() and self._is_sure(now)
+        if was_frozen or not is_owner:
             self._grants_from = None
             return False
         if self._grants_from is None:
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -216,6 +216,7 @@
         quota_owners = quota_ownership.Ownership(
             self._record,
             self._peers.nodes,
+            lambda: self._peers.is_listed,
             lambda: self._follower.confirmed_at,
             settings.orders.lease_s - settings.orders.renew_s,
         )
--- a/azureline/relay/peers.py
+++ b/azureline/relay/peers.py
@@ -41,6 +41,7 @@
         self._clock = clock
         self._counters = counters
         self._nodes: dict[str, keys.NodeRecord] = {record.name: record}
+        self._is_listed = False
         self._holders: dict[str, keys.HolderRecord] = {}
         self._last_turns: dict[str, str] = {}
         self._handlers: dict[type, Callable[[Any, str, int], None]] = {}
@@ -66,6 +67,11 @@
         """Node records by node name, including this node's."""
         return self._nodes
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the store has this node's record, as far as is known."""
+        return self._is_listed
+
     @property
     def holders(self) -> dict[str, keys.HolderRecord]:
         """Lease holder records by resource name."""
@@ -98,10 +104,14 @@
     def set_node(self, record: keys.NodeRecord) -> None:
         """Adds or replaces a node's record."""
         self._nodes[record.name] = record
+        if self.is_self(record):
+            self._is_listed = True
 
     def drop_node(self, name: str) -> None:
-        """Removes the record of another node."""
-        if name != self._record.name:
+        """Removes a node's record; this node stays in `nodes` without it."""
+        if name == self._record.name:
+            self._is_listed = False
+        else:
             self._nodes.pop(name, None)
 
     def set_holder(self, name: str, record: keys.HolderRecord | None) -> None:
--- a/tests/builders_quotas.py
+++ b/tests/builders_quotas.py
@@ -114,7 +114,11 @@
         self.peers._datagrams = _Link(fleet, number)
         self.table = routes.RouteTable(fleet.rng)
         self.ownership = ownership.Ownership(
-            record, self.peers.nodes, lambda: self.confirmed_at, VALID_S
+            record,
+            self.peers.nodes,
+            lambda: self.peers.is_listed,
+            lambda: self.confirmed_at,
+            VALID_S,
         )
         self.client = client.QuotaClient(
             self.reactor,
@@ -138,6 +142,7 @@
       nodes: the processes by number.
       cut: nodes without contact to the store and to nodes outside this set.
       alone: nodes that reach the store but no other node.
+      leaving: nodes that have removed their records and still take requests.
       store_up: whether the store answers.
       loss: part of the datagrams that are lost.
       granted: tokens granted by workspace.
@@ -159,6 +164,7 @@
         self.loss = 0.0
         self.cut: set[int] = set()
         self.alone: set[int] = set()
+        self.leaving: set[int] = set()
         self.store_up = True
         self.arrivals: list[Arrival] = []
         self.granted: collections.Counter[str] = collections.Counter()
@@ -326,7 +332,9 @@
         now = self.clock.now()
         before = set(self._listed)
         for number in self._listed | set(self.nodes):
-            if self._reaches_store(number):
+            if number in self.leaving:
+                self._listed.discard(number)
+            elif self._reaches_store(number):
                 self._lost_at.pop(number, None)
                 self._listed.add(number)
             elif now - self._lost_at.setdefault(number, now) > LEASE_S:
--- a/tests/test_quotas_fleet.py
+++ b/tests/test_quotas_fleet.py
@@ -137,6 +137,19 @@
     assert fleet.tokens("w0", late) >= 0.9 * 8.5 * _RATE
 
 
+def test_an_owner_that_leaves_as_planned_grants_nothing_beside_the_next():
+    # It still serves the callers that are connected to it.
+    fleet = _fleet()
+    owner = fleet.owner()
+    _demand(fleet, 14.0, [owner])
+    _demand(fleet, 14.0, list(range(8)))
+    fleet.advance(2.0)
+    fleet.leaving = {owner}
+    fleet.advance(12.5)
+    assert fleet.heaviest(since=fleet.clock.now() - 11.5) <= 9.1 * _RATE
+    assert fleet.tokens("w0", fleet.clock.now() - 11.5) >= 0.9 * 11.0 * _RATE
+
+
 def test_nodes_that_join_or_restart_add_no_burst():
     fleet = _fleet()
     _demand(fleet, 12.0, list(range(8)))
--- a/tests/test_quotas_owner.py
+++ b/tests/test_quotas_owner.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
 from azureline.quotas import bucket
 from azureline.quotas import local_state
@@ -119,13 +120,17 @@
     assert len(found._replies) <= owner._MAX_REPLIES + 1
 
 
-def _ownership(confirmed_at, nodes=5):
+def _ownership(confirmed_at, nodes=5, is_listed=True):
     records = {
         f"n{i}": keys.NodeRecord(f"n{i}", f"h{i}", 1, "d0")
         for i in range(nodes)
     }
     return ownership.Ownership(
-        records["n0"], records, lambda: confirmed_at, valid_s=2.0
+        records["n0"],
+        records,
+        lambda: is_listed,
+        lambda: confirmed_at,
+        valid_s=2.0,
     )
 
 
@@ -163,6 +168,14 @@
     assert not _grants(_ownership(float("-inf"), nodes=1), 1.0, 5.0)
 
 
+@pytest.mark.parametrize("nodes", [1, 5])
+def test_a_node_without_a_record_in_the_store_is_no_owner(nodes):
+    found = _ownership(99.0, nodes, is_listed=False)
+    owners = {found.owner_of(f"w{i}").name for i in range(50)}
+    assert ("n0" in owners) == (nodes == 1)
+    assert not _grants(found, 1.0, 5.0)
+
+
 def test_lone_decisions_have_no_burst_and_a_new_owner_ends_them():
     state = local_state.LocalState("w0")
     assert state.owner_silent("n1", 0.0) and not state.owner_silent("n1", 0.5)
