Select engines by expected wait and prefill saved

Cause: engines were ordered by rendezvous hashing with a bound on the load, so a request with a cached prefix waited for its engine and one without could not tell a queue from an idle engine.

Change: azureline/engine_choice estimates for each engine the time to the first event: the queue of the last reservation reply, what this node has sent since, places taken, the measured speed, and the prefill of what the engine is not believed to cache. Delay of other requests, pauses in streams and traffic between failure domains are added. Wire messages are unchanged.

--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -11,6 +11,7 @@
 
 from azureline.callers import relay as caller_side
 from azureline.core import clock as clocks
+from azureline.engine_choice import chooser
 from azureline.metrics import counters as metrics
 from azureline.metrics import exposition as expositions
 from azureline.platform import store as store_lib
@@ -139,6 +140,13 @@
             log,
         )
         self._times = run_times.RunTimes(settings.engines.read_tokens_per_s)
+        self._engine_choice = chooser.EngineChoice(
+            self._clock,
+            self._times,
+            settings.engines.read_tokens_per_s,
+            self._counters,
+            log,
+        )
         self._scheduler = scheduler_lib.Scheduler(
             reactor,
             self._clock,
@@ -160,6 +168,7 @@
             ),
             self._demand,
             self._times,
+            self._engine_choice,
             self._counters,
         )
         self._server_notices = server_notices.ServerNotices(
--- a/azureline/relay/reserved_assignment.py
+++ b/azureline/relay/reserved_assignment.py
@@ -8,12 +8,13 @@
 
 from azureline.core import clock as clocks
 from azureline.core import errors
+from azureline.engine_choice import chooser
+from azureline.engine_choice import options
 from azureline.relay import assignment as assignments
 from azureline.relay import prefill
 from azureline.relay import requests
 from azureline.relay import reservations as reservations_lib
 from azureline.relay import routes
-from azureline.relay import servers
 from azureline.relay import wait_policy
 
 # Prompts read back to back for longer than this make streams pause for more
@@ -37,6 +38,7 @@
         clock: clocks.Clock,
         reservations: assignments.ReservationClient,
         read_time_ratios: prefill.ReadTimeRatios,
+        engine_choice: chooser.EngineChoice,
         count_in: Callable[[assignments.Assignment], assignments.Assignment],
         release: Callable[[assignments.Assignment], None],
     ):
@@ -47,6 +49,7 @@
           clock: source of time.
           reservations: client for reservation requests to lease holders.
           read_time_ratios: how long engines take to read prompts.
+          engine_choice: learns from the replies to reservation requests.
           count_in: counts an assignment as in flight and returns it.
           release: releases an assignment that was not sent.
         """
@@ -54,6 +57,7 @@
         self._clock = clock
         self._reservations = reservations
         self._read_time_ratios = read_time_ratios
+        self._engine_choice = engine_choice
         self._count_in = count_in
         self._release = release
 
@@ -61,8 +65,9 @@
         self,
         request: requests.CallerRequest,
         route: routes.Route,
+        profile: options.RequestProfile,
         template: assignments.Assignment,
-        tried: list[servers.BackendServer],
+        tried: list[options.Option],
         deadline: float,
     ) -> assignments.Assignment | errors.Refusal:
         """Returns an assignment with a reservation, or the refusal.
@@ -70,21 +75,29 @@
         Args:
           request: the request.
           route: its route.
+          profile: its profile for engine selection.
           template: the assignment, but for its server and reservation.
           tried: the engines to ask, the best first.
           deadline: the caller's deadline in monotonic seconds.
         """
         give_up_at = self._clock.now() + route.target_s * _QUEUE_WAIT_RATIO
-        backlog_s = dict.fromkeys((s.server_id for s in tried), 0.0)
+        backlog_s = dict.fromkeys((o.server.server_id for o in tried), 0.0)
         while True:
             is_late = self._clock.now() >= give_up_at
             max_queue_s = route.timeout_s if is_late else _MAX_QUEUE_S
             if is_late:
-                tried.sort(key=lambda s: backlog_s[s.server_id])
+                # A cached prefix makes up for some of a queue.
+                tried.sort(
+                    key=lambda o: backlog_s[o.server.server_id] + o.prefill_s
+                )
             reason, retry_after_s = "", []
-            for server in tried:
-                assignment = self._count_in(template._replace(server=server))
-                answer = await self._reserve(request, assignment, max_queue_s)
+            for option in tried:
+                assignment = self._count_in(
+                    template._replace(server=option.server)
+                )
+                answer = await self._reserve(
+                    request, profile, option, assignment, max_queue_s
+                )
                 if answer.granted:
                     return assignment._replace(
                         adapter_reservation=answer.reservation_id
@@ -95,7 +108,7 @@
                     )
                 reason = answer.reason
                 retry_after_s.append(answer.wait_s or _DEFAULT_RETRY_AFTER_S)
-                backlog_s[server.server_id] = answer.backlog_s
+                backlog_s[option.server.server_id] = answer.backlog_s
             if is_late or not any(backlog_s.values()):
                 break
             # After this time the shortest queue is below the limit.
@@ -113,38 +126,57 @@
     async def _reserve(
         self,
         request: requests.CallerRequest,
+        profile: options.RequestProfile,
+        option: options.Option,
         assignment: assignments.Assignment,
         max_queue_s: float,
     ) -> reservations_lib.ReservationResult:
         """Sends a reservation request; releases the assignment if refused."""
+        granted = assignment
+        try:
+            answer = await self._ask(request, profile, option, max_queue_s)
+            if answer.granted and request.adapter:
+                granted = assignment._replace(
+                    adapter_reservation=answer.reservation_id
+                )
+            if answer.granted and answer.wait_s > 0:
+                await self._sleep(answer.wait_s)
+        except defer.CancelledError:
+            self._release(granted)
+            raise
+        if not answer.granted:
+            self._release(assignment)
+        return answer
+
+    async def _ask(
+        self,
+        request: requests.CallerRequest,
+        profile: options.RequestProfile,
+        option: options.Option,
+        max_queue_s: float,
+    ) -> reservations_lib.ReservationResult:
+        """Sends a reservation request and records what the reply tells."""
         prompt = prefill.Prompt(
             f"{request.model}/{request.adapter}",
             request.prompt_tokens,
             request.shared_parts,
             self._read_time_ratios.get(
-                assignment.server.server_id, request.model, self._clock.now()
+                option.server.server_id, request.model, self._clock.now()
             ),
         )
-        granted = assignment
+        self._engine_choice.record_asked(option)
         try:
             answer = await self._reservations.reserve(
-                assignment.server,
+                option.server,
                 request.model,
                 request.adapter,
                 prompt,
                 max_queue_s,
             )
-            if answer.granted and request.adapter:
-                granted = assignment._replace(
-                    adapter_reservation=answer.reservation_id
-                )
-            if answer.granted and answer.wait_s > 0:
-                await self._sleep(answer.wait_s)
         except defer.CancelledError:
-            self._release(granted)
+            self._engine_choice.record_cancelled(option)
             raise
-        if not answer.granted:
-            self._release(assignment)
+        self._engine_choice.record_reply(profile, option, answer)
         return answer
 
     async def _sleep(self, seconds: float) -> None:
--- a/azureline/relay/scheduler.py
+++ b/azureline/relay/scheduler.py
@@ -4,11 +4,13 @@
 import random
 from typing import Any
 
-from twisted.internet import defer
 from twisted.internet import task
 
 from azureline.core import clock as clocks
 from azureline.core import errors
+from azureline.engine_choice import assigner
+from azureline.engine_choice import chooser
+from azureline.engine_choice import options
 from azureline.metrics import counters as metrics
 from azureline.relay import assignment as assignments
 from azureline.relay import attempt as attempts
@@ -28,13 +30,6 @@
 from azureline.relay import wait_policy
 from azureline.relay import waiters
 
-# An engine that reads a prompt of at least this length delays its streams.
-_LONG_PROMPT_TOKENS = 1500
-# Engines that receive a reservation request for one request.
-_MAX_ENGINES_ASKED = 3
-# Engines take priorities from 0 to 9; a request without one counts as 5.
-_LOWEST_PRIORITY = 9
-
 
 class Scheduler:
     """Scheduler of one node; counts the node's requests in flight."""
@@ -52,6 +47,7 @@
         reservations: assignments.ReservationClient,
         demand: assignments.DemandRecorder,
         times: run_times.RunTimes,
+        engine_choice: chooser.EngineChoice,
         counters: metrics.Counters,
     ):
         """Creates a scheduler without requests in flight.
@@ -68,6 +64,7 @@
           reservations: client for reservation requests to lease holders.
           demand: records demand per model.
           times: running times of requests per route.
+          engine_choice: ranks the engines of a service.
           counters: counts waits and refusals.
         """
         self._reactor = reactor
@@ -80,19 +77,30 @@
         self._reservations = reservations
         self._demand = demand
         self._times = times
+        self._engine_choice = engine_choice
         self._counters = counters
         self._health = healths.ServerHealth()
         self._in_flight = in_flight.InFlight(
             clock, domain, residency, self._health, demand
         )
         self._read_time_ratios = prefill.ReadTimeRatios()
-        self._reserved = reserved_assignment.ReservedAssignment(
-            reactor,
+        self._engine_assigner = assigner.EngineAssigner(
             clock,
-            reservations,
+            engine_choice,
+            self._in_flight,
+            eligibility,
             self._read_time_ratios,
-            self._in_flight.add,
-            self.release,
+            self._choose,
+            choice,
+            reserved_assignment.ReservedAssignment(
+                reactor,
+                clock,
+                reservations,
+                self._read_time_ratios,
+                engine_choice,
+                self._in_flight.add,
+                self.release,
+            ),
         )
         self._waiters = waiters.Waiters(reactor)
 
@@ -141,9 +149,10 @@
             )
             if isinstance(candidates, errors.Refusal):
                 return candidates
-            assigned = await self._assign_engine(
+            assigned = await self._engine_assigner.assign(
                 request,
                 route,
+                service.engine,
                 ranking.preferred(candidates, tried_servers, only_server),
                 wait_policy.latest_send(first_event_deadline),
                 deadline,
@@ -267,6 +276,11 @@
     def record_load_report(self, server_id: str) -> None:
         """Records that a server's load was reported just now."""
         self._in_flight.record_load_report(server_id)
+        server = self._catalogue.get(server_id)
+        if server is not None:
+            self._engine_choice.record_report(
+                server, self._residency.reading_of(server)
+            )
 
     def wake_waiting(self) -> None:
         """Wakes waiting requests to check the state again."""
@@ -318,7 +332,7 @@
 
     async def _choose(
         self,
-        ranked: Sequence[ranking.Candidate],
+        ranked: Sequence[ranking.Candidate | options.Option],
         route: routes.Route,
         latest: float,
         deadline: float,
@@ -353,71 +367,10 @@
         await self._waiters.wait(decision.until - now)
         return None
 
-    async def _assign_engine(
-        self,
-        request: requests.CallerRequest,
-        route: routes.Route,
-        holders: Sequence[servers.BackendServer],
-        latest: float,
-        deadline: float,
-    ) -> assignments.Assignment | errors.Refusal | None:
-        """Returns an assignment; None if the engines have to be ranked anew."""
-        candidates = [
-            self._in_flight.engine_candidate(s, request) for s in holders
-        ]
-        # An engine elsewhere may have the prompt cached.  Reading a long prompt
-        # again takes longer than an answer from another failure domain.
-        is_long = request.prompt_tokens >= _LONG_PROMPT_TOKENS
-        ordered = ranking.rank_by_affinity(
-            candidates, ranking.affinity_key(request), near_first=not is_long
-        )
-        chosen = await self._choose(ordered, route, latest, deadline)
-        if not isinstance(chosen, server_choice.Chosen):
-            return chosen
-        assignment = assignments.Assignment(
-            chosen.server,
-            min(_LOWEST_PRIORITY, route.rank),
-            model=request.model,
-            route=route.name,
-            grant=chosen.grant,
-        )
-        if not request.adapter and not is_long:
-            return self._in_flight.add(assignment)
-        tried = [chosen.server]
-        if chosen.grant is None:
-            tried = self._open_servers(ordered)[:_MAX_ENGINES_ASKED]
-        try:
-            assigned = await self._reserved.assign(
-                request,
-                route,
-                assignment._replace(grant=None),
-                tried,
-                deadline,
-            )
-        except defer.CancelledError:
-            self._give_back(assignment)
-            raise
-        if isinstance(assigned, errors.Refusal):
-            self._give_back(assignment)
-            return assigned
-        return assigned._replace(grant=assignment.grant)
-
     def _give_back(self, assignment: assignments.Assignment) -> None:
         if assignment.grant is not None:
             self._choice.give_back(assignment.grant)
 
-    def _open_servers(
-        self, ordered: Sequence[ranking.Candidate]
-    ) -> list[servers.BackendServer]:
-        now = self._clock.now()
-        return [
-            c.server
-            for c in ordered
-            if isinstance(
-                self._eligibility.check(c.server, now), eligibilities.Open
-            )
-        ]
-
     async def _wait_for_model(
         self,
         request: requests.CallerRequest,
