--- a/azureline/engine_choice/cost.py
+++ b/azureline/engine_choice/cost.py
@@ -11,7 +11,7 @@
 # Part of the shared prefix that the home and the second engine of the
 # rendezvous order are assumed to cache without a belief, because the other
 # nodes send the prefix there.
-_ASSUMED_CACHED = (0.5, 0.25)
+_ASSUMED_CACHED = (0.7, 0.3)
 # Time in which the queue of the last reply gives way to the usual queue.  Load
 # reports average over 2 s; with 0.5 s, 40 nodes followed them to the same
 # engines and more answers were late.
