Add azureline explain, which shows where a request would go

Cause: operators cannot see why a request goes to an engine.

Change: a relay node answers GET /operators/explain at its metrics address with the ranking that serves requests, without a change of state. Log lines of choices have the same fields.

The process test has not run yet.

--- a/azureline/engine_choice/chooser.py
+++ b/azureline/engine_choice/chooser.py
@@ -6,6 +6,7 @@
 from azureline.core import clock as clocks
 from azureline.engine_choice import beliefs as beliefs_lib
 from azureline.engine_choice import cost
+from azureline.engine_choice import descriptions
 from azureline.engine_choice import engine_records
 from azureline.engine_choice import options
 from azureline.engine_choice import profiles
@@ -112,7 +113,12 @@
         ):
             return
         self._logged_at[reason] = now
-        self._log.info("engine_choice", **describe(profile, option))
+        self._log.info(
+            "engine_choice",
+            tokens=profile.prompt_tokens,
+            shared_tokens=profile.shared_tokens,
+            **descriptions.describe(option),
+        )
 
     def record_report(
         self, server: servers.BackendServer, reading_ratio: float
@@ -217,35 +223,3 @@
             record.queue,
             belief,
         )
-
-
-def describe(
-    profile: options.RequestProfile, option: options.Option
-) -> dict[str, object]:
-    """Returns the inputs of a choice with their ages, for a log line."""
-    return {
-        "server": option.server.server_id,
-        "reason": option.reason.value,
-        "place": option.place,
-        "tokens": profile.prompt_tokens,
-        "shared_tokens": profile.shared_tokens,
-        "cost_s": round(option.cost_s, 4),
-        "known_wait_s": round(option.known_wait_s, 4),
-        "usual_wait_s": round(option.usual_wait_s, 4),
-        "prefill_s": round(option.prefill_s, 4),
-        "saved_s": round(option.saved_s, 4),
-        "delay_s": round(option.delay_s, 4),
-        "gap_s": round(option.gap_s, 4),
-        "domain_s": option.domain_s,
-        "load": option.candidate.load,
-        "reading_ratio": option.candidate.reading_ratio,
-        "speed_ratio": round(option.candidate.speed_ratio, 3),
-        "belief_age_s": _age(option.belief_age_s),
-        "queue_age_s": _age(option.queue_age_s),
-        "load_age_s": _age(option.load_age_s),
-    }
-
-
-def _age(seconds: float) -> float | None:
-    """Returns an age for a JSON document, in which nothing is infinite."""
-    return None if math.isinf(seconds) else round(seconds, 3)
--- a/azureline/metrics/exposition.py
+++ b/azureline/metrics/exposition.py
@@ -1,6 +1,8 @@
 """Serves counters and histograms in the Prometheus text format."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from typing import Any
 
 import prometheus_client
@@ -72,16 +74,37 @@
         )
 
 
-def make_factory(exposition: Exposition) -> http_service.Factory:
-    """Returns the Twisted factory of connections that serve the metrics."""
+def make_factory(
+    exposition: Exposition,
+    pages: Mapping[str, Callable[[dict[str, str]], tuple[int, bytes]]],
+) -> http_service.Factory:
+    """Returns the Twisted factory of connections that serve the metrics.
+
+    Args:
+      exposition: the metrics, served at every path without a page.
+      pages: by path, functions that take a query and return a status and JSON.
+    """
 
     class _Request(memory_body.MemoryBody, http.Request):
         def max_body_bytes(self) -> int:
             return 0
 
         def process(self) -> None:
-            self.setHeader(b"content-type", b"text/plain; version=0.0.4")
-            self.write(exposition.text())
+            page = pages.get(self.path.decode("latin-1"))
+            if page is None:
+                self.setHeader(b"content-type", b"text/plain; version=0.0.4")
+                self.write(exposition.text())
+            else:
+                query = {
+                    name.decode("utf-8", "replace"): values[0].decode(
+                        "utf-8", "replace"
+                    )
+                    for name, values in self.args.items()
+                }
+                status, body = page(query)
+                self.setResponseCode(status)
+                self.setHeader(b"content-type", b"application/json")
+                self.write(body)
             self.finish()
 
     return http_service.Factory(_Request)
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -14,6 +14,7 @@
 from azureline.engine_choice import chooser
 from azureline.metrics import counters as metrics
 from azureline.metrics import exposition as expositions
+from azureline.operators import explanations
 from azureline.platform import store as store_lib
 from azureline.relay import claims
 from azureline.relay import config_copy
@@ -171,6 +172,9 @@
             self._engine_choice,
             self._counters,
         )
+        self._explainer = explanations.Explainer(
+            settings.name, self._table, self._scheduler.explain
+        )
         self._server_notices = server_notices.ServerNotices(
             self._clock,
             self._rng,
@@ -332,7 +336,10 @@
         if settings.metrics_port:
             self._listen(
                 f"{settings.host}:{settings.metrics_port}",
-                expositions.make_factory(self._exposition),
+                expositions.make_factory(
+                    self._exposition,
+                    {explanations.PATH: self._explainer.answer},
+                ),
             )
         self._stack.callback(self._peers.listen(self._reactor).stopListening)
         self._follower.start()
--- a/azureline/relay/scheduler.py
+++ b/azureline/relay/scheduler.py
@@ -12,6 +12,7 @@
 from azureline.engine_choice import chooser
 from azureline.engine_choice import options
 from azureline.metrics import counters as metrics
+from azureline.operators import explanations
 from azureline.relay import assignment as assignments
 from azureline.relay import attempt as attempts
 from azureline.relay import eligibility as eligibilities
@@ -180,6 +181,24 @@
         ids = tuple(server.server_id for server in usable.servers)
         return assignments.UsableServers(ids, len(running), len(all_servers))
 
+    def explain(
+        self,
+        request: requests.CallerRequest,
+        route: routes.Route,
+        service: routes.Service,
+    ) -> explanations.Ranked:
+        """Returns where a request would go now; changes no state."""
+        assert service.engine is not None
+        holders = self._residency.holders_of(
+            service.name, request.model, self._clock.now()
+        )
+        usable = self._choice.usable(holders).servers
+        profile = self._engine_choice.profile(request, route, service.engine)
+        return explanations.Ranked(
+            self._engine_assigner.rank(request, profile, usable),
+            [s.server_id for s in holders if s not in usable],
+        )
+
     def may_send(self, assignment: assignments.Assignment) -> bool:
         """Returns whether the assigned server may be sent a request now."""
         return self._choice.may_send(
--- a/azureline/ui/app.py
+++ b/azureline/ui/app.py
@@ -21,6 +21,7 @@
 a site's differences, both in JSON with comments.
 """
 _MODULES = {
+    "explain": "azureline.ui.explain",
     "node": "azureline.ui.node",
     "relay": "azureline.ui.relay",
     "status": "azureline.ui.status",
--- a/azureline/ui/client.py
+++ b/azureline/ui/client.py
@@ -1,8 +1,10 @@
 """Reads the state of the fleet from nodes and the platform."""
 
+from collections.abc import Mapping
 import json
 from typing import Any
 from typing import NamedTuple
+from urllib import parse
 
 from twisted.internet import defer
 from twisted.internet import task
@@ -10,6 +12,7 @@
 
 from azureline.config import rollout
 from azureline.config import store
+from azureline.operators import explanations
 from azureline.platform import http
 from azureline.platform import interface
 
@@ -30,6 +33,25 @@
         return False
 
 
+class Refused(NamedTuple):
+    """Falsy sentinel: the node refused the question.
+
+    Attributes:
+      reason: the node's reason.
+    """
+
+    reason: str
+
+    def __bool__(self) -> bool:
+        return False
+
+
+class _Answer(NamedTuple):
+    url: str
+    code: int
+    document: dict[str, Any]
+
+
 async def read_status(
     reactor: Any, node: str, timeout_s: float
 ) -> dict[str, Any] | NoResponse:
@@ -40,20 +62,56 @@
       node: "HOST:PORT" of its HTTP interface, or the URL of its root.
       timeout_s: seconds that the call may take.
     """
+    answer = await _get(reactor, node, STATUS_PATH, timeout_s)
+    if isinstance(answer, NoResponse):
+        return answer
+    if answer.code != 200:
+        return NoResponse(f"{answer.url} answered with status {answer.code}")
+    return answer.document
+
+
+async def read_explanation(
+    reactor: Any, node: str, asked: Mapping[str, str], timeout_s: float
+) -> dict[str, Any] | NoResponse | Refused:
+    """Reads where a relay node would send a request.
+
+    Args:
+      reactor: the reactor.
+      node: "HOST:PORT" of its metrics, or the URL of their root.
+      asked: the request; empty values are left out.
+      timeout_s: seconds that the call may take.
+    """
+    query = parse.urlencode({k: v for k, v in asked.items() if v})
+    path = f"{explanations.PATH}?{query}"
+    answer = await _get(reactor, node, path, timeout_s)
+    if isinstance(answer, NoResponse):
+        return answer
+    document = answer.document
+    if answer.code == 200 and "engines" in document:
+        return document
+    if answer.code in (400, 404) and "error" in document:
+        return Refused(str(document["error"]))
+    return NoResponse(f"{answer.url} answered with status {answer.code}")
+
+
+async def _get(
+    reactor: Any, node: str, path: str, timeout_s: float
+) -> _Answer | NoResponse:
     root = node if "://" in node else f"http://{node}"
     agent = client.Agent(reactor, connectTimeout=timeout_s)
-    url = root.rstrip("/") + STATUS_PATH
+    url = root.rstrip("/") + path
     response = agent.request(b"GET", url.encode())
     response.addCallback(_read)
     response.addTimeout(timeout_s, reactor)
     try:
         code, body = await response
-        if code != 200:
-            return NoResponse(f"{url} answered with status {code}")
-        return json.loads(body)
+        document = json.loads(body) if body else {}
+        if not isinstance(document, dict):
+            return NoResponse(f"{url} gave no JSON object")
+        return _Answer(url, code, document)
     except (ValueError, defer.TimeoutError) as e:
         return NoResponse(f"{url} gave no usable answer: {e}")
-    except Exception as e:  # Any failure means that there is no status.
+    except Exception as e:  # Any failure means that there is no answer.
         return NoResponse(f"{url} gave no answer: {type(e).__name__}: {e}")
 
 
--- a/azureline/ui/render.py
+++ b/azureline/ui/render.py
@@ -20,6 +20,20 @@
     "MODELS",
 )
 _GIB = 2**30
+# Columns of an explanation with their fields.
+_EXPLAINED = {
+    "COST": "cost_s",
+    "KNOWN WAIT": "known_wait_s",
+    "USUAL WAIT": "usual_wait_s",
+    "PREFILL": "prefill_s",
+    "SAVED": "saved_s",
+    "DELAY": "delay_s",
+    "GAP": "gap_s",
+    "DOMAIN COST": "domain_s",
+    "BELIEF AGE": "belief_age_s",
+    "QUEUE AGE": "queue_age_s",
+    "LOAD AGE": "load_age_s",
+}
 
 
 def table(header: tuple[str, ...], rows: list[tuple[Any, ...]]) -> str:
@@ -128,6 +142,40 @@
     return "\n\n".join(parts)
 
 
+def explanation(document: dict[str, Any]) -> str:
+    """Returns where a request would go as a table, the first choice first."""
+    heading = (
+        f"{document['node']}: model {document['model']}, route "
+        f"{document['route']}, service {document['service']}, configuration "
+        f"version {document['config_version']}"
+    )
+    parts = [heading]
+    engines = document["engines"]
+    if engines:
+        header = ("ENGINE", "DOMAIN", "REASON", *_EXPLAINED)
+        rows = [
+            (
+                engine["server"],
+                engine["domain"],
+                engine["reason"],
+                *(_milliseconds(engine[key]) for key in _EXPLAINED.values()),
+            )
+            for engine in engines
+        ]
+        parts.append(table(header, rows))
+        parts.append("All times and ages are in milliseconds.")
+    else:
+        parts.append("No engine that holds the model may get requests now.")
+    if document["excluded"]:
+        names = " ".join(document["excluded"])
+        parts.append(f"excluded, as they may get no requests now: {names}")
+    return "\n\n".join(parts)
+
+
+def _milliseconds(seconds: float | None) -> str:
+    return "never" if seconds is None else f"{seconds * 1000:.0f}"
+
+
 def _nodes(nodes: list[dict[str, Any]]) -> str:
     rows = [
         (n["name"], n["domain"], n["state"], n["config_version"], n["age_s"])
--- a/tests/builders_site.py
+++ b/tests/builders_site.py
@@ -69,10 +69,14 @@
             return False
         return True
 
+    def metrics_url(self, node: str) -> str:
+        """Returns the root of a node's metrics address."""
+        host = self.processes.urls[node].rpartition(":")[0]
+        return f"{host}:{deployment.METRICS_PORT}"
+
     def metrics(self, node: str) -> str:
         """Returns a node's metrics as text."""
-        host = self.processes.urls[node].rpartition(":")[0]
-        url = f"{host}:{deployment.METRICS_PORT}/metrics"
+        url = f"{self.metrics_url(node)}/metrics"
         return urllib.request.urlopen(url, timeout=2).read().decode()
 
     def events(self, node: str, event: str) -> list[dict[str, Any]]:
--- a/tests/test_processes_relay.py
+++ b/tests/test_processes_relay.py
@@ -1,7 +1,10 @@
 """Tests of relay processes between stand-ins of the users' platform."""
 
 import concurrent.futures
+import json
 import signal
+import subprocess
+import sys
 import time
 
 import pytest
@@ -111,6 +114,26 @@
     assert "azureline_requests_total" in text
 
 
+def test_a_running_node_explains_where_a_request_would_go(site):
+    """Guards the way from the command through the node's metrics address."""
+
+    def explain(model):
+        return subprocess.run(
+            [sys.executable, "-m", "azureline", "explain", model, "--json"]
+            + ["--tokens", "9190", "--prefix", "p1:6300"]
+            + ["--node", site.metrics_url("relay-3")],
+            capture_output=True,
+            text=True,
+            timeout=20,
+            check=False,
+        )
+
+    document = json.loads(explain("m0").stdout)
+    assert document["node"] == "relay-3" and document["engines"]
+    unknown = explain("m9")
+    assert unknown.returncode == 1 and "model m9 is unknown" in unknown.stderr
+
+
 def test_planned_stop_completes_streams_and_requests(site):
     caller = site.caller("relay-3")
     assert caller.send("/look/x", method="GET", keep=True).status == 200
--- a/tests/test_ui.py
+++ b/tests/test_ui.py
@@ -60,7 +60,7 @@
 
 @pytest.mark.parametrize(
     "name",
-    ["", "node", "status", "version", "config"]
+    ["", "explain", "node", "status", "version", "config"]
     + [f"config {n}" for n in ("check", "diff", "apply", "show", "status")],
 )
 def test_every_command_has_help(name):
