Let a faded belief add no engine to the comparison

Cause: any belief, also one from minutes ago, added its engine to the two of the rendezvous order, so that load reports could draw requests there.

Change: an engine counts as caching the prefix only if it is expected to cache more than half of it.

--- a/azureline/engine_choice/selection.py
+++ b/azureline/engine_choice/selection.py
@@ -22,6 +22,9 @@
 # error of the estimates, and each change of engine costs a cache miss.  With
 # 0.02 s the answers to callers without a cached prefix began up to 8% later.
 _MIN_GAIN_S = 0.05
+# An engine that is expected to cache more than this part of a shared prefix is
+# considered at any place; a belief that has faded adds no engine.
+_BELIEVED_PART = 0.5
 # Engines with a higher factor for failures come last.
 _MAX_PENALTY = 3.0
 # Short prompts avoid an engine above this many times the mean load, and so do
@@ -152,7 +155,7 @@
         # or if the known wait costs more than the best cache so far saves.
         # Load reports alone, which all nodes receive, consider no other engine.
         if (
-            option.candidate.belief is not None
+            _is_believed(option, profile)
             or best.known_wait_s > best.saved_s + _MIN_GAIN_S
         ):
             first.append(option)
@@ -162,6 +165,18 @@
     return first + others + sorted(full, key=lambda o: o.cost_s)
 
 
+def _is_believed(
+    option: options.Option, profile: options.RequestProfile
+) -> bool:
+    """Returns whether an engine is likely to cache most of a prefix."""
+    per_token_s = option.candidate.speed_ratio / profile.tokens_per_s
+    cached = option.saved_s / per_token_s
+    return (
+        option.candidate.belief is not None
+        and cached > _BELIEVED_PART * profile.shared_tokens
+    )
+
+
 def _preference(option: options.Option) -> float:
     return option.cost_s + (_MIN_GAIN_S if option.place else 0.0)
 
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -166,6 +166,16 @@
         for belief in (_cached(300.0), _cached(prefilled_s=10.0)):
             assert saved_s(belief) == pytest.approx(saved_s(None), rel=0.01)
 
+    def test_only_a_belief_that_has_not_faded_adds_an_engine(self):
+        names = _rank(builders.profile(), *_fleet())
+        for age_s, first in ((1.0, names[2]), (60.0, names[0])):
+            fleet = [
+                builders.candidate(names[0], reading_ratio=0.6),
+                builders.candidate(names[1], reading_ratio=0.6),
+                builders.candidate(names[2], belief=_cached(age_s)),
+            ]
+            assert _rank(builders.profile(), *fleet)[0] == first
+
     def test_the_home_that_has_ended_is_replaced_by_the_same_engine(self):
         ranked = _rank(builders.profile(), *_fleet())
         left = [c for c in _fleet() if c.server.server_id != ranked[0]]
