--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -16,6 +16,7 @@
 
 NOW = 100.0
 CHAT = builders_relay.route(target_s=0.415, gap_s=0.3, rank=0)
+_HEALTHY = {"ready": True, "busy": False, "penalty": 1.0}
 PARTS = [f"p{i}" for i in range(40)]
 
 
@@ -119,7 +120,13 @@
     def test_an_engine_in_trouble_comes_last(self, fields):
         fleet = [builders.candidate("e9", **fields), *_fleet(2)]
         for part in PARTS:
-            assert _rank(builders.profile(affinity=part), *fleet)[-1] == "e9"
+            profile = builders.profile(affinity=part)
+            ranked = selection.rank(profile, fleet, NOW)
+            assert ranked[-1].server.server_id == "e9"
+            healthy = [c._replace(**_HEALTHY) for c in fleet]
+            is_home = _rank(profile, *healthy)[0] == "e9"
+            is_avoided = ranked[0].reason is options.Reason.AVOIDED
+            assert is_avoided == is_home, "The reason names the unfit home."
 
 
 class TestCost:
