Learn from first events that an engine has evicted a prefix

Change: an assignment carries the prefill that the lease holder expects the cache to save. A first event nearer to the time without the cache lowers the reliability of the engine's beliefs; each miss halves it.

--- a/azureline/engine_choice/chooser.py
+++ b/azureline/engine_choice/chooser.py
@@ -12,6 +12,7 @@
 from azureline.engine_choice import profiles
 from azureline.engine_choice import selection
 from azureline.metrics import counters as metrics
+from azureline.relay import assignment as assignments
 from azureline.relay import ranking
 from azureline.relay import requests
 from azureline.relay import reservations
@@ -30,6 +31,8 @@
 _MIN_CHECKED_WEIGHT = 0.5
 # A belief is right if at least this part of its tokens was cached.
 _RIGHT_PART = 0.5
+# A cache that saves less is not noticed in the time to the first part.
+_MIN_SAVED_S = 0.04
 # Interval of log lines about choices for the same reason.
 _LOG_S = 1.0
 
@@ -176,6 +179,27 @@
                 prefill_s - self._usual_prompt_s
             ) * _NEWEST_WEIGHT
 
+    def record_first_part(
+        self, assignment: assignments.Assignment, took_s: float
+    ) -> None:
+        """Compares an answer's begin with what its engine was to have cached.
+
+        An engine can evict a prefix without its lease holder's knowledge.
+
+        Args:
+          assignment: the assignment.
+          took_s: seconds to the first part, without the queue.
+        """
+        if assignment.cached_s < _MIN_SAVED_S:
+            return
+        # Nearer to the time with the cache than to the time without it.
+        limit_s = assignment.reading_s + assignment.cached_s / 2.0
+        is_right = took_s <= limit_s * _DEFAULT_RATIO
+        record = self._records.keep(assignment.server.incarnation)
+        record.check_belief(is_right, self._clock.now())
+        if not is_right:
+            self._counters.count("engine_beliefs.evicted")
+
     def _check(
         self,
         profile: options.RequestProfile,
@@ -191,7 +215,8 @@
             return
         cached = profile.prompt_tokens - reply.reading_s * self._tokens_per_s
         is_right = cached >= belief.tokens * _RIGHT_PART
-        record.check_belief(is_right, now)
+        if not is_right:
+            record.check_belief(False, now)
         self._counters.count(
             "engine_beliefs.hit" if is_right else "engine_beliefs.miss"
         )
--- a/azureline/engine_choice/engine_records.py
+++ b/azureline/engine_choice/engine_records.py
@@ -7,9 +7,9 @@
 
 # Upper limit of engines in memory; nodes use a few hundred at most.
 _MAX_ENGINES = 1024
-# Weight of the newest reply in an engine's reliability, and the time constant
+# Weight of the newest answer in an engine's reliability, and the time constant
 # with which an engine whose beliefs proved wrong is trusted again.
-_NEWEST_WEIGHT = 0.25
+_NEWEST_WEIGHT = 0.5
 _FORGIVEN_S = 30.0
 
 
--- a/azureline/relay/assignment.py
+++ b/azureline/relay/assignment.py
@@ -26,6 +26,8 @@
       queued_s: seconds that the engine needs for prompts queued before it.
       route: name of the request's route, or "".
       grant: grant to send the request, if the server names a limit.
+      cached_s: seconds of reading at the nominal rate that the engine's cache
+        saves, as its lease holder expects; 0 if unknown.
     """
 
     server: servers.BackendServer
@@ -36,6 +38,7 @@
     queued_s: float = 0.0
     route: str = ""
     grant: grants.Grant | None = None
+    cached_s: float = 0.0
 
 
 class UsableServers(NamedTuple):
--- a/azureline/relay/reserved_assignment.py
+++ b/azureline/relay/reserved_assignment.py
@@ -105,6 +105,7 @@
                         else 0,
                         reading_s=answer.reading_s,
                         queued_s=max(0.0, answer.backlog_s - answer.wait_s),
+                        cached_s=_cached_s(profile, answer),
                     )
                 reason = answer.reason
                 retry_after_s.append(answer.wait_s or _DEFAULT_RETRY_AFTER_S)
@@ -181,3 +182,13 @@
 
     async def _sleep(self, seconds: float) -> None:
         await task.deferLater(self._reactor, seconds, lambda: None)
+
+
+def _cached_s(
+    profile: options.RequestProfile, answer: reservations_lib.ReservationResult
+) -> float:
+    """Returns the seconds of reading that a cache saves; 0 if unknown."""
+    if not answer.reservation_id:
+        return 0.0
+    whole_s = profile.prompt_tokens / profile.tokens_per_s
+    return max(0.0, whole_s - answer.reading_s)
--- a/azureline/relay/scheduler.py
+++ b/azureline/relay/scheduler.py
@@ -266,6 +266,7 @@
         )
         if assignment.reading_s > 0:
             took_s = first_s - assignment.queued_s
+            self._engine_choice.record_first_part(assignment, took_s)
             self._read_time_ratios.record(
                 server.server_id,
                 assignment.model,
--- a/tests/builders_engine_choice.py
+++ b/tests/builders_engine_choice.py
@@ -226,6 +226,8 @@
 
         def first_event() -> None:
             took_s = first_at - sent_at - assigned.queued_s
+            if assigned.reading_s > 0:
+                self.choice.record_first_part(assigned, took_s)
             self.ratios.record(
                 server_id, "m", assigned.reading_s, took_s, first_at
             )
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -335,6 +335,8 @@
         fleet = builders.Fleet(policy, nodes=8)
         fleet.holders_lost = fault == "holders"
         fleet.reports_lost = fault == "reports"
+        if fault == "evicts":  # Without its lease holder's knowledge.
+            fleet.engines["e1"].cache_tokens = 0
         if fault == "restart":
             for at, name in ((3.0, "e0"), (6.0, "e1")):
                 fleet.clock.callLater(at, fleet.engines[name].restart, at)
@@ -350,7 +352,9 @@
     return most / len(served), late / len(served)
 
 
-@pytest.mark.parametrize("fault", ["none", "holders", "reports", "restart"])
+@pytest.mark.parametrize(
+    "fault", ["none", "holders", "reports", "restart", "evicts"]
+)
 def test_faults_cost_cache_misses_and_no_overload(fault):
     """Guards against herding on one engine by old or missing knowledge."""
     most, late = _play_fault(fault, builders.POLICIES["cost"])
