--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -11,8 +11,10 @@
 
 from azureline.callers import relay as caller_side
 from azureline.core import clock as clocks
+from azureline.engine_choice import chooser
 from azureline.metrics import counters as metrics
 from azureline.metrics import exposition as expositions
+from azureline.operators import explanations
 from azureline.platform import store as store_lib
 from azureline.quotas import client as quota_clients
 from azureline.quotas import ownership as quota_ownership
@@ -142,6 +144,13 @@
             log,
         )
         self._times = run_times.RunTimes(settings.engines.read_tokens_per_s)
+        self._engine_choice = chooser.EngineChoice(
+            self._clock,
+            self._times,
+            settings.engines.read_tokens_per_s,
+            self._counters,
+            log,
+        )
         self._scheduler = scheduler_lib.Scheduler(
             reactor,
             self._clock,
@@ -163,8 +172,12 @@
             ),
             self._demand,
             self._times,
+            self._engine_choice,
             self._counters,
         )
+        self._explainer = explanations.Explainer(
+            settings.name, self._table, self._scheduler.explain
+        )
         self._server_notices = server_notices.ServerNotices(
             self._clock,
             self._rng,
@@ -347,7 +360,10 @@
         if settings.metrics_port:
             self._listen(
                 f"{settings.host}:{settings.metrics_port}",
-                expositions.make_factory(self._exposition),
+                expositions.make_factory(
+                    self._exposition,
+                    {explanations.PATH: self._explainer.answer},
+                ),
             )
         self._stack.callback(self._peers.listen(self._reactor).stopListening)
         self._follower.start()
