--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -226,26 +226,7 @@
             lambda: self._follower.is_current(),
             self._counters,
         )
-        quota_owners = quota_ownership.Ownership(
-            self._record,
-            self._peers.nodes,
-            lambda: self._peers.is_listed,
-            lambda: self._follower.confirmed_at,
-            settings.orders.lease_s - settings.orders.renew_s,
-        )
-        self._quotas = quota_clients.QuotaClient(
-            reactor,
-            self._clock,
-            self._rng,
-            self._peers,
-            quota_owners,
-            self._table,
-            self._counters,
-            log,
-        )
-        self._quota_service = quota_service.QuotaService(
-            self._clock, self._peers, quota_owners, self._table, self._counters
-        )
+        self._quotas, self._quota_service = self._make_quotas()
         self._exchange_context = exchange_context.ExchangeContext(
             reactor,
             self._clock,
@@ -350,6 +331,33 @@
         )
         self._ports: list[Any] = []
 
+    def _make_quotas(
+        self,
+    ) -> tuple[quota_clients.QuotaClient, quota_service.QuotaService]:
+        """Returns this node's client and its owner of workspaces' quotas."""
+        orders = self._settings.orders
+        owners = quota_ownership.Ownership(
+            self._record,
+            self._peers.nodes,
+            lambda: self._peers.is_listed,
+            lambda: self._follower.confirmed_at,
+            orders.lease_s - orders.renew_s,
+        )
+        client = quota_clients.QuotaClient(
+            self._reactor,
+            self._clock,
+            self._rng,
+            self._peers,
+            owners,
+            self._table,
+            self._counters,
+            self._log,
+        )
+        service = quota_service.QuotaService(
+            self._clock, self._peers, owners, self._table, self._counters
+        )
+        return client, service
+
     def start(self) -> None:
         """Opens the sockets and starts to follow the store."""
         settings = self._settings
