Weigh cached prefixes only where the settings say so

Change: `engines.weigh_prefixes` (false) switches it on. Without it engines are ordered by affinity as before; rank_by_affinity and its tests are back as they were. The parts for quotas are built in a module of their own, as the node's constructor grew too long.

--- a/azureline/engine_choice/assigner.py
+++ b/azureline/engine_choice/assigner.py
@@ -10,6 +10,7 @@
 from azureline.core import errors
 from azureline.engine_choice import chooser
 from azureline.engine_choice import options
+from azureline.engine_choice import selection
 from azureline.relay import assignment as assignments
 from azureline.relay import eligibility as eligibilities
 from azureline.relay import in_flight as in_flight_lib
@@ -52,6 +53,7 @@
         choose: Choose,
         choice: server_choice.ServerChoice,
         reserved: reserved_assignment.ReservedAssignment,
+        weighs_prefixes: bool,
     ):
         """Creates an instance.
 
@@ -64,6 +66,8 @@
           choose: chooses among ranked engines.
           choice: takes back grants that were not used.
           reserved: assigns requests that need a reservation.
+          weighs_prefixes: whether what an engine caches is weighed against the
+            waits; if not, engines are ordered by affinity.
         """
         self._clock = clock
         self._engine_choice = engine_choice
@@ -73,6 +77,7 @@
         self._choose = choose
         self._choice = choice
         self._reserved = reserved
+        self._weighs_prefixes = weighs_prefixes
 
     def rank(
         self,
@@ -82,14 +87,17 @@
     ) -> list[options.Option]:
         """Returns the engines in the order to try; changes no state."""
         now = self._clock.now()
+        found = [self._in_flight.engine_candidate(s, request) for s in holders]
+        if not self._weighs_prefixes:
+            return selection.rank_by_affinity(
+                profile.affinity, profile.is_long, found
+            )
+        ratio_of = self._read_time_ratios.get
         return self._engine_choice.rank(
             profile,
             [
-                (
-                    self._in_flight.engine_candidate(s, request),
-                    self._read_time_ratios.get(s.server_id, request.model, now),
-                )
-                for s in holders
+                (c, ratio_of(c.server.server_id, request.model, now))
+                for c in found
             ],
         )
 
--- a/azureline/engine_choice/options.py
+++ b/azureline/engine_choice/options.py
@@ -129,6 +129,7 @@
     CACHED = "cached"
     WAIT = "wait"
     AVOIDED = "avoided"
+    AFFINITY = "affinity"  # Costs are not weighed.
 
 
 class Option(NamedTuple):
--- a/azureline/engine_choice/selection.py
+++ b/azureline/engine_choice/selection.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import itertools
+import math
 from typing import NamedTuple
 
 from azureline.engine_choice import cost
@@ -42,6 +43,49 @@
 _RISK_MARGIN = 0.15
 
 
+def rank_by_affinity(
+    affinity: str, is_long: bool, candidates: Sequence[ranking.Candidate]
+) -> list[options.Option]:
+    """Returns the engines in the order to try them without weighing costs.
+
+    Args:
+      affinity: key that requests with the same shared prefix have.
+      is_long: whether an engine delays its streams to prefill the prompt.
+      candidates: engines that can run the request.
+    """
+    ordered = ranking.rank_by_affinity(
+        candidates, affinity, near_first=not is_long
+    )
+    return [
+        options.Option(
+            candidate.server,
+            cost_s=0.0,
+            known_wait_s=0.0,
+            usual_wait_s=0.0,
+            prefill_s=0.0,
+            saved_s=0.0,
+            delay_s=0.0,
+            gap_s=0.0,
+            domain_s=0.0,
+            place=place,
+            reason=options.Reason.AFFINITY,
+            candidate=options.Candidate(
+                candidate.server,
+                candidate.load,
+                candidate.penalty,
+                candidate.other_domain,
+                candidate.ready,
+                candidate.busy,
+                candidate.reading_ratio,
+            ),
+            belief_age_s=math.inf,
+            queue_age_s=math.inf,
+            load_age_s=math.inf,
+        )
+        for place, candidate in enumerate(ordered)
+    ]
+
+
 class _Bounds(NamedTuple):
     """Bounds above which short prompts avoid an engine."""
 
--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -16,9 +16,7 @@
 from azureline.metrics import exposition as expositions
 from azureline.operators import explanations
 from azureline.platform import store as store_lib
-from azureline.quotas import client as quota_clients
-from azureline.quotas import ownership as quota_ownership
-from azureline.quotas import service as quota_service
+from azureline.quotas import parts as quota_parts
 from azureline.relay import claims
 from azureline.relay import config_copy
 from azureline.relay import controllers as controllers_lib
@@ -174,6 +172,7 @@
             self._times,
             self._engine_choice,
             self._counters,
+            settings.engines.weigh_prefixes,
         )
         self._explainer = explanations.Explainer(
             settings.name, self._table, self._scheduler.explain
@@ -226,7 +225,17 @@
             lambda: self._follower.is_current(),
             self._counters,
         )
-        self._quotas, self._quota_service = self._make_quotas()
+        self._quotas, self._quota_service = quota_parts.build(
+            reactor,
+            self._clock,
+            self._rng,
+            self._peers,
+            self._table,
+            lambda: self._follower.confirmed_at,
+            settings.orders.lease_s - settings.orders.renew_s,
+            self._counters,
+            log,
+        )
         self._exchange_context = exchange_context.ExchangeContext(
             reactor,
             self._clock,
@@ -331,33 +340,6 @@
         )
         self._ports: list[Any] = []
 
-    def _make_quotas(
-        self,
-    ) -> tuple[quota_clients.QuotaClient, quota_service.QuotaService]:
-        """Returns this node's client and its owner of workspaces' quotas."""
-        orders = self._settings.orders
-        owners = quota_ownership.Ownership(
-            self._record,
-            self._peers.nodes,
-            lambda: self._peers.is_listed,
-            lambda: self._follower.confirmed_at,
-            orders.lease_s - orders.renew_s,
-        )
-        client = quota_clients.QuotaClient(
-            self._reactor,
-            self._clock,
-            self._rng,
-            self._peers,
-            owners,
-            self._table,
-            self._counters,
-            self._log,
-        )
-        service = quota_service.QuotaService(
-            self._clock, self._peers, owners, self._table, self._counters
-        )
-        return client, service
-
     def start(self) -> None:
         """Opens the sockets and starts to follow the store."""
         settings = self._settings
--- a/azureline/relay/ranking.py
+++ b/azureline/relay/ranking.py
@@ -1,8 +1,8 @@
-"""Ranks plain servers, and hashes engines for requests that share prompts.
+"""Ranks the backend servers that could serve a request.
 
-Requests that share the beginning of their prompts have the same home engine by
-rendezvous hashing (Thaler and Ravishankar, 1998), so nodes need not exchange
-data about prompts.  `azureline.engine_choice` weighs it against the waits.
+Requests that share the beginning of their prompts go to the same engine, by
+rendezvous hashing (Thaler and Ravishankar, 1998) with a bound on the load, so
+nodes need not exchange data about prompts.
 """
 
 from collections.abc import Callable
@@ -13,6 +13,15 @@
 from azureline.relay import requests
 from azureline.relay import servers
 
+# An engine counts as overloaded above this many times the mean load ...
+_MAX_RELATIVE_LOAD = 1.25
+# ... plus this many requests.
+_EXTRA_REQUESTS = 1.5
+# Streams pause while their engine reads prompts, so short prompts avoid an
+# engine that spends more than this part of its time reading ...
+_MAX_READING_RATIO = 0.5
+# ... and exceeds the mean over the engines by more than this.
+_READING_RATIO_MARGIN = 0.1
 # Extra requests counted for a server in another failure domain, because traffic
 # between domains costs money and time.
 _OTHER_DOMAIN_LOAD = 0.35
@@ -40,6 +49,43 @@
     reading_ratio: float = 0.0
 
 
+def rank_by_affinity(
+    candidates: Sequence[Candidate], affinity: str, near_first: bool = True
+) -> list[Candidate]:
+    """Returns the engines in the order in which to try them.
+
+    Args:
+      candidates: engines that can serve the request.
+      affinity: key that requests with a common beginning of prompts share.
+      near_first: whether engines of this failure domain come first; if not,
+        requests with the same key prefer the same engine in all domains.
+    """
+    if not candidates:
+        return []
+    mean_load = sum(c.load for c in candidates) / len(candidates)
+    max_load = _MAX_RELATIVE_LOAD * mean_load + _EXTRA_REQUESTS
+    mean_reading = sum(c.reading_ratio for c in candidates) / len(candidates)
+    max_reading = max(_MAX_READING_RATIO, mean_reading + _READING_RATIO_MARGIN)
+
+    def key(c: Candidate) -> tuple[bool, bool, bool, float]:
+        overloaded = c.load * c.penalty > max_load or c.penalty > 3.0
+        # Long prompts ignore this bound: the engine's lease holder, which knows
+        # the exact queue, decides on them.
+        overloaded = overloaded or (
+            near_first and c.reading_ratio > max_reading
+        )
+        stuck = c.busy and not c.ready
+        other_domain = near_first and c.other_domain
+        return (
+            stuck,
+            overloaded,
+            other_domain,
+            -rendezvous_hash(affinity, c.server.server_id),
+        )
+
+    return sorted(candidates, key=key)
+
+
 def rank_by_load(
     candidates: Sequence[Candidate], tie: Callable[[], float]
 ) -> list[Candidate]:
--- a/azureline/relay/scheduler.py
+++ b/azureline/relay/scheduler.py
@@ -50,6 +50,7 @@
         times: run_times.RunTimes,
         engine_choice: chooser.EngineChoice,
         counters: metrics.Counters,
+        weighs_prefixes: bool = False,
     ):
         """Creates a scheduler without requests in flight.
 
@@ -67,6 +68,8 @@
           times: running times of requests per route.
           engine_choice: ranks the engines of a service.
           counters: counts waits and refusals.
+          weighs_prefixes: whether what an engine caches is weighed against the
+            waits.
         """
         self._reactor = reactor
         self._clock = clock
@@ -102,6 +105,7 @@
                 self._in_flight.add,
                 self.release,
             ),
+            weighs_prefixes,
         )
         self._waiters = waiters.Waiters(reactor)
 
--- a/azureline/relay/settings.py
+++ b/azureline/relay/settings.py
@@ -32,9 +32,13 @@
 
     Attributes:
       read_tokens_per_s: prompt tokens that an engine reads per second.
+      weigh_prefixes: whether what an engine caches of a prompt is weighed
+        against the wait there; if not, requests with a common beginning go to
+        one engine while its load allows.
     """
 
     read_tokens_per_s: bounds.Rate
+    weigh_prefixes: bool
 
 
 class Orders(NamedTuple):
--- a/tests/builders_engine_choice.py
+++ b/tests/builders_engine_choice.py
@@ -169,6 +169,7 @@
                 self.in_flight.add,
                 self.in_flight.remove,
             ),
+            weighs_prefixes=True,
         )
 
     def add_in_flight(self, *unused: Any) -> None:
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -30,6 +30,74 @@
 
 
 class TestPlacement:
+    def test_requests_with_common_parts_go_to_the_same_engine(self):
+        fleet = [_candidate(f"e{i}") for i in range(5)]
+        shuffled = random.Random(1).sample(fleet, 5)
+        first = ranking.rank_by_affinity(fleet, "model p1")
+        assert first == ranking.rank_by_affinity(shuffled, "model p1")
+
+    def test_requests_with_different_parts_are_spread_over_the_engines(self):
+        fleet = [_candidate(f"e{i}") for i in range(5)]
+        firsts = {
+            _names(ranking.rank_by_affinity(fleet, f"part {i}"))[0]
+            for i in range(60)
+        }
+        assert len(firsts) == 5
+
+    def test_long_prompts_of_all_domains_go_to_the_same_engine(self):
+        for part in range(20):
+            fleets = [
+                [
+                    _candidate(f"e{i}", other_domain=i % 3 != own)
+                    for i in range(6)
+                ]
+                for own in range(3)
+            ]
+            firsts = {
+                _names(
+                    ranking.rank_by_affinity(v, str(part), near_first=False)
+                )[0]
+                for v in fleets
+            }
+            assert len(firsts) == 1
+
+    def test_short_prompts_stay_in_their_domain(self):
+        fleet = [_candidate(f"e{i}", other_domain=i % 3 != 0) for i in range(6)]
+        for part in range(20):
+            first = ranking.rank_by_affinity(fleet, str(part))[0]
+            assert not first.other_domain
+
+    def test_short_prompts_avoid_an_engine_that_reads_much(self):
+        reads = _candidate("e1", reading_ratio=0.9)
+        fleet = [reads, _candidate("e2", reading_ratio=0.3), _candidate("e3")]
+        for part in range(20):
+            assert ranking.rank_by_affinity(fleet, str(part))[-1] == reads
+        firsts = {
+            _names(
+                ranking.rank_by_affinity(fleet, str(part), near_first=False)
+            )[0]
+            for part in range(20)
+        }
+        assert "e1" in firsts, "Long prompts also go to engines that read much."
+
+    def test_engines_that_all_read_much_share_the_short_prompts(self):
+        fleet = [_candidate(f"e{i}", reading_ratio=0.9) for i in range(3)]
+        firsts = {
+            _names(ranking.rank_by_affinity(fleet, str(part)))[0]
+            for part in range(40)
+        }
+        assert len(firsts) == 3
+
+    def test_an_overloaded_engine_comes_last(self):
+        fleet = [_candidate("e1", 9.0), _candidate("e2"), _candidate("e3")]
+        for part in range(20):
+            assert ranking.rank_by_affinity(fleet, str(part))[-1].load == 9.0
+
+    def test_an_engine_that_can_load_nothing_comes_last(self):
+        blocked = _candidate("e1", ready=False, busy=True)
+        fleet = [blocked, _candidate("e2", other_domain=True)]
+        assert ranking.rank_by_affinity(fleet, "x")[-1] == blocked
+
     def test_the_penalty_of_a_failing_server_decays(self):
         recorded = health.ServerHealth()
         for _ in range(6):
