--- a/azureline/relay/node.py
+++ b/azureline/relay/node.py
@@ -11,12 +11,12 @@
 
 from azureline.callers import relay as caller_side
 from azureline.core import clock as clocks
+from azureline.engine_choice import chooser
 from azureline.metrics import counters as metrics
 from azureline.metrics import exposition as expositions
+from azureline.operators import explanations
 from azureline.platform import store as store_lib
-from azureline.quotas import client as quota_clients
-from azureline.quotas import ownership as quota_ownership
-from azureline.quotas import service as quota_service
+from azureline.quotas import parts as quota_parts
 from azureline.relay import claims
 from azureline.relay import config_copy
 from azureline.relay import controllers as controllers_lib
@@ -142,6 +142,13 @@
             log,
         )
         self._times = run_times.RunTimes(settings.engines.read_tokens_per_s)
+        self._engine_choice = chooser.EngineChoice(
+            self._clock,
+            self._times,
+            settings.engines.read_tokens_per_s,
+            self._counters,
+            log,
+        )
         self._scheduler = scheduler_lib.Scheduler(
             reactor,
             self._clock,
@@ -163,7 +170,12 @@
             ),
             self._demand,
             self._times,
+            self._engine_choice,
             self._counters,
+            settings.engines.weigh_prefixes,
+        )
+        self._explainer = explanations.Explainer(
+            settings.name, self._table, self._scheduler.explain
         )
         self._server_notices = server_notices.ServerNotices(
             self._clock,
@@ -213,26 +225,17 @@
             lambda: self._follower.is_current(),
             self._counters,
         )
-        quota_owners = quota_ownership.Ownership(
-            self._record,
-            self._peers.nodes,
-            lambda: self._peers.is_listed,
-            lambda: self._follower.confirmed_at,
-            settings.orders.lease_s - settings.orders.renew_s,
-        )
-        self._quotas = quota_clients.QuotaClient(
+        self._quotas, self._quota_service = quota_parts.build(
             reactor,
             self._clock,
             self._rng,
             self._peers,
-            quota_owners,
             self._table,
+            lambda: self._follower.confirmed_at,
+            settings.orders.lease_s - settings.orders.renew_s,
             self._counters,
             log,
         )
-        self._quota_service = quota_service.QuotaService(
-            self._clock, self._peers, quota_owners, self._table, self._counters
-        )
         self._exchange_context = exchange_context.ExchangeContext(
             reactor,
             self._clock,
@@ -347,7 +350,10 @@
         if settings.metrics_port:
             self._listen(
                 f"{settings.host}:{settings.metrics_port}",
-                expositions.make_factory(self._exposition),
+                expositions.make_factory(
+                    self._exposition,
+                    {explanations.PATH: self._explainer.answer},
+                ),
             )
         self._stack.callback(self._peers.listen(self._reactor).stopListening)
         self._follower.start()
