--- a/azureline/routing/suspects.py
+++ b/azureline/routing/suspects.py
@@ -16,6 +16,7 @@
 from azureline import requests
 from azureline.core import errors
 from azureline.routing import crash_history
+from azureline.routing import failed_trials
 from azureline.routing import rendezvous
 from azureline.routing import server_calls
 from azureline.routing import signatures
@@ -340,25 +341,10 @@
 
     def _refused_until(self, signature: bytes) -> float:
         """Returns the Unix time until which a signature may be refused."""
-        crashes = self._effective(signature)
-        last = max((crash.at for crash in crashes), default=0.0)
-        extra_trials = max(0, len(self._failed_trials(crashes)) - 1)
-        growth = self._settings.refuse_growth ** min(extra_trials, 30)
-        return last + min(
-            self._settings.refuse_s * growth, self._settings.refuse_cap_s
+        return failed_trials.refused_until(
+            self._effective(signature), self._settings
         )
 
-    def _failed_trials(
-        self, crashes: Sequence[crash_history.Crash]
-    ) -> list[crash_history.Crash]:
-        """Returns the crashes after those that made a signature a suspect."""
-        tolerated = self._settings.tolerated_crashes
-        ordered = sorted(crashes, key=lambda crash: crash.at)
-        if len(ordered) <= tolerated:
-            return []
-        counts_from = ordered[tolerated].at + self._settings.trial_gap_s
-        return [c for c in ordered[tolerated + 1 :] if c.at >= counts_from]
-
     def _effective(self, content: bytes) -> tuple[crash_history.Crash, ...]:
         """Returns the crashes since the content's last complete run."""
         entry = self._entries.get(content)
@@ -380,7 +366,7 @@
 
     def _must_refuse(self, signature: bytes) -> bool:
         settings, crashes = self._settings, self._effective(signature)
-        failed = self._failed_trials(crashes)
+        failed = failed_trials.select(crashes, settings)
         if signatures.is_part(signature):
             enough = len(crashes) >= settings.part_refusal_crashes
             return enough and len(failed) >= settings.part_refusal_trials
@@ -408,7 +394,7 @@
         settings, crashes = self._settings, self._effective(signature)
         others = [
             self._most_crashes_beside(signature, crash, present)
-            for crash in self._failed_trials(crashes)
+            for crash in failed_trials.select(crashes, settings)
         ]
         blamed = sum(most <= len(crashes) for most in others)
         if blamed < settings.part_refusal_trials:
