--- a/azureline/relay/prefill.py
+++ b/azureline/relay/prefill.py
@@ -24,13 +24,9 @@
 # Break after a run, in which the engine makes a few steps of 5 ms without a
 # prompt.
 _BREAK_S = 0.03
-# A prompt is sent this long before the engine is expected to begin to read it.
-# Engines read prompts in the order of their arrival, so prompts that are sent
-# sooner delay the first event of every short prompt that comes after them.
-_SEND_AHEAD_S = 0.03
 # Longest time that a node holds a prompt back.  Beyond it the prompt is better
 # off in the engine's own queue, which orders by urgency.
-_MAX_HOLD_S = 0.5
+_MAX_HOLD_S = 0.25
 # Prompts that take less time to read never wait: they hardly lengthen a run.
 _SHORT_PROMPT_S = 0.04
 # Reading time relative to the nominal rate while nothing was measured.  It is
@@ -202,11 +198,14 @@
         self._decayed_at = now
         for prefix, tokens in _prefixes(prompt):
             self._cache(prefix, tokens)
-        if reading_s <= _SHORT_PROMPT_S:
-            return 0.0
-        # Not before its run begins, or the break before it would be lost.
-        send_at = max(slot.run_began, slot.begin_at - _SEND_AHEAD_S)
-        return min(max(0.0, send_at - now), _MAX_HOLD_S)
+        # Only a prompt that starts a run, or joins one that has not begun, must
+        # be held back.
+        is_short = reading_s <= _SHORT_PROMPT_S
+        return (
+            0.0
+            if is_short
+            else min(max(0.0, slot.run_began - now), _MAX_HOLD_S)
+        )
 
     def reading_ratio(self, now: float) -> float:
         """Returns the part of its time that the engine reads prompts."""
