--- a/azureline/engine_choice/chooser.py
+++ b/azureline/engine_choice/chooser.py
@@ -33,6 +33,14 @@
 _RIGHT_PART = 0.5
 # A cache that saves less is not noticed in the time to the first part.
 _MIN_SAVED_S = 0.04
+# Reasons without a log line.
+_USUAL_REASONS = frozenset(
+    {
+        options.Reason.HOME,
+        options.Reason.NO_BELIEF,
+        options.Reason.AFFINITY,
+    }
+)
 # Interval of log lines about choices for the same reason.
 _LOG_S = 1.0
 
@@ -111,7 +119,7 @@
         self._counters.count(f"engine_choices.{reason.value}")
         now = self._clock.now()
         if (
-            reason in (options.Reason.HOME, options.Reason.NO_BELIEF)
+            reason in _USUAL_REASONS
             or now - self._logged_at.get(reason, -math.inf) < _LOG_S
         ):
             return
