Close the connection that a test of explanations opens

One test of the whole suite failed in three runs of three, each time another one: "Reactor was unclean", two idle timers of 60 s. They belonged to the connections that test_the_metrics_address_serves_explanations left open; the first trial case after it in the same process failed. Run before two such files, the test failed one of them before and none now.

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -5,7 +5,9 @@
 from urllib import parse
 
 import pytest
+from twisted.internet import error
 from twisted.internet import testing as twisted_testing
+from twisted.python import failure
 from typer import testing
 
 from azureline.metrics import counters as metrics
@@ -142,4 +144,6 @@
     transport = twisted_testing.StringTransport()
     protocol.makeConnection(transport)
     protocol.dataReceived(b"GET " + path + b" HTTP/1.1\r\nHost: a\r\n\r\n")
+    # The idle timer of an open connection fails later tests of this process.
+    protocol.connectionLost(failure.Failure(error.ConnectionDone()))
     assert words in transport.value()
