--- a/azureline/quotas/ownership.py
+++ b/azureline/quotas/ownership.py
@@ -12,12 +12,9 @@
 from azureline.relay import keys
 from azureline.routing import rendezvous
 
-# A request or the answer to a ping shows for this time that its sender reaches
-# this node; a node whose owner was silent asks again every 1.2 s.
+# A request shows for this time that its sender takes this node for the owner; a
+# node whose owner was silent asks again every 1.2 s.
 _HEARD_S = 2.5
-# An owner pings the other nodes once its view of the store is older than this
-# part of the time for which it is valid, so that answers arrive before it ends.
-_PING_PART = 0.5
 
 
 class Ownership:
@@ -85,14 +82,9 @@
         return self.owner_of(workspace).name == self._own.name
 
     def heard(self, host: str, port: int, now: float) -> None:
-        """Records that another node reaches this one."""
+        """Records that a node takes this one for an owner."""
         self._heard_at[(host, port)] = now
 
-    def needs_pings(self, now: float) -> bool:
-        """Returns whether an owner may soon need to hear of other nodes."""
-        fresh_until = self._confirmed_at() + _PING_PART * self._valid_s
-        return self.is_known and now > fresh_until
-
     def view_is_valid(self, now: float) -> bool:
         """Returns whether the store has confirmed the nodes recently."""
         return now <= self._confirmed_at() + self._valid_s
@@ -122,7 +114,7 @@
 
         While the store is unavailable nobody can be replaced.  An owner cannot
         tell this from a partition that separates it from the store, unless more
-        than half of all nodes still reach it.
+        than half of all nodes still ask it.
         """
         if self.view_is_valid(now):
             return True
--- a/azureline/quotas/service.py
+++ b/azureline/quotas/service.py
@@ -37,8 +37,6 @@
         self._owner = owners.QuotaOwner()
         peers.on(messages.QuotaRequest, self._request_received)
         peers.on(messages.QuotaReturn, self._return_received)
-        peers.on(messages.QuotaPing, self._ping_received)
-        peers.on(messages.QuotaPong, self._pong_received)
 
     def update(self) -> None:
         """Adopts workspaces that this node owns now and drops others.
@@ -46,22 +44,14 @@
         Must be called at least once per second.
         """
         now = self._clock.now()
-        owned = {
-            name: quota
-            for name, quota in self._table.workspaces.with_quota().items()
-            if self._ownership.is_owner(name)
-        }
-        if owned and self._ownership.needs_pings(now):
-            self._ping_nodes()
+        owned = {}
         if self._may_grant(now):
-            self._owner.set_owned(owned, self._table.version, now)
-
-    def _ping_nodes(self) -> None:
-        """Asks all other nodes for a sign of life, each directly."""
-        self._counters.count("quotas.pinged")
-        for record in list(self._peers.nodes.values()):
-            if not self._peers.is_self(record):
-                self._peers.send(record, messages.QuotaPing())
+            owned = {
+                name: quota
+                for name, quota in self._table.workspaces.with_quota().items()
+                if self._ownership.is_owner(name)
+            }
+        self._owner.set_owned(owned, self._table.version, now)
 
     def _may_grant(self, now: float) -> bool:
         """Returns whether this node may grant; if not, its buckets are lost."""
@@ -94,13 +84,3 @@
         key = owners.RequestKey(host, port, message.number)
         if not self._owner.put_back(key, self._clock.now()):
             self._counters.count("quotas.return_unknown")
-
-    def _ping_received(
-        self, message: messages.QuotaPing, host: str, port: int
-    ) -> None:
-        self._peers.reply(host, port, messages.QuotaPong())
-
-    def _pong_received(
-        self, message: messages.QuotaPong, host: str, port: int
-    ) -> None:
-        self._ownership.heard(host, port, self._clock.now())
--- a/azureline/relay/messages.py
+++ b/azureline/relay/messages.py
@@ -453,14 +453,6 @@
     amount: int
 
 
-class QuotaPing(NamedTuple):
-    """Asks a node whether it and the sender still reach each other."""
-
-
-class QuotaPong(NamedTuple):
-    """Answers a `QuotaPing`."""
-
-
 _MESSAGES: dict[int, type] = {
     1: EngineState,
     2: ReservationRequest,
@@ -489,8 +481,6 @@
     26: QuotaRequest,
     27: QuotaReply,
     28: QuotaReturn,
-    29: QuotaPing,
-    30: QuotaPong,
 }
 
 
