Let a new quota owner grant a part of the quota at once

After a loss of all nodes the callers of workspaces were refused nearly everything large for 2 s more: a new owner granted nothing until no older view could be valid, and nodes that decide alone have less than a long prompt.

Change: while it waits, the owner grants 0.3 of the quota from an empty bucket. If the previous owner still grants all of it, this and lone decisions add less than the bound leaves.

--- a/azureline/quotas/ownership.py
+++ b/azureline/quotas/ownership.py
@@ -15,6 +15,11 @@
 # A request shows for this time that its sender takes this node for the owner; a
 # node whose owner was silent asks again every 1.2 s.
 _HEARD_S = 2.5
+# Part of each quota that a node grants while it waits until no other node can
+# have been the owner.  The previous owner may still grant all of the quota for
+# 2 s: together with what nodes grant alone this adds less than the 0.9 of the
+# rate of one second that the bound allows beyond a burst.
+_WAITING_PART = 0.3
 
 
 class Ownership:
@@ -89,6 +94,15 @@
         """Returns whether the store has confirmed the nodes recently."""
         return now <= self._confirmed_at() + self._valid_s
 
+    def granted_part(self, now: float) -> float:
+        """Returns the part of each quota that this node may grant, 0 to 1.
+
+        Less than 1 means that it is not sure to be the owner; see `may_grant`.
+        """
+        if self.may_grant(now):
+            return 1.0
+        return 0.0 if self._grants_from is None else _WAITING_PART
+
     def may_grant(self, now: float) -> bool:
         """Returns whether this node is surely the owner it takes itself for.
 
--- a/azureline/quotas/service.py
+++ b/azureline/quotas/service.py
@@ -7,6 +7,7 @@
 from azureline.relay import messages
 from azureline.relay import peers as peers_lib
 from azureline.relay import routes
+from azureline.relay import workspaces
 
 
 class QuotaService:
@@ -44,21 +45,22 @@
         Must be called at least once per second.
         """
         now = self._clock.now()
-        owned = {}
-        if self._may_grant(now):
-            owned = {
-                name: quota
-                for name, quota in self._table.workspaces.with_quota().items()
-                if self._ownership.is_owner(name)
-            }
+        part = self._granted_part(now)
+        if not part:
+            return
+        owned = {
+            name: _scaled(quota, part)
+            for name, quota in self._table.workspaces.with_quota().items()
+            if self._ownership.is_owner(name)
+        }
         self._owner.set_owned(owned, self._table.version, now)
 
-    def _may_grant(self, now: float) -> bool:
-        """Returns whether this node may grant; if not, its buckets are lost."""
-        may_grant = self._ownership.may_grant(now)
-        if not may_grant:
+    def _granted_part(self, now: float) -> float:
+        """Returns the part of quotas to grant; at 0 the buckets are lost."""
+        part = self._ownership.granted_part(now)
+        if not part:
             self._owner.set_owned({}, self._table.version, now)
-        return may_grant
+        return part
 
     def _request_received(
         self, request: messages.QuotaRequest, host: str, port: int
@@ -69,13 +71,18 @@
             # The sender asks the owner in its newer view again in 80 ms.
             self._counters.count("quotas.not_owner")
             return
-        if not self._may_grant(now):
+        part = self._granted_part(now)
+        if not part:
             self._counters.count("quotas.uncertain_owner")
             return
+        request = request._replace(
+            rate_per_s=request.rate_per_s * part, burst=request.burst * part
+        )
         own = self._peers.own
         key = owners.RequestKey(host, port, request.number)
         is_own = (host, port) == (own.host, own.port)
-        reply = self._owner.decide(request, key, not is_own, now)
+        with_credit = not is_own and part == 1.0
+        reply = self._owner.decide(request, key, with_credit, now)
         self._peers.reply(host, port, reply)
 
     def _return_received(
@@ -84,3 +91,9 @@
         key = owners.RequestKey(host, port, message.number)
         if not self._owner.put_back(key, self._clock.now()):
             self._counters.count("quotas.return_unknown")
+
+
+def _scaled(quota: workspaces.Quota, part: float) -> workspaces.Quota:
+    return quota._replace(
+        rate_per_s=quota.rate_per_s * part, burst=quota.burst * part
+    )
--- a/tests/test_quotas_fleet.py
+++ b/tests/test_quotas_fleet.py
@@ -216,6 +216,21 @@
     assert fleet.tokens("w0", began + 4.0) >= 0.9 * 8.0 * _RATE
 
 
+def test_new_owners_grant_a_part_of_the_quota_after_a_loss_of_all_nodes():
+    # They granted nothing for 2 s, so that all large requests were refused.
+    fleet = _fleet()
+    _demand(fleet, 10.0, list(range(8)))
+    fleet.advance(3.0)
+    for number in list(fleet.nodes):
+        fleet.kill(number)
+        fleet.start(number)
+    began = fleet.clock.now()
+    fleet.advance(2.5)
+    assert fleet.tokens("w0", began) >= 0.25 * 2.0 * _RATE
+    fleet.advance(7.0)
+    assert _is_bound(fleet)
+
+
 # In the first version, processes that started during an outage of the store
 # took themselves for the whole fleet and broke the bound in 8, 13 and 34.  In
 # 71 an owner was cut off when a node that replaced it joined.
