--- a/review/support2/case.py
+++ b/review/support2/case.py
@@ -43,15 +43,20 @@
         self._path.write_text("\n".join(self._lines) + "\n")
 
 
-def run(folder: str, check: Callable[[Record, bool], list[str]]) -> None:
+def run(
+    file: str,
+    check: Callable[[Record, bool], list[str]],
+    record_name: str = "record.txt",
+) -> None:
     """Runs a case and exits with its result.
 
     Args:
-      folder: name of the case's file; the record is written beside it.
+      file: name of the case's file; the record is written beside it.
       check: runs the case with the record and whether to cause the disruption;
         returns the breaks of the rule.
+      record_name: name of the record's file.
     """
-    record = Record(pathlib.Path(folder).resolve().parent / "record.txt")
+    record = Record(pathlib.Path(file).resolve().parent / record_name)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"disruption: {'yes' if has_trouble else 'no'}")
     try:
